--- /dev/null
+++ b/apps/run.cpp
@@ -0,0 +1,69 @@
+#include "apps/run.hpp"
+
+#include "wire/rpc.hpp"
+
+#include <csignal>
+#include <iostream>
+
+namespace tealshelf {
+
+namespace {
+Task<void> ending(asio::io_context& io, Boot const& boot, Daemon& d) {
+  Moment const t = Clock::now();
+  d.stop();
+  while (Clock::now() - t < d.least || (!d.idle() && Clock::now() - t < Ms(boot.bounds.grace * 9 / 10))) co_await pause(Ms(boot.bounds.step / 4));
+  io.stop();
+}
+}  // namespace
+
+int runDaemon(string const& bootPath, string const& level, std::function<void(asio::io_context&, Boot const&, Daemon&)> start) {
+  std::signal(SIGPIPE, SIG_IGN);
+  Level l = Level::info;
+  if (!readLevel(level, l)) {
+    std::cerr << Error(Code::badArguments, "log level " + level).what() << "\n";
+    return 2;
+  }
+  startLog(l);
+  try {
+    Boot const boot = loadBoot(bootPath);
+    for (string const& u : boot.unknown) tell("boot", "unknown field " + u + " is ignored");
+    asio::io_context io(1);
+    Daemon d;
+    start(io, boot, d);
+    asio::signal_set ends(io, SIGTERM, SIGINT), hup(io, SIGHUP);
+    ends.async_wait([&](error_code e, int) {
+      if (e) return;
+      tell("run", "told to end");
+      spawn(io, "ending", ending(io, boot, d));
+    });
+    std::function<void(error_code, int)> onHup = [&](error_code e, int) {
+      if (e) return;
+      try {
+        loadBoot(boot.path);
+        tell("boot", "the boot file was read again");
+      } catch (Error const& x) {
+        warn("boot", x.what());
+      }
+      hup.async_wait(onHup);
+    };
+    hup.async_wait(onHup);
+    for (;;) {
+      try {
+        io.run();
+        break;
+      } catch (std::exception const& x) {
+        say(Level::error, "run", x.what());
+      }
+    }
+    tell("run", "ended");
+    std::_Exit(0);
+  } catch (Error const& x) {
+    say(Level::error, "run", x.what());
+    return x.kind() == Kind::badBoot ? 2 : 3;
+  } catch (std::exception const& x) {
+    say(Level::error, "run", x.what());
+    return 3;
+  }
+}
+
+}  // namespace tealshelf
--- /dev/null
+++ b/charter/charter.cpp
@@ -0,0 +1,173 @@
+#include "charter/charter.hpp"
+
+#include <boost/property_tree/json_parser.hpp>
+#include <sstream>
+
+namespace tealshelf {
+
+namespace {
+using Tree = boost::property_tree::ptree;
+
+class Reader {
+ public:
+  explicit Reader(vector<CharterFault>& f) : faults_(f) {}
+  void fault(Code c, string const& t) { faults_.push_back({c, t}); }
+
+  string text(Tree const& t, char const* k, string const& where, bool must) {
+    boost::optional<Tree const&> const v = t.get_child_optional(k);
+    if (!v) {
+      if (must) fault(Code::unreadable, where + " has no " + k);
+      return "";
+    }
+    if (!v->empty()) fault(Code::wrongType, where + "." + k);
+    return v->data();
+  }
+  std::uint64_t number(Tree const& t, char const* k, string const& where, std::uint64_t usual, bool must = false) {
+    boost::optional<Tree const&> const v = t.get_child_optional(k);
+    if (!v) {
+      if (must) fault(Code::unreadable, where + " has no " + k);
+      return usual;
+    }
+    std::uint64_t n = 0;
+    string const& s = v->data();
+    if (v->empty() && readNumber(s, n)) return n;
+    char* e = nullptr;
+    double const d = std::strtod(s.c_str(), &e);
+    bool const real = v->empty() && !s.empty() && e && !*e;
+    if (real && d >= 0 && d < 1e15) return static_cast<std::uint64_t>(d);
+    fault(real ? Code::outOfRange : Code::wrongType, where + "." + k + " can't be " + s.substr(0, 40));
+    return usual;
+  }
+  bool flag(Tree const& t, char const* k, string const& where) {
+    boost::optional<Tree const&> const v = t.get_child_optional(k);
+    if (!v) return false;
+    if (v->data() != "true" && v->data() != "false") fault(Code::wrongType, where + "." + k);
+    return v->data() == "true";
+  }
+
+ private:
+  vector<CharterFault>& faults_;
+};
+
+constexpr std::pair<string_view, RouteKind> kinds[] = {
+    {"repeatable", RouteKind::repeatable}, {"one_shot", RouteKind::oneShot}, {"streaming", RouteKind::streaming}, {"bulk", RouteKind::bulk}};
+
+Match readRoute(Reader& r, Tree const& t, Charter const& c) {
+  Match m;
+  m.name = r.text(t, "name", "route", true);
+  string const w = "route " + m.name;
+  m.host = r.text(t, "host", w, true);
+  m.prefix = r.text(t, "pathStart", w, true);
+  if (m.prefix.empty() || m.prefix.front() != '/' || m.prefix.back() != '/') r.fault(Code::badPrefix, w);
+  string const k = r.text(t, "kind", w, true);
+  bool known = false;
+  for (std::pair<string_view, RouteKind> const& p : kinds)
+    if (p.first == k) { m.kind = p.second; known = true; }
+  if (!known) r.fault(Code::wrongType, w + ".kind");
+  m.timeLimit = static_cast<std::int64_t>(r.number(t, "timeLimitMs", w, 0, true));
+  if (!m.timeLimit) r.fault(Code::noTimeLimit, w);
+  m.aim = static_cast<std::int64_t>(r.number(t, "targetMs", w, 0));
+  m.gapAim = static_cast<std::int64_t>(r.number(t, "gapTargetMs", w, 0));
+  m.dueIn = static_cast<std::int64_t>(r.number(t, "dueInMs", w, 0));
+  m.keepFor = static_cast<std::int64_t>(1000 * r.number(t, "keepForS", w, 0));
+  m.priority = r.number(t, "priority", w, 0);
+  m.tries = std::max<std::uint64_t>(1, r.number(t, "tries", w, 1));
+  m.mostQueued = r.number(t, "maxQueuedTokens", w, 0);
+  m.sticky = r.flag(t, "sticky", w);
+  m.resumable = r.flag(t, "resumable", w);
+  boost::optional<Tree const&> const sp = t.get_child_optional("split");
+  if (sp) {
+    for (Tree::value_type const& p : *sp) m.shares.push_back({r.text(p.second, "service", w + ".split", true), r.number(p.second, "share", w + ".split", 0, true)});
+  } else {
+    m.shares.push_back({r.text(t, "service", w, true), 1});
+  }
+  for (Share const& s : m.shares) {
+    m.weights += s.weight;
+    if (!c.services.count(s.service)) r.fault(Code::unknownService, w + " names " + s.service);
+  }
+  if (!m.weights) r.fault(Code::noWeight, w);
+  return m;
+}
+}  // namespace
+
+string const& Match::serviceFor(std::uint64_t h) const {
+  std::uint64_t x = h % std::max<std::uint64_t>(1, weights);
+  for (Share const& s : shares) {
+    if (x < s.weight) return s.service;
+    x -= s.weight;
+  }
+  return shares.front().service;
+}
+
+Match const* Charter::find(string_view host, string_view path) const {
+  string_view const p = path.substr(0, path.find('?'));
+  std::map<string, vector<std::uint32_t>, std::less<>>::const_iterator const i = table.find(host);
+  if (i == table.end()) return nullptr;
+  for (std::uint32_t const n : i->second) {
+    string const& pre = routes[n].prefix;
+    if (p.substr(0, pre.size()) == pre) return &routes[n];
+  }
+  return nullptr;
+}
+Match const* Charter::byName(string_view name) const {
+  for (Match const& m : routes)
+    if (m.name == name) return &m;
+  return nullptr;
+}
+
+std::shared_ptr<Charter const> readCharter(string const& text, vector<CharterFault>& faults) {
+  std::shared_ptr<Charter> const c = std::make_shared<Charter>();
+  Reader r(faults);
+  Tree read;
+  try {
+    std::istringstream in(text);
+    boost::property_tree::read_json(in, read);
+    in >> std::ws;
+    if (!in.eof()) throw Error(Code::unreadable);
+  } catch (std::exception const&) {
+    r.fault(Code::unreadable, "not JSON");
+    return c;
+  }
+  Tree const& t = read;
+  c->version = r.number(t, "version", "charter", 0, true);
+  boost::optional<Tree const&> const ss = t.get_child_optional("services"), rs = t.get_child_optional("routes"), ls = t.get_child_optional("limits");
+  if (!ss || !rs) r.fault(Code::unreadable, "routes or services are missing");
+  if (ss)
+    for (Tree::value_type const& p : *ss) {
+      ServiceLine s;
+      s.name = r.text(p.second, "name", "service", true);
+      s.healthPath = r.text(p.second, "healthPath", "service " + s.name, false);
+      s.maxPipes = r.number(p.second, "maxConnections", "service " + s.name, 0);
+      if (boost::optional<Tree const&> const e = p.second.get_child_optional("runtime")) {
+        s.capacity = r.number(*e, "capacity", "runtime of " + s.name, 0);
+        s.cacheTokens = r.number(*e, "cacheTokens", "runtime of " + s.name, 0);
+      }
+      c->services[s.name] = s;
+    }
+  std::set<std::pair<string, string>> places;
+  if (rs)
+    for (Tree::value_type const& p : *rs) {
+      c->routes.push_back(readRoute(r, p.second, *c));
+      Match const& m = c->routes.back();
+      if (!places.insert({m.host, m.prefix}).second) r.fault(Code::samePlace, m.host + m.prefix);
+      c->table[m.host].push_back(static_cast<std::uint32_t>(c->routes.size() - 1));
+    }
+  if (ls) {
+    c->limits.headerBytes = r.number(*ls, "maxHeaderBytes", "limits", c->limits.headerBytes);
+    c->limits.bodyBytes = r.number(*ls, "maxBodyBytes", "limits", c->limits.bodyBytes);
+    c->limits.headerWait = static_cast<std::int64_t>(r.number(*ls, "headerWaitMs", "limits", static_cast<std::uint64_t>(c->limits.headerWait)));
+    c->limits.idleLimit = static_cast<std::int64_t>(r.number(*ls, "idleLimitMs", "limits", static_cast<std::uint64_t>(c->limits.idleLimit)));
+  }
+  for (std::pair<string const, vector<std::uint32_t>>& p : c->table)
+    std::stable_sort(p.second.begin(), p.second.end(), [&](std::uint32_t a, std::uint32_t b) { return c->routes[a].prefix.size() > c->routes[b].prefix.size(); });
+  return c;
+}
+
+std::shared_ptr<Charter const> compileCharter(string const& text) {
+  vector<CharterFault> f;
+  std::shared_ptr<Charter const> const c = readCharter(text, f);
+  if (!f.empty()) throw Error(f[0].code, f[0].text);
+  return c;
+}
+
+}  // namespace tealshelf
--- /dev/null
+++ b/lots/desk.hpp
@@ -0,0 +1,33 @@
+#pragma once
+#include "traffic/scene.hpp"
+#include "wire/http.hpp"
+
+namespace tealshelf {
+
+/// Reads a lot as a client hands it in; throws a numbered error for whatever is wrong.
+vector<ItemRecord> readLot(string const& body);
+/// Decodes base64; false if it isn't.
+bool unbase64(string_view s, string& out);
+
+/// The lot calls of clients at an edge node; one handler for the resource.
+class LotDesk {
+ public:
+  LotDesk(asio::io_context& io, Boot const& boot, Rpc& rpc, Scene& scene) : io_(io), boot_(boot), rpc_(rpc), scene_(scene) {}
+  /// True if a call is one of lots by its verb and path.
+  bool isLotCall(Charter const& c, string_view verb, string_view host, string_view path) const;
+  Task<CallAnswer> call(string verb, string host, string target, std::int64_t holdMs);
+  Task<CallAnswer> handIn(Match const& m, string id, string const& body);
+
+ private:
+  template <class Q> Task<typename Q::Reply> keeper(Q q, Ms limit);
+  Task<LotRecord> where(string host, string id, bool anew);
+  Task<CallAnswer> list(string host, string id, std::uint64_t from, std::int64_t holdMs);
+  Task<CallAnswer> item(string host, string id, string item);
+  asio::io_context& io_;
+  Boot const& boot_;
+  Rpc& rpc_;
+  Scene& scene_;
+  std::map<std::pair<string, string>, LotRecord> known_;
+};
+
+}  // namespace tealshelf
--- /dev/null
+++ b/lots/keeper.hpp
@@ -0,0 +1,69 @@
+#pragma once
+#include "registry/driver.hpp"
+
+namespace tealshelf {
+
+/// Keeps the records and stamps of lots for the shelves that this control node owns.
+class LotKeeper {
+ public:
+  LotKeeper(asio::io_context& io, Boot const& boot, Rpc& rpc, Driver& driver);
+  void start(RpcServer& server);
+  /// Names of stores that shall be emptied, from the members shelf.
+  std::function<std::set<string>()> retiring;
+  /// Machines with a store role that were heard lately.
+  vector<StoreRef> liveStores(Moment now) const;
+  bool knownStore(string const& name) const;
+  /// How many lots of all shelves rely on a store; throws if unsure.
+  Task<std::uint64_t> reliesOn(string store);
+  static string shelfOf(string const& host) { return "lots/" + host; }
+
+ private:
+  struct Seen {
+    StoreRef ref;
+    std::uint64_t hold = 0, fenced = 0;
+    Moment at, acked;
+    bool leaving = false;
+  };
+  struct Soft {
+    std::uint64_t rev = 0, doneTokens = 0, done = 0;
+    std::set<Identity> bad;
+    Moment badAt, tried;
+    bool resettle = false, busy = false, locked = false;
+  };
+  using Key = std::pair<string, string>;
+
+  Task<LotOpenReply> open(LotOpen q);
+  Task<Done> accept(LotAccept q);
+  Task<LotFindReply> find(LotFind q);
+  Task<LotFindReply> end(LotEnd q);
+  Task<StoreBeatReply> beat(StoreBeat q);
+  Task<Done> fence(StoreFence q);
+  template <class Q> Task<std::optional<typename Q::Reply>> elsewhere(string const& host, Q q);
+  std::optional<LotRecord> load(string const& host, string const& id) const;
+  Task<bool> save(LotRecord const& r);
+  Task<void> lock(Key k);
+  void unlock(Key const& k) { soft_[k].locked = false; }
+  Stamp fresh(string const& host);
+  std::size_t needed() const { return static_cast<std::size_t>(boot_.surviveMachines) + 1; }
+  bool dead(Identity id, Moment now) const;
+  vector<StoreRef> choose(string const& id, std::set<Identity> const& bar, vector<StoreRef> have, std::size_t count, Moment now) const;
+  Task<bool> fenceAt(Identity store);
+  Task<void> maintain();
+  bool unfit(LotRecord const& r, Soft const& s, Moment now) const;
+  Task<void> reshape(LotRecord r);
+  Task<void> reshapeNow(LotRecord r);
+
+  asio::io_context& io_;
+  Boot const& boot_;
+  Rpc& rpc_;
+  Driver& driver_;
+  Moment started_ = Clock::now();
+  std::uint64_t life_ = randomId(), rev_ = 0, counter_ = 0;
+  std::map<Identity, Seen> stores_;
+  std::map<Key, Soft> soft_;
+  std::map<string, Epoch> ownedSince_;
+  std::map<string, Moment> ownedAt_;
+  std::size_t busy_ = 0;
+};
+
+}  // namespace tealshelf
--- /dev/null
+++ b/lots/reshape.cpp
@@ -0,0 +1,166 @@
+#include "lots/keeper.hpp"
+
+namespace tealshelf {
+
+Task<bool> LotKeeper::fenceAt(Identity store) {
+  std::size_t ok = 0;
+  for (Member const& m : vector<Member>(driver_.reg().group().members)) {
+    try {
+      StoreFence const ask{store};
+      Done d{false};
+      if (m.id == driver_.reg().self().id) d = co_await fence(ask);
+      else d = co_await rpc_.ask(boot_.controlAt(m.ip), ask, Ms(boot_.bounds.inTouch / 6));
+      if (d.ok) ++ok;
+    } catch (Error const&) {
+    }
+  }
+  co_return ok >= driver_.reg().group().most();
+}
+
+/// True if a lot's holders are not what they should be.
+bool LotKeeper::unfit(LotRecord const& r, Soft const& s, Moment now) const {
+  if (r.state == static_cast<int>(LotState::taking) || s.busy) return false;
+  if (now - s.tried < Ms(boot_.bounds.inTouch / 10)) return false;
+  if (s.resettle || !s.bad.empty()) return true;
+  std::set<string> const leaving = retiring ? retiring() : std::set<string>();
+  for (StoreRef const& h : r.holders)
+    if (dead(h.id, now) || leaving.count(h.name)) return true;
+  return r.holders.size() < needed() + 1 && choose(r.id, s.bad, r.holders, needed() + 1, now).size() > r.holders.size() && now - s.tried > Ms(boot_.bounds.inTouch / 3);
+}
+
+Task<void> LotKeeper::maintain() {
+  for (;;) {
+    co_await pause(Ms(boot_.bounds.inTouch / 30));
+    Moment const now = Clock::now();
+    std::int64_t const wall = wallMs();
+    for (string const& shelf : driver_.reg().shelves()) {
+      if (shelf.rfind("lots/", 0) != 0 || !driver_.reg().owns(shelf)) continue;
+      vector<Registry::Change> old;
+      vector<LotRecord> todo;
+      for (std::pair<string const, string> const& p : driver_.reg().view(shelf)) {
+        LotRecord l = unpacked<LotRecord>(p.second);
+        Soft& s = soft_[{l.host, l.id}];
+        std::int64_t const age = wall - l.sentAt;
+        bool const over = l.state == static_cast<int>(LotState::taking) ? age > 4 * boot_.bounds.confirmWithin
+                                                                          : age > 2 * boot_.bounds.statusEvery + l.keepFor && (l.state == static_cast<int>(LotState::ended) || s.done >= l.total);
+        if (over && !s.busy && !s.locked) old.push_back({l.id, "", true});
+        else if (unfit(l, s, now)) todo.push_back(std::move(l));
+      }
+      if (!old.empty()) co_await driver_.propose(shelf, old, Ms(boot_.bounds.inTouch / 2));
+      std::sort(todo.begin(), todo.end(), [this](LotRecord const& a, LotRecord const& b) {
+        bool const x = soft_[{a.host, a.id}].done >= a.total, y = soft_[{b.host, b.id}].done >= b.total;
+        return std::tie(x, a.sentAt) < std::tie(y, b.sentAt);
+      });
+      for (LotRecord& l : todo) {
+        if (busy_ >= 12) break;
+        Soft& s = soft_[{l.host, l.id}];
+        if (s.busy) continue;
+        s.busy = true;
+        ++busy_;
+        spawn(io_, "reshape", reshape(std::move(l)));
+      }
+    }
+  }
+}
+
+Task<void> LotKeeper::reshape(LotRecord r) {
+  Key const k(r.host, r.id);
+  co_await lock(k);
+  try {
+    std::optional<LotRecord> const now = load(r.host, r.id);
+    if (now && driver_.reg().owns(shelfOf(r.host))) co_await reshapeNow(*now);
+  } catch (Error const& x) {
+    say(Level::debug, "stamps", r.id + ": " + x.what());
+  }
+  unlock(k);
+  Soft& s = soft_[k];
+  s.busy = false;
+  s.tried = Clock::now();
+  --busy_;
+}
+
+/// The paper's recovery: stamps are collected, those at or above the recorded one kept, the
+/// shortest length settled under a fresh stamp, and only then the record is written.
+Task<void> LotKeeper::reshapeNow(LotRecord r) {
+  Moment const now = Clock::now();
+  Ms const limit(boot_.bounds.inTouch / 4);
+  Soft& soft = soft_[{r.host, r.id}];
+  std::set<string> const leaving = retiring ? retiring() : std::set<string>();
+  std::set<Identity> const bad = soft.bad;
+  vector<StoreRef> live;
+  for (StoreRef const& h : r.holders)
+    if (!dead(h.id, now) && !bad.count(h.id)) live.push_back(h);
+  if (live.empty()) { soft.bad.clear(); co_return; }
+  if (live[0].id != r.holders[0].id) {
+    bool const fenced = co_await fenceAt(r.holders[0].id);
+    if (!fenced) co_return;
+  }
+  std::uint64_t cut = ~0ull;
+  vector<StoreRef> good;
+  for (StoreRef const& h : live) {
+    try {
+      SegInspect const ask{r.host, r.id};
+      SegInspectReply const i = co_await rpc_.ask(h.at, ask, limit);
+      if (!i.known || i.stamp < r.stamp) continue;
+      good.push_back(h);
+      cut = std::min(cut, i.results);
+    } catch (Error const&) {
+    }
+  }
+  if (good.empty()) co_return;
+  Stamp const stamp = fresh(r.host);
+  vector<StoreRef> kept;
+  for (StoreRef const& h : good) {
+    try {
+      SegSettle const ask{r.host, r.id, r.stamp, stamp, cut};
+      co_await rpc_.ask(h.at, ask, limit);
+      kept.push_back(h);
+    } catch (Error const&) {
+    }
+  }
+  if (kept.empty()) co_return;
+  LotRecord n = r;
+  n.stamp = stamp;
+  std::stable_partition(kept.begin(), kept.end(), [&](StoreRef const& h) { return !leaving.count(h.name); });
+  vector<StoreRef> stay;
+  for (StoreRef const& h : kept)
+    if (!leaving.count(h.name)) stay.push_back(h);
+  vector<StoreRef> const more = choose(r.id, bad, stay, needed() + 1, Clock::now());
+  for (std::size_t i = stay.size(); i < more.size(); ++i) {
+    n.holders = {more[i]};
+    try {
+      SegCopy const ask{n, kept[0].at};
+      co_await rpc_.ask(more[i].at, ask, 2 * limit);
+      stay.push_back(more[i]);
+    } catch (Error const&) {
+    }
+  }
+  n.holders = stay.size() >= needed() ? stay : kept;
+  if (!co_await save(n)) co_return;
+  soft.bad.clear();
+  soft.resettle = false;
+  string text = r.id + " has stamp " + hex(stamp.v) + ", " + std::to_string(cut) + " results, at";
+  for (StoreRef const& h : n.holders) text += " " + h.name;
+  tell("stamps", text);
+}
+
+Task<std::uint64_t> LotKeeper::reliesOn(string store) {
+  std::uint64_t n = 0;
+  for (string const& shelf : driver_.reg().shelves()) {
+    if (shelf.rfind("lots/", 0) != 0) continue;
+    RelyCount const q{shelf.substr(5), store, 0};
+    if (driver_.reg().owns(shelf)) {
+      if (!co_await driver_.confirm(shelf, Ms(boot_.bounds.inTouch / 3))) throw Error(Code::noQuorum);
+      for (std::pair<string const, string> const& p : driver_.reg().view(shelf))
+        for (StoreRef const& h : unpacked<LotRecord>(p.second).holders)
+          if (h.name == store) ++n;
+      continue;
+    }
+    std::optional<Addr> const o = driver_.ownerOf(shelf);
+    if (!o) throw Error(Code::noOwner);
+    n += (co_await rpc_.ask(*o, q, Ms(boot_.bounds.inTouch / 3))).lots;
+  }
+  co_return n;
+}
+
+}  // namespace tealshelf
--- /dev/null
+++ b/lots/run_items.cpp
@@ -0,0 +1,199 @@
+#include "lots/store_node.hpp"
+
+namespace tealshelf {
+
+bool StoreNode::current(RunPtr const& run) const {
+  if (run->over || run->ended() || stopping_) return false;
+  return true;
+}
+
+Task<void> StoreNode::dispatchLoop() {
+  for (;;) {
+    while (dispatch()) {
+    }
+    work_.expires_after(Ms(boot_.bounds.step / 8));
+    error_code e;
+    co_await work_.async_wait(asio::redirect_error(asio::use_awaitable, e));
+  }
+}
+
+/// Starts the most urgent queued item if a worker has room that others leave.
+bool StoreNode::dispatch() {
+  if (!scene_.sound() || stopping_ || !holds()) return false;
+  RunPtr best;
+  Moment const now = Clock::now();
+  for (std::pair<Key const, RunPtr> const& p : runs_) {
+    RunPtr const& r = p.second;
+    if (!current(r) || r->stalled || now < r->retryAt) continue;
+    while (r->next < r->states.size() && r->states[r->next] != LotRun::queued) ++r->next;
+    if (r->next >= r->states.size()) continue;
+    if (!best || r->lot.sentAt + r->lot.dueIn < best->lot.sentAt + best->lot.dueIn) best = r;
+  }
+  if (!best) return false;
+  std::uint64_t slots = 0;
+  Match const* const m = scene_.charter()->byName(best->lot.route);
+  if (m)
+    for (Worker const* const w : scene_.of(m->serviceFor(0))) slots += w->capacity;
+  if (m && live_ > slots / 3 + 8) return false;
+  std::size_t const n = best->next++;
+  best->states[n] = LotRun::running;
+  ++best->live;
+  ++live_;
+  spawn(io_, "item", runItem(best, n));
+  return true;
+}
+
+Task<void> StoreNode::runItem(RunPtr run, std::size_t n) {
+  EventReader ev;
+  ev.data = "";
+  bool over = false;
+  Ms wait(2);
+  while (!over && current(run) && run->states[n] == LotRun::running) {
+    over = co_await tryItem(run, n, ev);
+    if (over) break;
+    co_await pause(wait);
+    wait = std::min(wait * 2, Ms(boot_.bounds.step));
+  }
+  --run->live;
+  --live_;
+  if (!over && run->states[n] == LotRun::running) run->states[n] = LotRun::queued;
+  work_.cancel();
+}
+
+/// One try at one worker; true once the item has its result.
+Task<bool> StoreNode::tryItem(RunPtr run, std::size_t n, EventReader& ev) {
+  ItemRecord const& it = run->items[n];
+  std::shared_ptr<Charter const> const c = scene_.charter();
+  Match const* const m = c->byName(run->lot.route);
+  if (!m || m->kind != RouteKind::bulk || m->host != run->lot.host) { finish(run, n, false, ""); co_return true; }
+  if (wallMs() > run->lot.sentAt + run->lot.keepFor) { finish(run, n, false, ""); co_return true; }
+  Want want;
+  want.service = m->serviceFor(hashOf(it.id));
+  want.behind = true;
+  std::int64_t const spare = run->lot.sentAt + run->lot.dueIn - wallMs();
+  want.leave = spare > run->lot.dueIn / 2 ? 0.4 : 0.15;
+  Worker const* const w = balance_.pick(scene_, want, {});
+  if (!w) co_return false;
+  Ask q(http::verb::post, it.path, 11);
+  q.set(http::field::host, m->host);
+  for (std::pair<string, string> const& h : it.heads) q.set(h.first, h.second);
+  q.set("Attempt-Id", it.id);
+  q.set("Wanted-Server", w->id);
+  if (ev.any()) q.set("Last-Event-Id", std::to_string(ev.last()));
+  q.body() = it.body;
+  q.prepare_payload();
+  string const id = w->id;
+  Ms const silence(boot_.bounds.inTouch);
+  Exchange x(pools_, *w);
+  balance_.began(id);
+  Verdict const v = co_await x.start(q, it.id, Clock::now() + 2 * silence);
+  bool over = false;
+  if (v == Verdict::notRun) {
+    if (x.status() == 503 || x.status() == 429) balance_.full(id);
+    else balance_.broke(id, true);
+  } else if (v != Verdict::answered) {
+    balance_.broke(id, v == Verdict::notSent);
+  } else {
+    if (std::optional<std::array<std::uint64_t, 3>> const b = x.burden()) balance_.told(id, *b);
+    int const status = x.status();
+    string body;
+    Piece p = Piece::some;
+    while (p == Piece::some) {
+      if (!current(run)) { x.cut(); break; }
+      body.clear();
+      p = co_await x.read(body, Clock::now() + silence);
+      if (status == 200) ev.feed(body);
+    }
+    if (p == Piece::whole) {
+      x.done();
+      balance_.well(id);
+      if (status == 200) { finish(run, n, true, *ev.data); over = true; }
+      if (status == 422) { finish(run, n, false, ""); over = true; }
+      if (status == 500 && ++run->fails[n] >= std::max<std::uint64_t>(1, m->tries)) { finish(run, n, false, ""); over = true; }
+    } else if (p == Piece::broken) {
+      balance_.broke(id, false);
+      ev.restart();
+    }
+  }
+  balance_.ended(id);
+  co_return over;
+}
+
+void StoreNode::finish(RunPtr const& run, std::size_t n, bool finished, string text) {
+  if (run->states[n] != LotRun::running) return;
+  run->states[n] = LotRun::done;
+  run->doneTokens += run->items[n].tokens;
+  run->pending.push_back({static_cast<std::uint32_t>(n), finished, std::move(text)});
+  flushes_.cancel();
+}
+
+Task<void> StoreNode::flushLoop() {
+  for (;;) {
+    bool more = true;
+    while (more) more = co_await flush();
+    flushes_.expires_after(Ms(boot_.bounds.step));
+    error_code e;
+    co_await flushes_.async_wait(asio::redirect_error(asio::use_awaitable, e));
+  }
+}
+
+/// Writes what is finished to every live holder; what all have synced is listed.
+Task<bool> StoreNode::flush() {
+  struct Row {
+    RunPtr run;
+    SegAppend::Part part;
+    std::size_t count = 0;
+    bool ok = true;
+  };
+  vector<Row> rows;
+  std::map<Identity, std::pair<StoreRef, vector<std::size_t>>> by;
+  for (std::pair<Key const, RunPtr> const& p : runs_) {
+    RunPtr const& r = p.second;
+    if (r->stalled || r->pending.empty() || r->lot.holders.size() < static_cast<std::size_t>(boot_.surviveMachines) + 1) continue;
+    Replicas::Replica const* const x = replicas_.find(r->lot.host, r->lot.id);
+    if (!x || x->lot.stamp != r->lot.stamp) { r->stalled = true; continue; }
+    Row row{r, {r->lot.host, r->lot.id, r->lot.stamp, x->results.size(), {}}, 0, true};
+    for (ResultRecord const& d : r->pending) row.part.records.push_back(packed(d));
+    row.count = r->pending.size();
+    for (StoreRef const& h : r->lot.holders)
+      if (h.id != id_) { by[h.id].first = h; by[h.id].second.push_back(rows.size()); }
+    rows.push_back(std::move(row));
+  }
+  if (rows.empty()) co_return false;
+  std::shared_ptr<std::size_t> const left = std::make_shared<std::size_t>(by.size());
+  asio::steady_timer t(io_, Moment::max());
+  for (Row& r : rows) replicas_.append(r.part.host, r.part.id, r.part.stamp, r.part.from, r.part.records);
+  persist();
+  std::map<Identity, std::optional<SegAppendReply>> got;
+  for (std::pair<Identity const, std::pair<StoreRef, vector<std::size_t>>> const& p : by) {
+    SegAppend q;
+    for (std::size_t const n : p.second.second) q.parts.push_back(rows[n].part);
+    Identity const who = p.first;
+    asio::co_spawn(io_, rpc_.ask(p.second.first.at, q, Ms(boot_.bounds.inTouch / 6)), [&got, &t, left, who](std::exception_ptr x, SegAppendReply a) {
+      if (!x) got[who] = std::move(a);
+      if (!--*left) t.cancel();
+    });
+  }
+  co_await log_.settled();
+  error_code e;
+  while (*left) co_await t.async_wait(asio::redirect_error(asio::use_awaitable, e));
+  for (std::pair<Identity const, std::pair<StoreRef, vector<std::size_t>>> const& p : by) {
+    std::optional<SegAppendReply> const& a = got[p.first];
+    for (std::size_t i = 0; i < p.second.second.size(); ++i) {
+      if (a && i < a->ok.size() && a->ok[i]) continue;
+      Row& r = rows[p.second.second[i]];
+      r.ok = false;
+      if (r.run->lot.stamp == r.part.stamp) r.run->bad.insert(p.first);
+    }
+  }
+  for (Row& r : rows) {
+    if (r.run->lot.stamp != r.part.stamp) continue;
+    if (!r.ok) { r.run->stalled = true; continue; }
+    r.run->listed = std::max(r.run->listed, r.part.from + r.count);
+    r.run->pending.erase(r.run->pending.begin(), r.run->pending.begin() + static_cast<std::ptrdiff_t>(r.count));
+    for (std::shared_ptr<asio::steady_timer> const& x : r.run->readers) x->cancel();
+  }
+  co_return true;
+}
+
+}  // namespace tealshelf
--- /dev/null
+++ b/lots/store_node.cpp
@@ -0,0 +1,322 @@
+#include "lots/store_node.hpp"
+
+namespace tealshelf {
+
+StoreNode::StoreNode(asio::io_context& io, Boot const& boot)
+    : io_(io), boot_(boot), rpc_(io, Ms(boot.bounds.inTouch / 2)), server_(io, boot.storeAt(boot.ip), Ms(boot.bounds.inTouch / 2)),
+      scene_(io, boot, rpc_, "store"), pools_(io, boot), balance_(boot), id_(identityOf(boot.dataFolder, fresh_)),
+      self_{id_, boot.nodeName, boot.area, boot.storeAt(boot.ip)},
+      log_(io, boot.dataFolder + "/segments", static_cast<std::size_t>(std::max<std::int64_t>(boot.diskMb, 16)) * (1u << 20) / 3, [this] { return replicas_.snapshot(); }),
+      hold_(static_cast<std::uint64_t>(wallMs())), work_(io), flushes_(io) {
+  for (string const& r : log_.found().records) replicas_.replay(r);
+  if (log_.found().torn) warn("segments", "a torn tail of " + std::to_string(log_.found().torn) + " bytes was cut");
+  for (string const& c : log_.found().corrupt) warn("segments", "a corrupt record was passed over: " + c);
+  log_.forget();
+}
+
+void StoreNode::start() {
+  server_.on<SegCreate>([this](SegCreate q) { return create(std::move(q)); });
+  server_.on<SegAppend>([this](SegAppend q) { return append(std::move(q)); });
+  server_.on<SegInspect>([this](SegInspect q) { return inspect(std::move(q)); });
+  server_.on<SegSettle>([this](SegSettle q) { return settle(std::move(q)); });
+  server_.on<SegCopy>([this](SegCopy q) { return copy(std::move(q)); });
+  server_.on<SegFetch>([this](SegFetch q) { return fetch(std::move(q)); });
+  server_.on<SegRead>([this](SegRead q) { return read(std::move(q)); });
+  server_.on<SegItem>([this](SegItem q) { return item(std::move(q)); });
+  server_.on(Method::lotStart, [this](string b) -> Task<string> {
+    want(unpacked<LotRecord>(b));
+    reconcile();
+    co_return "";
+  });
+  server_.start();
+  scene_.onNews = [this] { work_.cancel(); };
+  scene_.start();
+  spawn(io_, "store beat", beatLoop());
+  spawn(io_, "dispatch", dispatchLoop());
+  spawn(io_, "flush", flushLoop());
+  spawn(io_, "sweep", sweepLoop());
+  tell("store", boot_.nodeName + " holds " + std::to_string(replicas_.all().size()) + " replicas");
+}
+void StoreNode::stop() { stopping_ = true; }
+
+void StoreNode::persist() {
+  for (string& r : replicas_.take()) log_.append(std::move(r));
+}
+Task<void> StoreNode::synced() {
+  persist();
+  co_await log_.settled();
+}
+
+Task<Done> StoreNode::create(SegCreate q) {
+  vector<StoreRef> const holders = q.lot.holders;
+  bool const pass = q.pass;
+  q.pass = false;
+  string const body = pass ? packed(q) : "";
+  replicas_.create(q.lot, std::move(q.items), std::move(q.results));
+  persist();
+  std::size_t ok = 1;
+  bool bad = false;
+  if (pass) {
+    std::shared_ptr<std::size_t> const left = std::make_shared<std::size_t>(0);
+    std::shared_ptr<std::size_t> const good = std::make_shared<std::size_t>(0);
+    std::shared_ptr<asio::steady_timer> const t = std::make_shared<asio::steady_timer>(io_, Moment::max());
+    for (StoreRef const& h : holders) {
+      if (h.id == id_) continue;
+      ++*left;
+      asio::co_spawn(io_, rpc_.call(h.at, Method::segCreate, body, Ms(boot_.bounds.inTouch / 3)), [left, good, t](std::exception_ptr p, string) {
+        if (!p) ++*good;
+        if (!--*left) t->cancel();
+      });
+    }
+    co_await log_.settled();
+    error_code e;
+    if (*left) co_await t->async_wait(asio::redirect_error(asio::use_awaitable, e));
+    ok += *good;
+    bad = *good + 1 < holders.size();
+  } else {
+    co_await log_.settled();
+  }
+  // With a holder missing, the copies still suffice; the keeper settles the lot anew.
+  if (ok < static_cast<std::size_t>(pass ? boot_.surviveMachines + 1 : 1)) throw Error(Code::noStores);
+  if (bad) say(Level::debug, "segments", q.lot.id + " has a holder that failed its create");
+  co_return Done{};
+}
+
+Task<SegAppendReply> StoreNode::append(SegAppend q) {
+  SegAppendReply r;
+  for (SegAppend::Part const& p : q.parts) {
+    bool ok = true;
+    try {
+      replicas_.append(p.host, p.id, p.stamp, p.from, p.records);
+    } catch (Error const& x) {
+      say(Level::debug, "segments", x.what());
+      ok = false;
+    }
+    r.ok.push_back(ok);
+  }
+  co_await synced();
+  co_return r;
+}
+Task<SegInspectReply> StoreNode::inspect(SegInspect q) {
+  SegInspectReply const r = replicas_.inspect(q.host, q.id);
+  if (std::map<Key, RunPtr>::iterator const i = runs_.find({q.host, q.id}); i != runs_.end()) i->second->stalled = true;
+  co_await synced();
+  co_return r;
+}
+Task<Done> StoreNode::settle(SegSettle q) {
+  replicas_.settle(q.host, q.id, q.old, q.stamp, q.cut);
+  if (std::map<Key, RunPtr>::iterator const i = runs_.find({q.host, q.id}); i != runs_.end()) i->second->stalled = true;
+  co_await synced();
+  co_return Done{};
+}
+Task<Done> StoreNode::copy(SegCopy q) {
+  SegFetch const ask{q.lot.host, q.lot.id, q.lot.stamp};
+  SegCreate c = co_await rpc_.ask(q.from, ask, Ms(boot_.bounds.inTouch / 3));
+  replicas_.create(q.lot, std::move(c.items), std::move(c.results));
+  co_await synced();
+  co_return Done{};
+}
+Task<SegCreate> StoreNode::fetch(SegFetch q) {
+  Replicas::Replica const& r = replicas_.read(q.host, q.id, q.stamp);
+  co_return SegCreate{r.lot, r.items, r.results, false};
+}
+
+Task<SegReadReply> StoreNode::read(SegRead q) {
+  Key const k(q.host, q.id);
+  Moment const until = Clock::now() + Ms(std::min<std::int64_t>(q.holdMs, boot_.bounds.inTouch));
+  for (;;) {
+    std::map<Key, RunPtr>::iterator const i = runs_.find(k);
+    if (i == runs_.end() || i->second->lot.stamp != q.stamp || !holds()) throw Error(Code::staleStamp, q.id);
+    RunPtr const run = i->second;
+    Replicas::Replica const& r = replicas_.read(q.host, q.id, q.stamp);
+    if (run->listed > q.from || Clock::now() >= until || run->ended()) {
+      SegReadReply a;
+      a.total = run->lot.total;
+      std::size_t bytes = 0;
+      for (std::uint64_t n = q.from; n < run->listed && n < r.results.size(); ++n) {
+        ResultRecord x = unpacked<ResultRecord>(r.results[n]);
+        bytes += x.text.size() + 128;
+        if (bytes > q.most && !a.outputs.empty()) break;
+        a.ids.push_back(run->ids.at(x.item));
+        a.outputs.push_back(std::move(x));
+      }
+      co_return a;
+    }
+    std::shared_ptr<asio::steady_timer> const t = std::make_shared<asio::steady_timer>(io_, until);
+    run->readers.insert(t);
+    error_code e;
+    co_await t->async_wait(asio::redirect_error(asio::use_awaitable, e));
+    run->readers.erase(t);
+  }
+}
+
+Task<SegItemReply> StoreNode::item(SegItem q) {
+  std::map<Key, RunPtr>::iterator const i = runs_.find({q.host, q.id});
+  if (i == runs_.end() || i->second->lot.stamp != q.stamp || !holds()) throw Error(Code::staleStamp, q.id);
+  Replicas::Replica const& r = replicas_.read(q.host, q.id, q.stamp);
+  for (ItemRecord& x : unpacked<vector<ItemRecord>>(r.items))
+    if (x.id == q.item) co_return SegItemReply{true, false, std::move(x.body)};
+  co_return SegItemReply{};
+}
+
+/// True while a majority of the control nodes granted this store its hold.
+bool StoreNode::holds() const {
+  std::size_t n = 0;
+  Moment const now = Clock::now();
+  for (Member const& m : members_) {
+    std::map<Addr, Control>::const_iterator const c = controls_.find(boot_.controlAt(m.ip));
+    if (c != controls_.end() && now - c->second.held < Ms(boot_.bounds.inTouch / 3)) ++n;
+  }
+  return !members_.empty() && n >= members_.size() / 2 + 1;
+}
+
+Task<void> StoreNode::beatLoop() {
+  std::uint64_t turn = 0;
+  for (;;) {
+    for (Addr const& a : scene_.controls()) {
+      Control& c = controls_[a];
+      if (!c.asking) spawn(io_, "beat", beat(a, turn % 6 == 0));
+    }
+    reconcile();
+    ++turn;
+    co_await pause(Ms(boot_.bounds.inTouch / 18));
+  }
+}
+
+Task<void> StoreNode::beat(Addr at, bool marks) {
+  Control& c = controls_[at];
+  c.asking = true;
+  StoreBeat q;
+  q.self = self_;
+  q.hold = hold_;
+  q.life = c.life;
+  q.rev = c.rev;
+  q.counts = boot_.countsAsLoss;
+  q.leaving = stopping_;
+  if (marks) q.marks = replicas_.marks();
+  Moment const now = Clock::now();
+  for (std::pair<Key const, RunPtr> const& p : runs_) {
+    LotRun const& r = *p.second;
+    if (!r.over) q.progress.push_back({r.lot.host, r.lot.id, r.lot.stamp, r.doneTokens, r.listed});
+    for (Identity const& b : r.bad) q.complaints.push_back({r.lot.host, r.lot.id, r.lot.stamp, b});
+  }
+  for (std::pair<Key const, std::pair<Stamp, Moment>> const& p : odd_)
+    if (now - p.second.second > Ms(boot_.bounds.inTouch / 12)) q.complaints.push_back({p.first.first, p.first.second, p.second.first, id_});
+  try {
+    StoreBeatReply const r = co_await rpc_.ask(at, q, Ms(boot_.bounds.inTouch / 5));
+    members_ = r.members;
+    if (r.ok && q.hold == hold_) c.held = now;
+    if (!r.ok && q.hold == hold_ && !r.owned.empty()) say(Level::debug, "store", "the hold was refused");
+    if (c.life != r.life) { c.life = r.life; c.rev = 0; if (q.life != 0) { c.asking = false; co_return; } }
+    for (LotRecord const& l : r.lots) want(l);
+    c.rev = std::max(c.rev, r.rev);
+    for (ReplicaMark const& m : r.drops) {
+      if (!replicas_.drop(m.host, m.id, m.stamp)) continue;
+      drop({m.host, m.id});
+      tell("segments", "the replica of " + m.id + " is stale and deleted");
+    }
+    persist();
+    log_.synced([] {});
+    reconcile();
+  } catch (Error const& x) {
+    say(Level::debug, "store", x.what());
+  }
+  c.asking = false;
+}
+
+void StoreNode::want(LotRecord const& l) {
+  LotRecord& w = wanted_[{l.host, l.id}];
+  if (w.stamp.v && (l.stamp < w.stamp || (l.stamp == w.stamp && l.state < w.state))) return;
+  w = l;
+}
+
+void StoreNode::drop(Key const& k) {
+  if (std::map<Key, RunPtr>::iterator const i = runs_.find(k); i != runs_.end()) {
+    i->second->over = true;
+    for (std::shared_ptr<asio::steady_timer> const& t : i->second->readers) t->cancel();
+    runs_.erase(i);
+  }
+  wanted_.erase(k);
+  odd_.erase(k);
+}
+
+/// Brings what runs here to what the keepers want.
+void StoreNode::reconcile() {
+  Moment const now = Clock::now();
+  for (std::pair<Key const, LotRecord> const& p : wanted_) {
+    LotRecord const& l = p.second;
+    if (l.state == static_cast<int>(LotState::taking)) continue;
+    std::map<Key, RunPtr>::iterator const i = runs_.find(p.first);
+    if (l.holders.empty() || l.holders[0].id != id_) {
+      odd_.erase(p.first);
+      if (i != runs_.end()) {
+        i->second->over = true;
+        for (std::shared_ptr<asio::steady_timer> const& t : i->second->readers) t->cancel();
+        runs_.erase(i);
+      }
+      continue;
+    }
+    Replicas::Replica const* const r = replicas_.find(l.host, l.id);
+    if (!r || r->lot.stamp != l.stamp || !r->since || r->frozen) {
+      std::pair<Stamp, Moment>& o = odd_[p.first];
+      if (o.first != l.stamp) o = {l.stamp, now};
+      continue;
+    }
+    odd_.erase(p.first);
+    if (i == runs_.end() || i->second->lot.stamp != l.stamp) adopt(l);
+    else if (i->second->lot.state != l.state) {
+      i->second->lot.state = l.state;
+      for (std::shared_ptr<asio::steady_timer> const& t : i->second->readers) t->cancel();
+    }
+  }
+}
+
+/// Starts or goes on with a lot under the stamp that its replicas were settled to.
+void StoreNode::adopt(LotRecord const& l) {
+  Key const k(l.host, l.id);
+  Replicas::Replica const& r = replicas_.read(l.host, l.id, l.stamp);
+  RunPtr& run = runs_[k];
+  vector<ResultRecord> kept;
+  if (!run) {
+    run = std::make_shared<LotRun>();
+    run->items = unpacked<vector<ItemRecord>>(r.items);
+    run->states.assign(run->items.size(), LotRun::queued);
+    run->fails.assign(run->items.size(), 0);
+    for (ItemRecord const& x : run->items) run->ids.push_back(x.id);
+  }
+  std::set<std::uint32_t> on;
+  for (string const& s : r.results) {
+    ResultRecord x = unpacked<ResultRecord>(s);
+    on.insert(x.item);
+  }
+  std::deque<ResultRecord> again;
+  for (ResultRecord& x : run->pending)
+    if (!on.count(x.item)) again.push_back(std::move(x));
+  run->pending = std::move(again);
+  std::set<std::uint32_t> ready;
+  for (ResultRecord const& x : run->pending) ready.insert(x.item);
+  run->doneTokens = 0;
+  for (std::uint32_t n = 0; n < run->states.size(); ++n) {
+    bool const d = on.count(n) || ready.count(n);
+    if (d) { run->states[n] = LotRun::done; run->doneTokens += run->items[n].tokens; }
+    else if (run->states[n] == LotRun::done) run->states[n] = LotRun::queued;
+  }
+  run->next = 0;
+  run->lot = l;
+  run->listed = r.results.size();
+  run->stalled = false;
+  run->bad.clear();
+  for (std::shared_ptr<asio::steady_timer> const& t : run->readers) t->cancel();
+  work_.cancel();
+  flushes_.cancel();
+}
+
+Task<void> StoreNode::sweepLoop() {
+  for (;;) {
+    co_await pause(Ms(boot_.bounds.inTouch / 2));
+    pools_.sweep(scene_);
+    balance_.sweep(scene_);
+  }
+}
+
+}  // namespace tealshelf
--- /dev/null
+++ b/lots/store_node.hpp
@@ -0,0 +1,93 @@
+#pragma once
+#include "base/disk.hpp"
+#include "segments/replicas.hpp"
+#include "traffic/balance.hpp"
+#include "traffic/exchange.hpp"
+
+namespace tealshelf {
+
+/// A lot that this store runs as its primary.
+struct LotRun {
+  LotRecord lot;
+  vector<ItemRecord> items;
+  enum State : char { queued, running, done };
+  vector<State> states;
+  vector<std::uint64_t> fails;
+  vector<string> ids;
+  std::size_t next = 0, live = 0;
+  std::uint64_t listed = 0, doneTokens = 0;
+  std::deque<ResultRecord> pending;
+  bool stalled = false, over = false, writing = false;
+  std::set<Identity> bad;
+  Moment retryAt;
+  std::set<std::shared_ptr<asio::steady_timer>> readers;
+  bool ended() const { return lot.state == static_cast<int>(LotState::ended); }
+};
+
+/// The data plane of a storage machine: replicas of segments, and the items of lots it is primary of.
+class StoreNode {
+ public:
+  StoreNode(asio::io_context& io, Boot const& boot);
+  void start();
+  void stop();
+
+ private:
+  using Key = std::pair<string, string>;
+  using RunPtr = std::shared_ptr<LotRun>;
+  struct Control {
+    std::uint64_t life = 0, rev = 0;
+    Moment held;
+    bool asking = false;
+  };
+
+  void persist();
+  Task<void> synced();
+  Task<Done> create(SegCreate q);
+  Task<SegAppendReply> append(SegAppend q);
+  Task<SegInspectReply> inspect(SegInspect q);
+  Task<Done> settle(SegSettle q);
+  Task<Done> copy(SegCopy q);
+  Task<SegCreate> fetch(SegFetch q);
+  Task<SegReadReply> read(SegRead q);
+  Task<SegItemReply> item(SegItem q);
+
+  Task<void> beatLoop();
+  Task<void> beat(Addr at, bool marks);
+  bool holds() const;
+  void want(LotRecord const& l);
+  void adopt(LotRecord const& l);
+  void drop(Key const& k);
+  void reconcile();
+  Task<void> dispatchLoop();
+  bool dispatch();
+  Task<void> runItem(RunPtr run, std::size_t n);
+  Task<bool> tryItem(RunPtr run, std::size_t n, EventReader& ev);
+  void finish(RunPtr const& run, std::size_t n, bool finished, string text);
+  Task<void> flushLoop();
+  Task<bool> flush();
+  Task<void> sweepLoop();
+  bool current(RunPtr const& run) const;
+
+  asio::io_context& io_;
+  Boot const& boot_;
+  Rpc rpc_;
+  RpcServer server_;
+  Scene scene_;
+  Pools pools_;
+  Balance balance_;
+  bool fresh_ = false, stopping_ = false;
+  Identity id_;
+  StoreRef self_;
+  Replicas replicas_;
+  DiskLog log_;
+  std::map<Addr, Control> controls_;
+  std::uint64_t hold_ = 0;
+  std::map<Key, LotRecord> wanted_;
+  std::map<Key, RunPtr> runs_;
+  std::map<Key, std::pair<Stamp, Moment>> odd_;
+  vector<Member> members_;
+  std::size_t live_ = 0;
+  asio::steady_timer work_, flushes_;
+};
+
+}  // namespace tealshelf
--- /dev/null
+++ b/registry/control_node.cpp
@@ -0,0 +1,228 @@
+#include "registry/control_node.hpp"
+
+namespace tealshelf {
+
+ControlNode::ControlNode(asio::io_context& io, Boot const& boot)
+    : io_(io), boot_(boot), rpc_(io, Ms(boot.bounds.inTouch / 2)), driver_(io, boot, rpc_), keeper_(io, boot, rpc_, driver_),
+      table_(Ms(3 * boot.reportEvery)), server_(io, boot.controlAt(boot.ip), Ms(boot.bounds.inTouch / 2)),
+      http_(io, boot.control, [this](Call c) { return handle(std::move(c)); }, 16u << 20, Ms(5 * boot.bounds.inTouch)) {
+  driver_.onWorkers = [this](vector<Worker> const& ws, bool) {
+    bool news = false;
+    for (Worker const& w : ws) news = table_.merge(w, Clock::now()) || news;
+    table_.fresh();
+    tableTaken_ = true;
+    if (news) changed();
+  };
+  driver_.giveWorkers = [this](bool full) { return full ? (table_.fresh(), table_.all()) : table_.fresh(); };
+  driver_.onChange = [this] {
+    if (std::optional<std::map<string, string>> const v = driver_.reg().settled("charter")) {
+      std::map<string, string>::const_iterator const i = v->find("current");
+      if (i != v->end() && i->second != charterText_) {
+        std::shared_ptr<Charter const> const c = compileCharter(i->second);
+        if (c->version > charterVersion_) {
+          charterVersion_ = c->version;
+          charterText_ = i->second;
+          charter_ = c;
+          for (Match const& m : c->routes)
+            if (m.kind == RouteKind::bulk) driver_.reg().know(LotKeeper::shelfOf(m.host));
+          tell("charter", "version " + std::to_string(c->version) + " is in force");
+          changed();
+        }
+      }
+    }
+  };
+  keeper_.retiring = [this] {
+    std::set<string> s;
+    std::optional<std::map<string, string>> const v = driver_.reg().settled("members");
+    if (v)
+      for (std::pair<string const, string> const& p : *v)
+        if (p.first.rfind("retire/", 0) == 0) s.insert(p.first.substr(7));
+    return s;
+  };
+}
+
+void ControlNode::start() {
+  driver_.start(server_);
+  keeper_.start(server_);
+  server_.on<News>([this](News q) { return news(std::move(q)); });
+  server_.on<ForwardCall>([this](ForwardCall q) -> Task<CallReply> {
+    if (q.path.rfind("/settings", 0) == 0) co_return co_await settings(std::move(q));
+    co_return co_await retire(std::move(q));
+  });
+  server_.start();
+  http_.start();
+  spawn(io_, "sweep", sweepLoop());
+  tell("control", boot_.nodeName + " serves control at " + boot_.control.text());
+}
+
+void ControlNode::stop() {
+  stopping_ = true;
+  driver_.leave();
+  http_.stop();
+}
+
+void ControlNode::changed() {
+  ++turn_;
+  for (std::shared_ptr<asio::steady_timer> const& t : asking_) t->cancel();
+  asking_.clear();
+}
+
+bool ControlNode::tableSound() const { return tableTaken_ || Clock::now() - started_ > Ms(boot_.reportEvery * 3 / 2); }
+
+Task<void> ControlNode::sweepLoop() {
+  for (;;) {
+    co_await pause(Ms(boot_.reportEvery / 4));
+    if (driver_.sound() && table_.sweep(Clock::now())) changed();
+  }
+}
+
+Task<NewsReply> ControlNode::news(News q) {
+  Moment const until = Clock::now() + Ms(std::min<std::int64_t>(q.holdMs, boot_.bounds.inTouch));
+  for (;;) {
+    NewsReply r;
+    r.sound = driver_.sound() && tableSound() && !stopping_;
+    r.life = life_;
+    r.full = q.life != life_;
+    r.rev = table_.rev();
+    r.charterVersion = charterVersion_;
+    std::uint64_t const since = r.full ? 0 : q.rev;
+    bool const newer = charterVersion_ > q.charterVersion;
+    if (newer || r.full || table_.rev() > since || !r.sound || Clock::now() >= until) {
+      if (newer) r.charter = charterText_;
+      r.workers = table_.since(since);
+      r.members = driver_.reg().group().members;
+      co_return r;
+    }
+    std::shared_ptr<asio::steady_timer> const t = std::make_shared<asio::steady_timer>(io_, until);
+    asking_.insert(t);
+    error_code e;
+    co_await t->async_wait(asio::redirect_error(asio::use_awaitable, e));
+    asking_.erase(t);
+  }
+}
+
+Task<CallAnswer> ControlNode::handle(Call c) {
+  ForwardCall q{c.verb, c.path, c.head("If-Match"), std::move(c.body), 0};
+  CallReply r{404, ""};
+  if (c.path.rfind("/servers/", 0) == 0) r = co_await servers(std::move(q));
+  else if (c.path == "/settings") r = co_await settings(std::move(q));
+  else if (c.path.rfind("/retire/", 0) == 0) r = co_await retire(std::move(q));
+  co_return CallAnswer{r.status, r.body, "application/json", {}};
+}
+
+Task<CallReply> ControlNode::servers(ForwardCall q) {
+  string const id = q.path.substr(9);
+  if (id.empty()) throw Error(Code::badBeat);
+  if (!driver_.sound()) throw Error(Code::noQuorum);
+  Worker w;
+  if (q.verb == "PUT") w = readBeat(id, q.body);
+  else if (q.verb == "DELETE") {
+    if (Worker const* const had = table_.find(id)) w = *had;
+    w.id = id;
+    w.gone = true;
+  } else throw Error(Code::badBeat);
+  bool const news = table_.merge(w, Clock::now());
+  if (news) {
+    changed();
+    PingMsg m;
+    m.ping = driver_.reg().ping(Clock::now());
+    m.ping.copied = m.ping.copied && !stopping_;
+    m.workers = {*table_.find(id)};
+    std::shared_ptr<std::size_t> const left = std::make_shared<std::size_t>(0);
+    std::shared_ptr<asio::steady_timer> const t = std::make_shared<asio::steady_timer>(io_, Ms(boot_.bounds.drain / 5));
+    for (Member const& x : driver_.reg().group().members) {
+      if (x.id == driver_.reg().self().id || !driver_.reg().alive(x.id, Clock::now())) continue;
+      ++*left;
+      asio::co_spawn(io_, rpc_.ask(boot_.controlAt(x.ip), m, Ms(boot_.bounds.drain / 5)), [left, t](std::exception_ptr, Done) {
+        if (!--*left) t->cancel();
+      });
+    }
+    error_code e;
+    if (*left && (w.draining || w.gone)) co_await t->async_wait(asio::redirect_error(asio::use_awaitable, e));
+  }
+  co_return CallReply{200, "{}"};
+}
+
+/// Hands a call to the owner of a shelf if that is another node.
+Task<std::optional<CallReply>> ControlNode::elsewhere(string const& shelf, ForwardCall q) {
+  Moment const until = Clock::now() + Ms(boot_.bounds.confirmWithin / 8);
+  while (!driver_.reg().owns(shelf)) {
+    std::optional<Addr> const o = driver_.ownerOf(shelf);
+    if (o && o->ip != boot_.ip && q.hops < 2) {
+      ++q.hops;
+      co_return co_await rpc_.ask(*o, q, Ms(boot_.bounds.confirmWithin / 5));
+    }
+    if (Clock::now() > until) throw Error(Code::noOwner);
+    co_await pause(Ms(boot_.bounds.inTouch / 100));
+  }
+  co_return std::nullopt;
+}
+
+Task<CallReply> ControlNode::settings(ForwardCall q) {
+  if (q.verb != "PUT" && q.verb != "GET") co_return CallReply{405, ""};
+  if (std::optional<CallReply> r = co_await elsewhere("charter", q)) co_return *r;
+  if (q.verb == "PUT") co_return co_await putSettings(std::move(q));
+  if (!co_await driver_.confirm("charter", Ms(boot_.bounds.inTouch / 3))) throw Error(Code::noQuorum);
+  std::map<string, string> const& v = driver_.reg().view("charter");
+  std::map<string, string>::const_iterator const i = v.find("current");
+  if (i == v.end()) co_return CallReply{404, "{}"};
+  co_return CallReply{200, i->second};
+}
+
+Task<CallReply> ControlNode::putSettings(ForwardCall q) {
+  while (changing_) co_await pause(Ms(3));
+  changing_ = true;
+  struct Unlock {
+    bool& b;
+    ~Unlock() { b = false; }
+  } const u{changing_};
+  if (!co_await driver_.confirm("charter", Ms(boot_.bounds.inTouch / 3))) throw Error(Code::noQuorum);
+  std::map<string, string> const& v = driver_.reg().view("charter");
+  std::map<string, string>::const_iterator const i = v.find("current");
+  std::uint64_t current = 0;
+  if (i != v.end()) {
+    if (i->second == q.body) co_return CallReply{200, "{}"};
+    current = compileCharter(i->second)->version;
+  }
+  std::shared_ptr<Charter const> c;
+  try {
+    c = compileCharter(q.body);
+  } catch (Error const& x) {
+    tell("charter", string("a charter was refused: ") + x.what());
+    throw;
+  }
+  std::uint64_t on = 0;
+  if (!readNumber(q.ifMatch, on) || on != current) throw Error(Code::lostRace, std::to_string(current));
+  if (c->version <= current) throw Error(Code::oldVersion, std::to_string(c->version));
+  vector<Registry::Change> cs(1, Registry::Change{"current", q.body, false});
+  if (!co_await driver_.propose("charter", std::move(cs), Ms(boot_.bounds.confirmWithin / 5))) throw Error(Code::noQuorum);
+  driver_.onChange();
+  co_return CallReply{200, "{}"};
+}
+
+Task<CallReply> ControlNode::retire(ForwardCall q) {
+  string const node = q.path.substr(8);
+  if (std::optional<CallReply> r = co_await elsewhere("members", q)) co_return *r;
+  if (!co_await driver_.confirm("members", Ms(boot_.bounds.inTouch / 3))) throw Error(Code::noQuorum);
+  bool const asked = driver_.reg().view("members").count("retire/" + node) != 0;
+  if (!asked && !keeper_.knownStore(node)) throw Error(Code::unknownNode, node);
+  if (q.verb == "POST" && !asked) {
+    std::size_t left = 0;
+    std::set<string> const going = keeper_.retiring();
+    for (StoreRef const& s : keeper_.liveStores(Clock::now()))
+      if (s.name != node && !going.count(s.name)) ++left;
+    if (left < static_cast<std::size_t>(boot_.surviveMachines) + 1) throw Error(Code::tooFewLeft);
+    vector<Registry::Change> cs(1, Registry::Change{"retire/" + node, "1", false});
+    if (!co_await driver_.propose("members", std::move(cs), Ms(boot_.bounds.confirmWithin / 5))) throw Error(Code::noQuorum);
+    tell("control", node + " is to be emptied");
+  }
+  if (q.verb == "POST") co_return CallReply{200, "{}"};
+  bool finished = false;
+  if (asked) {
+    std::uint64_t const n = co_await keeper_.reliesOn(node);
+    finished = n == 0;
+  }
+  co_return CallReply{200, finished ? "{\"state\":\"finished\"}" : "{\"state\":\"serving\"}"};
+}
+
+}  // namespace tealshelf
--- /dev/null
+++ b/registry/driver.hpp
@@ -0,0 +1,66 @@
+#pragma once
+#include "base/disk.hpp"
+#include "wire/messages.hpp"
+
+namespace tealshelf {
+
+/// Runs a Registry against the disk, the pipes and the clock.
+class Driver {
+ public:
+  Driver(asio::io_context& io, Boot const& boot, Rpc& rpc);
+  /// Starts pings, founding or joining, and the listeners of the registry's messages.
+  void start(RpcServer& server);
+  /// Has a change on a majority of the disks; false if that could not be had.
+  Task<bool> propose(string shelf, vector<Registry::Change> changes, Ms limit);
+  /// True once a majority says that this node still owns the shelf.
+  Task<bool> confirm(string shelf, Ms limit);
+  Registry& reg() { return reg_; }
+  bool sound() const { return reg_.inMajority(Clock::now()); }
+  /// Where the wanted owner of a shelf is; nothing if unknown.
+  std::optional<Addr> ownerOf(string const& shelf) const;
+  /// Hands everything over: this node is wanted no more.
+  void leave() { leaving_ = true; pingAll(); }
+  void pingAll();
+  /// Called for each ping that comes in, with the workers it carries.
+  std::function<void(vector<Worker> const&, bool full)> onWorkers;
+  /// Gives the workers that a ping shall carry.
+  std::function<vector<Worker>(bool full)> giveWorkers;
+  /// Called whenever the control state may have changed.
+  std::function<void()> onChange;
+  Ms period() const { return period_; }
+
+ private:
+  struct Wait {
+    explicit Wait(asio::io_context& io) : timer(io) {}
+    asio::steady_timer timer;
+    bool done = false, ok = false;
+  };
+  void pump();
+  void send(std::shared_ptr<Batch> b);
+  Task<bool> await(std::uint64_t op, Ms limit);
+  Task<void> tickLoop();
+  Task<void> pingLoop();
+  Task<void> joinLoop();
+  Task<bool> found();
+  Task<bool> copyAll();
+  Task<bool> joined(JoinGroup q);
+  Task<bool> changeGroup(JoinGroup const& q);
+  Task<void> pruneLoop();
+  Addr at(string const& ip) const { return boot_.controlAt(ip); }
+
+  asio::io_context& io_;
+  Boot const& boot_;
+  Rpc& rpc_;
+  Ms period_;
+  bool fresh_ = false, leaving_ = false, changing_ = false;
+  Identity id_;
+  Registry reg_;
+  std::unique_ptr<DiskLog> log_;
+  std::map<std::uint64_t, std::shared_ptr<Wait>> waits_;
+  std::map<std::uint64_t, bool> early_;
+  std::map<Identity, std::pair<PingMsg, Moment>> others_;
+  std::uint64_t pings_ = 0;
+  Moment started_ = Clock::now();
+};
+
+}  // namespace tealshelf
--- /dev/null
+++ b/registry/workers.cpp
@@ -0,0 +1,94 @@
+#include "registry/workers.hpp"
+
+#include <rapidjson/document.h>
+
+namespace tealshelf {
+
+bool WorkerTable::late(Worker const& w) const {
+  std::map<string, Row>::const_iterator const i = rows_.find(w.id);
+  return i != rows_.end() && (i->second.w.gone ? !w.gone : i->second.w.callCount > w.callCount);
+}
+
+bool WorkerTable::merge(Worker const& w, Moment now) {
+  std::map<string, Row>::iterator const i = rows_.find(w.id);
+  if (i == rows_.end()) {
+    rows_[w.id] = {w, now, ++rev_, false};
+    fresh_.push_back(w);
+    return true;
+  }
+  Row& r = i->second;
+  if (r.w.gone && !w.gone) return false;
+  if (!w.gone && w.callCount <= r.w.callCount) return false;
+  if (w.gone && r.w.gone) return false;
+  bool const news = r.lost || w.gone != r.w.gone || w.draining != r.w.draining || w.at != r.w.at || w.service != r.w.service || w.capacity != r.w.capacity;
+  std::uint64_t const count = std::max(w.callCount, r.w.callCount);
+  bool const draining = r.w.draining || w.draining;
+  r.w = w;
+  r.w.callCount = count;
+  r.w.draining = draining;
+  r.at = now;
+  r.lost = false;
+  if (news) r.rev = ++rev_;
+  fresh_.push_back(r.w);
+  return news;
+}
+
+bool WorkerTable::sweep(Moment now) {
+  bool any = false;
+  for (std::pair<string const, Row>& p : rows_) {
+    Row& r = p.second;
+    if (r.lost || r.w.gone || now - r.at <= forget_) continue;
+    r.lost = true;
+    r.rev = ++rev_;
+    any = true;
+  }
+  return any;
+}
+
+vector<Worker> WorkerTable::since(std::uint64_t rev) const {
+  vector<Worker> v;
+  for (std::pair<string const, Row> const& p : rows_) {
+    if (p.second.rev <= rev) continue;
+    v.push_back(p.second.w);
+    if (p.second.lost) v.back().gone = true;
+  }
+  return v;
+}
+vector<Worker> WorkerTable::all() const {
+  vector<Worker> v;
+  for (std::pair<string const, Row> const& p : rows_)
+    if (!p.second.lost) v.push_back(p.second.w);
+  return v;
+}
+Worker const* WorkerTable::find(string const& id) const {
+  std::map<string, Row>::const_iterator const i = rows_.find(id);
+  return i == rows_.end() ? nullptr : &i->second.w;
+}
+
+Worker readBeat(string const& id, string const& body) {
+  rapidjson::Document d;
+  d.Parse(body.data(), body.size());
+  if (d.HasParseError() || !d.IsObject()) throw Error(Code::badBeat);
+  Worker w;
+  w.id = id;
+  std::function<string(char const*)> const text = [&](char const* k) {
+    if (!d.HasMember(k) || !d[k].IsString()) throw Error(Code::badBeat, k);
+    return string(d[k].GetString(), d[k].GetStringLength());
+  };
+  std::function<std::uint64_t(char const*)> const num = [&](char const* k) -> std::uint64_t {
+    if (!d.HasMember(k)) return 0;
+    if (!d[k].IsNumber() || d[k].GetDouble() < 0) throw Error(Code::badBeat, k);
+    return static_cast<std::uint64_t>(d[k].GetDouble());
+  };
+  w.service = text("service");
+  if (!readAddr(text("address"), w.at)) throw Error(Code::badBeat, "address");
+  if (d.HasMember("zone")) w.area = text("zone");
+  if (d.HasMember("version")) w.version = text("version");
+  w.capacity = std::max<std::uint64_t>(1, num("capacity"));
+  w.callCount = num("callCount");
+  w.warmupLeft = static_cast<std::int64_t>(num("warmupLeftMs"));
+  w.draining = d.HasMember("state") && d["state"].IsString() && string_view(d["state"].GetString()) == "draining";
+  return w;
+}
+
+}  // namespace tealshelf
--- /dev/null
+++ b/registry/workers.hpp
@@ -0,0 +1,40 @@
+#pragma once
+#include "wire/messages.hpp"
+
+namespace tealshelf {
+
+/// The register of workers at one control node; no input or output of its own.
+class WorkerTable {
+ public:
+  explicit WorkerTable(Ms forgetAfter) : forget_(forgetAfter) {}
+  /// Takes a beat in; true if data-plane nodes should hear of it.
+  bool merge(Worker const& w, Moment now);
+  /// True if the beat is late: a newer one of this life was taken.
+  bool late(Worker const& w) const;
+  /// Marks workers as lost whose beats are missing; true if any.
+  bool sweep(Moment now);
+  vector<Worker> since(std::uint64_t rev) const;
+  vector<Worker> all() const;
+  /// What was taken in since the last call, for the other control nodes.
+  vector<Worker> fresh() { return std::exchange(fresh_, {}); }
+  Worker const* find(string const& id) const;
+  std::uint64_t rev() const { return rev_; }
+  std::size_t size() const { return rows_.size(); }
+
+ private:
+  struct Row {
+    Worker w;
+    Moment at;
+    std::uint64_t rev = 0;
+    bool lost = false;
+  };
+  Ms forget_;
+  std::map<string, Row> rows_;
+  vector<Worker> fresh_;
+  std::uint64_t rev_ = 0;
+};
+
+/// Reads the body of a beat; throws badBeat.
+Worker readBeat(string const& id, string const& body);
+
+}  // namespace tealshelf
--- /dev/null
+++ b/traffic/balance.hpp
@@ -0,0 +1,45 @@
+#pragma once
+#include "traffic/scene.hpp"
+
+namespace tealshelf {
+
+/// What the choice of a worker goes by.
+struct Want {
+  string service;
+  std::uint64_t key = 0;          ///< hash of the shared parts of the prompt
+  std::uint64_t sharedTokens = 0; ///< tokens of the shared parts
+  std::uint64_t tokens = 0;       ///< work in tokens, in and ten times out
+  bool behind = false;            ///< takes only what others leave
+  double leave = 0;               ///< part of the slots to be left free, if behind
+};
+
+/// How burdened each worker is, by what this node has seen of it.
+class Balance {
+ public:
+  explicit Balance(Boot const& boot) : boot_(boot) {}
+  /// The best worker; null if there is none. Passed-over ones are tried last.
+  Worker const* pick(Scene const& s, Want const& w, std::set<string> const& tried);
+  void began(string const& id);
+  void ended(string const& id);
+  /// The worker's own word on running, waiting and slots.
+  void told(string const& id, std::array<std::uint64_t, 3> const& b);
+  /// It turned a visit away as full.
+  void full(string const& id);
+  /// It broke off or couldn't be reached.
+  void broke(string const& id, bool hard);
+  void well(string const& id);
+  double burden(Worker const& w, Moment now) const;
+  void sweep(Scene const& s);
+
+ private:
+  struct Row {
+    std::int64_t own = 0, base = 0, since = 0;
+    Moment told, outUntil, fullUntil;
+    int breaks = 0;
+  };
+  Boot const& boot_;
+  std::map<string, Row> rows_;
+  std::uint64_t dice_ = randomId();
+};
+
+}  // namespace tealshelf
--- /dev/null
+++ b/traffic/carry_out.cpp
@@ -0,0 +1,175 @@
+#include "traffic/edge_node.hpp"
+
+namespace tealshelf {
+
+namespace {
+bool ofOnePipe(beast::string_view n) {
+  constexpr string_view own[] = {"Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "TE", "Trailer", "Upgrade", "Content-Length"};
+  for (string_view const o : own)
+    if (beast::iequals(n, beast::string_view(o.data(), o.size()))) return true;
+  return false;
+}
+}  // namespace
+
+Task<void> EdgeNode::carryOut(PipePtr p, Ask const& q, Plan l) {
+  std::set<string> tried;
+  std::uint64_t sends = 0;
+  bool mayHaveRun = false;
+  EventReader ev;
+  Code why = Code::noWorker;
+  int rounds = 0;
+  while (sends < l.tries && Clock::now() < l.horizon) {
+    Worker const* w = balance_.pick(scene_, l.want, tried);
+    if (!w && rounds == 0 && !p->headSent) {
+      // Everyone was tried; a short wait, then one more round, while there is time inside the aim.
+      if (++rounds > 1 || Clock::now() - l.came > Ms(l.match->aim / 4)) break;
+      tried.clear();
+      co_await pause(Ms(std::max<std::int64_t>(1, l.match->aim / 20)));
+      continue;
+    }
+    if (!w) break;
+    string const id = w->id;
+    tried.insert(id);
+    Ask const ask = forWorker(q, l, *w, ev);
+    Exchange x(pools_, *w);
+    balance_.began(id);
+    Verdict const v = co_await x.start(ask, l.attempt, l.horizon);
+    bool over = false;
+    switch (v) {
+      case Verdict::notSent:
+        balance_.broke(id, true);
+        why = Code::noWorker;
+        break;
+      case Verdict::notRun:
+        ++sends;
+        if (x.status() == 503 || x.status() == 429) balance_.full(id);
+        else balance_.broke(id, true);
+        why = Code::workersFull;
+        break;
+      case Verdict::unclear:
+        ++sends;
+        balance_.broke(id, x.fresh());
+        mayHaveRun = true;
+        why = Code::workerBroke;
+        over = !l.mayRepeat;
+        break;
+      case Verdict::timeUp:
+        mayHaveRun = true;
+        why = Code::horizonBroken;
+        over = true;
+        break;
+      case Verdict::answered: {
+        ++sends;
+        if (std::optional<std::array<std::uint64_t, 3>> const b = x.burden()) balance_.told(id, *b);
+        int const s = x.status();
+        bool const promise = s == 408 || s == 421 || s == 429 || s == 503;
+        if (promise || (l.mayRepeat && s >= 500 && sends < l.tries)) {
+          mayHaveRun = true;
+          why = Code::workerBroke;
+          over = !l.mayRepeat;
+          x.cut();
+        } else if (l.streams && s == 200) {
+          over = co_await relay(p, l, x, ev, l.horizon);
+          if (!over) { balance_.broke(id, false); mayHaveRun = true; why = Code::workerBroke; over = !l.mayRepeat; }
+        } else {
+          over = co_await passWhole(p, l, x);
+          if (!over) { balance_.broke(id, false); mayHaveRun = true; why = Code::workerBroke; over = !l.mayRepeat; }
+        }
+        if (over && p->headSent) { balance_.ended(id); if (p->keep) balance_.well(id); co_return; }
+        break;
+      }
+    }
+    balance_.ended(id);
+    if (over) break;
+  }
+  if (p->headSent) {
+    // The answer is under way and can't be ended well: it must not look complete.
+    p->keep = false;
+    error_code e;
+    p->sock.close(e);
+    co_return;
+  }
+  if (mayHaveRun) {
+    if (Clock::now() >= l.horizon) why = Code::horizonBroken;
+    else if (lineOf(why).kind == Kind::refused) why = Code::workerBroke;
+    co_await answer(p, Error(why));
+    co_return;
+  }
+  CallAnswer a = answerOf(Error(Clock::now() >= l.horizon ? Code::horizonPassed : why));
+  char t[32];
+  std::snprintf(t, sizeof t, "%.3f", retryAfter(l));
+  a.heads.emplace_back("Retry-After", t);
+  co_await answer(p, std::move(a));
+}
+
+/// Takes a short answer whole, then passes it on; false if the worker broke it off.
+Task<bool> EdgeNode::passWhole(PipePtr p, Plan const& l, Exchange& x) {
+  string body;
+  Piece s = Piece::some;
+  while (s == Piece::some) s = co_await x.read(body, l.horizon);
+  if (s == Piece::broken) co_return false;
+  http::response<http::string_body> r(static_cast<http::status>(x.status()), 11);
+  r.result(static_cast<unsigned>(x.status()));
+  for (http::fields::const_iterator f = x.head().begin(); f != x.head().end(); ++f)
+    if (!ofOnePipe(f->name_string())) r.insert(f->name_string(), f->value());
+  x.done();
+  r.body() = std::move(body);
+  p->keep = p->keep && !stopping_;
+  r.keep_alive(p->keep);
+  r.prepare_payload();
+  p->headSent = true;
+  error_code e;
+  Guard g(io_, p->sock);
+  g.until(Clock::now() + Ms(5 * boot_.bounds.inTouch));
+  co_await http::async_write(p->sock, r, asio::redirect_error(asio::use_awaitable, e));
+  if (e) p->keep = false;
+  co_return true;
+}
+
+Task<bool> EdgeNode::relay(PipePtr p, Plan const&, Exchange& x, EventReader& ev, Moment until) {
+  error_code e;
+  bool const first = !p->headSent;
+  if (first) {
+    http::response<http::empty_body> r(static_cast<http::status>(x.status()), 11);
+    for (http::fields::const_iterator f = x.head().begin(); f != x.head().end(); ++f)
+      if (!ofOnePipe(f->name_string())) r.insert(f->name_string(), f->value());
+    p->keep = p->keep && !stopping_;
+    r.keep_alive(p->keep);
+    r.chunked(true);
+    p->headSent = true;
+    http::response_serializer<http::empty_body> z(r);
+    co_await http::async_write_header(p->sock, z, asio::redirect_error(asio::use_awaitable, e));
+    if (e) { x.cut(); p->keep = false; co_return true; }
+  }
+  Guard g(io_, p->sock);
+  Piece s = Piece::some;
+  string body;
+  while (s == Piece::some) {
+    body.clear();
+    s = co_await x.read(body, until);
+    string const events = ev.feed(body);
+    bool const whole = s == Piece::whole;
+    if (whole && !ev.clean()) s = Piece::broken;
+    if (events.empty() && !(s == Piece::whole)) continue;
+    g.until(Clock::now() + Ms(2 * boot_.bounds.inTouch));
+    if (s == Piece::whole) {
+      x.done();
+      if (events.empty()) co_await asio::async_write(p->sock, http::make_chunk_last(), asio::redirect_error(asio::use_awaitable, e));
+      else {
+        co_await asio::async_write(p->sock, http::make_chunk(asio::buffer(events)), asio::redirect_error(asio::use_awaitable, e));
+        if (!e) co_await asio::async_write(p->sock, http::make_chunk_last(), asio::redirect_error(asio::use_awaitable, e));
+      }
+    } else {
+      co_await asio::async_write(p->sock, http::make_chunk(asio::buffer(events)), asio::redirect_error(asio::use_awaitable, e));
+    }
+    g.hold();
+    if (e) { x.cut(); p->keep = false; co_return true; }
+  }
+  if (s == Piece::whole) co_return true;
+  ev.restart();
+  x.cut();
+  if (Clock::now() >= until) { p->keep = false; error_code y; p->sock.close(y); co_return true; }
+  co_return false;
+}
+
+}  // namespace tealshelf
--- /dev/null
+++ b/traffic/edge_node.cpp
@@ -0,0 +1,224 @@
+#include "traffic/edge_node.hpp"
+
+namespace tealshelf {
+
+EdgeNode::EdgeNode(asio::io_context& io, Boot const& boot)
+    : io_(io), boot_(boot), rpc_(io, Ms(boot.bounds.inTouch / 2)), scene_(io, boot, rpc_, "edge"), pools_(io, boot), balance_(boot), desk_(io, boot, rpc_, scene_),
+      readiness_(io, boot.readiness,
+                 [this](Call c) -> Task<CallAnswer> {
+                   CallAnswer a;
+                   a.status = c.path == "/readiness" ? (scene_.sound() && !stopping_ ? 200 : 503) : 404;
+                   co_return a;
+                 },
+                 1u << 16, Ms(5 * boot.bounds.inTouch)),
+      acceptor_(io) {}
+
+void EdgeNode::start() {
+  scene_.start();
+  readiness_.start();
+  tcp::endpoint const p(asio::ip::make_address(boot_.outside.ip), static_cast<std::uint16_t>(boot_.outside.port));
+  acceptor_.open(p.protocol());
+  acceptor_.set_option(tcp::acceptor::reuse_address(true));
+  acceptor_.bind(p);
+  acceptor_.listen(1024);
+  spawn(io_, "listener", take());
+  spawn(io_, "sweep", sweepLoop());
+  tell("edge", boot_.nodeName + " serves clients at " + boot_.outside.text());
+}
+
+void EdgeNode::stop() {
+  stopping_ = true;
+  for (ClientPipe* const p : idle_) {
+    error_code e;
+    p->sock.shutdown(tcp::socket::shutdown_both, e);
+  }
+}
+
+Task<void> EdgeNode::sweepLoop() {
+  for (;;) {
+    co_await pause(Ms(boot_.bounds.inTouch / 2));
+    pools_.sweep(scene_);
+    balance_.sweep(scene_);
+  }
+}
+
+Task<void> EdgeNode::take() {
+  while (acceptor_.is_open()) {
+    error_code e;
+    tcp::socket s = co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, e));
+    if (e) { if (e == asio::error::operation_aborted) co_return; co_await pause(Ms(10)); continue; }
+    spawn(io_, "client", serve(std::make_shared<ClientPipe>(std::move(s))));
+  }
+}
+
+Task<void> EdgeNode::serve(PipePtr p) {
+  tune(p->sock, Ms(2 * boot_.bounds.inTouch));
+  error_code e;
+  while (p->keep && p->sock.is_open()) {
+    std::shared_ptr<Charter const> const c = scene_.charter();
+    Limits const lim = c ? c->limits : Limits();
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(lim.headerBytes));
+    parser.body_limit(lim.bodyBytes);
+    bool timeUp = false;
+    {
+      Guard g(io_, p->sock);
+      if (!p->buf.size()) {
+        g.until(Clock::now() + Ms(lim.idleLimit));
+        idle_.insert(p.get());
+        co_await p->sock.async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, e));
+        idle_.erase(p.get());
+        if (e || g.fired()) break;
+      }
+      g.until(Clock::now() + Ms(lim.headerWait));
+      co_await http::async_read_header(p->sock, p->buf, parser, asio::redirect_error(asio::use_awaitable, e));
+      if (!e) {
+        g.until(Clock::now() + Ms(lim.idleLimit));
+        co_await http::async_read(p->sock, p->buf, parser, asio::redirect_error(asio::use_awaitable, e));
+      }
+      timeUp = g.fired();
+    }
+    if (timeUp || !p->sock.is_open()) break;
+    if (e) {
+      p->keep = false;
+      if (e == http::error::header_limit) co_await answer(p, Error(Code::headTooLong));
+      else if (e == http::error::body_limit) co_await answer(p, Error(Code::bodyTooLong));
+      else if (e != http::error::end_of_stream && e.category() == http::make_error_code(http::error::end_of_stream).category()) co_await answer(p, Error(Code::badHead));
+      break;
+    }
+    ++live_;
+    p->headSent = false;
+    p->keep = parser.get().keep_alive() && !stopping_;
+    bool ok = false;
+    try {
+      ok = co_await visit(p, parser.release());
+    } catch (Error const& x) {
+      p->keep = false;
+      warn("edge", x.what());
+    }
+    --live_;
+    if (!ok) break;
+  }
+  p->sock.shutdown(tcp::socket::shutdown_send, e);
+  p->sock.close(e);
+}
+
+Task<void> EdgeNode::answer(PipePtr p, Error const& x) { co_await answer(p, answerOf(x)); }
+
+Task<void> EdgeNode::answer(PipePtr p, CallAnswer a) {
+  http::response<http::string_body> r(static_cast<http::status>(a.status), 11);
+  if (!a.body.empty()) r.set(http::field::content_type, a.type);
+  for (std::pair<string, string> const& h : a.heads) r.set(h.first, h.second);
+  r.body() = std::move(a.body);
+  r.keep_alive(p->keep && !stopping_);
+  if (stopping_) p->keep = false;
+  r.prepare_payload();
+  p->headSent = true;
+  error_code e;
+  Guard g(io_, p->sock);
+  g.until(Clock::now() + Ms(5 * boot_.bounds.inTouch));
+  co_await http::async_write(p->sock, r, asio::redirect_error(asio::use_awaitable, e));
+  if (e) p->keep = false;
+}
+
+Plan EdgeNode::plan(Ask const& q, Moment now) const {
+  Plan l;
+  l.charter = scene_.charter();
+  l.came = now;
+  beast::string_view h = q[http::field::host];
+  string host(h.data(), h.size());
+  if (std::size_t const c = host.find(':'); c != string::npos) host.resize(c);
+  beast::string_view const t = q.target();
+  l.match = l.charter ? l.charter->find(host, string_view(t.data(), t.size())) : nullptr;
+  beast::string_view const id = q["Attempt-Id"];
+  l.attempt = string(id.data(), id.size());
+  if (!l.match) return l;
+  Match const& m = *l.match;
+  std::uint64_t left = 0;
+  beast::string_view const tl = q["Time-Left-Ms"];
+  std::int64_t span = m.timeLimit;
+  if (readNumber(string_view(tl.data(), tl.size()), left)) span = std::min<std::int64_t>(span, static_cast<std::int64_t>(left));
+  l.horizon = now + Ms(span);
+  l.service = m.serviceFor(hashOf(l.attempt));
+  l.tries = m.tries;
+  l.mayRepeat = m.mayRepeat();
+  l.streams = m.kind == RouteKind::streaming;
+  l.want.service = l.service;
+  beast::string_view const ps = q["Prompt-Start"];
+  vector<string> const parts = split(string_view(ps.data(), ps.size()), ',');
+  string key;
+  for (std::size_t i = 0; i < parts.size(); ++i) {
+    std::size_t const c = parts[i].find(':');
+    std::uint64_t n = 0;
+    if (c == string::npos || !readNumber(string_view(parts[i]).substr(c + 1), n)) continue;
+    l.want.tokens += n;
+    if (i + 1 < parts.size()) { l.want.sharedTokens += n; key += parts[i]; }
+  }
+  l.want.key = hashOf(key);
+  return l;
+}
+
+double EdgeNode::retryAfter(Plan const& l) const {
+  double const aim = static_cast<double>(l.match ? l.match->aim : boot_.bounds.step);
+  return std::max(0.02, aim / 4000.0);
+}
+
+Task<bool> EdgeNode::visit(PipePtr p, Ask q) {
+  Moment const now = Clock::now();
+  std::shared_ptr<Charter const> const c = scene_.charter();
+  if (!c || !scene_.sound()) {
+    CallAnswer a = answerOf(Error(Code::unsound));
+    a.heads.emplace_back("Retry-After", "0.2");
+    co_await answer(p, std::move(a));
+    co_return p->keep;
+  }
+  string const verb(q.method_string().data(), q.method_string().size()), target(q.target().data(), q.target().size());
+  beast::string_view const h = q[http::field::host];
+  string host(h.data(), h.size());
+  if (std::size_t const x = host.find(':'); x != string::npos) host.resize(x);
+  if (desk_.isLotCall(*c, verb, host, target)) {
+    std::uint64_t hold = 0;
+    beast::string_view const hr = q["Hold-Read-Ms"];
+    readNumber(string_view(hr.data(), hr.size()), hold);
+    CallAnswer a = co_await desk_.call(verb, host, target, static_cast<std::int64_t>(hold));
+    co_await answer(p, std::move(a));
+    co_return p->keep;
+  }
+  Plan l = plan(q, now);
+  if (!l.match) {
+    co_await answer(p, Error(Code::noMatch));
+    co_return p->keep;
+  }
+  if (l.match->kind == RouteKind::bulk) {
+    CallAnswer a;
+    try {
+      if (verb != "POST") throw Error(Code::lotUnreadable);
+      a = co_await desk_.handIn(*l.match, l.attempt, q.body());
+    } catch (Error const& x) {
+      a = answerOf(x);
+    }
+    co_await answer(p, std::move(a));
+    co_return p->keep;
+  }
+  co_await carryOut(p, q, std::move(l));
+  co_return p->keep;
+}
+
+Ask EdgeNode::forWorker(Ask const& q, Plan const& l, Worker const& w, EventReader const& ev) const {
+  constexpr string_view own[] = {"Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "TE", "Trailer", "Upgrade", "Content-Length", "Time-Left-Ms", "Wanted-Server", "Expect"};
+  Ask r(q.method(), q.target(), 11);
+  if (q.method() == http::verb::unknown) r.method_string(q.method_string());
+  for (Ask::const_iterator f = q.begin(); f != q.end(); ++f) {
+    bool skip = false;
+    for (string_view const o : own) skip = skip || beast::iequals(f->name_string(), beast::string_view(o.data(), o.size()));
+    if (!skip) r.insert(f->name_string(), f->value());
+  }
+  r.set("Time-Left-Ms", std::to_string(std::max<std::int64_t>(1, leftMs(l.horizon))));
+  r.set("Wanted-Server", w.id);
+  if (ev.any()) r.set("Last-Event-Id", std::to_string(ev.last()));
+  r.body() = q.body();
+  r.prepare_payload();
+  return r;
+}
+
+}  // namespace tealshelf
--- /dev/null
+++ b/wire/messages.hpp
@@ -0,0 +1,326 @@
+#pragma once
+#include "registry/registry.hpp"
+#include "wire/rpc.hpp"
+
+namespace tealshelf {
+
+/// A worker as the register knows it.
+struct Worker {
+  string id, service, area, version;
+  Addr at;
+  std::uint64_t capacity = 1, callCount = 0;
+  bool draining = false, gone = false;
+  std::int64_t warmupLeft = 0;
+  MSGPACK_DEFINE(id, service, area, version, at, capacity, callCount, draining, gone, warmupLeft)
+};
+
+/// A store machine that holds replicas.
+struct StoreRef {
+  Identity id;
+  string name, area;
+  Addr at;
+  bool operator==(StoreRef const&) const = default;
+  MSGPACK_DEFINE(id, name, area, at)
+};
+
+struct MailMsg {
+  using Reply = Done;
+  static constexpr Method method = Method::registryMail;
+  vector<Mail> mails;
+  MSGPACK_DEFINE(mails)
+};
+/// Tells others of oneself; carries the group when the other's is older, and beats taken since.
+struct PingMsg {
+  using Reply = Done;
+  static constexpr Method method = Method::ping;
+  Ping ping;
+  Group group;
+  vector<Worker> workers;
+  MSGPACK_DEFINE(ping, group, workers)
+};
+struct HelloReply {
+  Member self;
+  Group group;
+  bool founding = false, hasDisk = false, copied = false;
+  MSGPACK_DEFINE(self, group, founding, hasDisk, copied)
+};
+struct Hello {
+  using Reply = HelloReply;
+  static constexpr Method method = Method::hello;
+  Member self;
+  MSGPACK_DEFINE(self)
+};
+struct CopyReply {
+  Group group;
+  vector<std::pair<string, std::pair<Epoch, Entries>>> shelves;
+  MSGPACK_DEFINE(group, shelves)
+};
+struct CopyAll {
+  using Reply = CopyReply;
+  static constexpr Method method = Method::copyAll;
+  GroupNo group;
+  MSGPACK_DEFINE(group)
+};
+struct JoinGroup {
+  using Reply = Done;
+  static constexpr Method method = Method::joinGroup;
+  Member self;
+  int hops = 0;
+  bool leave = false;
+  MSGPACK_DEFINE(self, hops, leave)
+};
+
+/// What a data-plane node asks a control node for.
+struct NewsReply {
+  bool sound = false, full = false;
+  std::uint64_t life = 0, rev = 0;
+  std::uint64_t charterVersion = 0;
+  string charter;
+  vector<Worker> workers;
+  vector<Member> members;
+  MSGPACK_DEFINE(sound, full, life, rev, charterVersion, charter, workers, members)
+};
+struct News {
+  using Reply = NewsReply;
+  static constexpr Method method = Method::news;
+  string node, role;
+  std::uint64_t life = 0, rev = 0, charterVersion = 0;
+  std::int64_t holdMs = 0;
+  MSGPACK_DEFINE(node, role, life, rev, charterVersion, holdMs)
+};
+
+/// An answer of a resource to a worker or an operator.
+struct CallReply {
+  int status = 200;
+  string body;
+  MSGPACK_DEFINE(status, body)
+};
+/// A call of a worker or an operator, handed on to the owner of its shelf.
+struct ForwardCall {
+  using Reply = CallReply;
+  static constexpr Method method = Method::forwardCall;
+  string verb, path, ifMatch, body;
+  int hops = 0;
+  MSGPACK_DEFINE(verb, path, ifMatch, body, hops)
+};
+
+enum class LotState : int { taking = 0, accepted = 1, ended = 2 };
+
+/// A lot as its keeper records it; its two segments carry one stamp.
+struct LotRecord {
+  string id, host, route, service;
+  std::uint64_t tokens = 0, total = 0, tries = 1;
+  std::int64_t sentAt = 0, keepFor = 0, dueIn = 0;
+  int state = 0;
+  Stamp stamp;
+  vector<StoreRef> holders;  ///< the first is the primary
+  MSGPACK_DEFINE(id, host, route, service, tokens, total, tries, sentAt, keepFor, dueIn, state, stamp, holders)
+};
+
+struct LotOpenReply {
+  bool taken = false;
+  LotRecord lot;
+  MSGPACK_DEFINE(taken, lot)
+};
+struct LotOpen {
+  using Reply = LotOpenReply;
+  static constexpr Method method = Method::lotOpen;
+  LotRecord lot;
+  std::uint64_t most = 0;
+  int hops = 0;
+  MSGPACK_DEFINE(lot, most, hops)
+};
+struct LotAccept {
+  using Reply = Done;
+  static constexpr Method method = Method::lotAccept;
+  string host, id;
+  Stamp stamp;
+  int hops = 0;
+  MSGPACK_DEFINE(host, id, stamp, hops)
+};
+struct LotFindReply {
+  bool known = false;
+  LotRecord lot;
+  MSGPACK_DEFINE(known, lot)
+};
+struct LotFind {
+  using Reply = LotFindReply;
+  static constexpr Method method = Method::lotFind;
+  string host, id;
+  int hops = 0;
+  MSGPACK_DEFINE(host, id, hops)
+};
+struct LotEnd {
+  using Reply = LotFindReply;
+  static constexpr Method method = Method::lotEnd;
+  string host, id;
+  int hops = 0;
+  MSGPACK_DEFINE(host, id, hops)
+};
+
+/// How far a lot has come, told by its primary.
+struct LotProgress {
+  string host, id;
+  Stamp stamp;
+  std::uint64_t doneTokens = 0, done = 0;
+  MSGPACK_DEFINE(host, id, stamp, doneTokens, done)
+};
+/// A replica that a store holds.
+struct ReplicaMark {
+  string host, id;
+  Stamp stamp;
+  MSGPACK_DEFINE(host, id, stamp)
+};
+/// A primary's word that a holder fails a lot, or that it must be settled anew itself.
+struct Complaint {
+  string host, id;
+  Stamp stamp;
+  Identity about;
+  MSGPACK_DEFINE(host, id, stamp, about)
+};
+struct StoreBeatReply {
+  bool ok = false;
+  std::uint64_t life = 0, rev = 0;
+  vector<LotRecord> lots;     ///< changed since the version asked with
+  vector<ReplicaMark> drops;  ///< stale replicas to delete, with the stamp up to which
+  vector<string> owned;       ///< shelves that this control node owns
+  vector<Member> members;
+  MSGPACK_DEFINE(ok, life, rev, lots, drops, owned, members)
+};
+struct StoreBeat {
+  using Reply = StoreBeatReply;
+  static constexpr Method method = Method::storeBeat;
+  StoreRef self;
+  std::uint64_t hold = 0, life = 0, rev = 0;
+  bool counts = false;
+  vector<LotProgress> progress;
+  vector<ReplicaMark> marks;
+  vector<Complaint> complaints;
+  bool leaving = false;
+  MSGPACK_DEFINE(self, hold, life, rev, counts, progress, marks, complaints, leaving)
+};
+struct StoreFence {
+  using Reply = Done;
+  static constexpr Method method = Method::storeFence;
+  Identity store;
+  MSGPACK_DEFINE(store)
+};
+
+/// Asks the owner of a shelf how many lots rely on a store.
+struct RelyCountReply {
+  std::uint64_t lots = 0;
+  MSGPACK_DEFINE(lots)
+};
+struct RelyCount {
+  using Reply = RelyCountReply;
+  static constexpr Method method = Method::relyCount;
+  string host, store;
+  int hops = 0;
+  MSGPACK_DEFINE(host, store, hops)
+};
+
+struct ItemRecord {
+  string id, path, body;
+  vector<std::pair<string, string>> heads;
+  std::uint64_t tokens = 0;
+  MSGPACK_DEFINE(id, path, body, heads, tokens)
+};
+struct ResultRecord {
+  std::uint32_t item = 0;
+  bool finished = false;
+  string text;
+  MSGPACK_DEFINE(item, finished, text)
+};
+
+/// Puts a lot's items on a holder; the primary passes them on to the others.
+struct SegCreate {
+  using Reply = Done;
+  static constexpr Method method = Method::segCreate;
+  LotRecord lot;
+  string items;
+  vector<string> results;
+  bool pass = false;
+  MSGPACK_DEFINE(lot, items, results, pass)
+};
+struct SegAppendReply {
+  vector<bool> ok;
+  MSGPACK_DEFINE(ok)
+};
+struct SegAppend {
+  using Reply = SegAppendReply;
+  static constexpr Method method = Method::segAppend;
+  struct Part {
+    string host, id;
+    Stamp stamp;
+    std::uint64_t from = 0;
+    vector<string> records;
+    MSGPACK_DEFINE(host, id, stamp, from, records)
+  };
+  vector<Part> parts;
+  MSGPACK_DEFINE(parts)
+};
+struct SegInspectReply {
+  bool known = false;
+  Stamp stamp;
+  std::uint64_t results = 0;
+  MSGPACK_DEFINE(known, stamp, results)
+};
+struct SegInspect {
+  using Reply = SegInspectReply;
+  static constexpr Method method = Method::segInspect;
+  string host, id;
+  MSGPACK_DEFINE(host, id)
+};
+/// Gives a replica a fresh stamp and cuts its results.
+struct SegSettle {
+  using Reply = Done;
+  static constexpr Method method = Method::segSettle;
+  string host, id;
+  Stamp old, stamp;
+  std::uint64_t cut = 0;
+  MSGPACK_DEFINE(host, id, old, stamp, cut)
+};
+/// Asks a store to copy a lot from another under a stamp.
+struct SegCopy {
+  using Reply = Done;
+  static constexpr Method method = Method::segCopy;
+  LotRecord lot;
+  Addr from;
+  MSGPACK_DEFINE(lot, from)
+};
+struct SegFetch {
+  using Reply = SegCreate;
+  static constexpr Method method = Method::segFetch;
+  string host, id;
+  Stamp stamp;
+  MSGPACK_DEFINE(host, id, stamp)
+};
+struct SegReadReply {
+  std::uint64_t total = 0;
+  vector<ResultRecord> outputs;
+  vector<string> ids;
+  MSGPACK_DEFINE(total, outputs, ids)
+};
+struct SegRead {
+  using Reply = SegReadReply;
+  static constexpr Method method = Method::segRead;
+  string host, id;
+  Stamp stamp;
+  std::uint64_t from = 0, most = 0;
+  std::int64_t holdMs = 0;
+  MSGPACK_DEFINE(host, id, stamp, from, most, holdMs)
+};
+struct SegItemReply {
+  bool known = false, listed = false;
+  string body;
+  MSGPACK_DEFINE(known, listed, body)
+};
+struct SegItem {
+  using Reply = SegItemReply;
+  static constexpr Method method = Method::segItem;
+  string host, id, item;
+  Stamp stamp;
+  MSGPACK_DEFINE(host, id, item, stamp)
+};
+
+}  // namespace tealshelf
