--- a/traffic/carry_out.cpp
+++ b/traffic/carry_out.cpp
@@ -35,6 +35,7 @@
     balance_.began(id);
     Verdict const v = co_await x.start(ask, l.attempt, l.horizon);
     bool over = false;
+    say(Level::debug, "visit", l.attempt + " at " + id + " verdict " + std::to_string(static_cast<int>(v)) + (v == Verdict::answered ? " status " + std::to_string(x.status()) : ""));
     switch (v) {
       case Verdict::notSent:
         balance_.broke(id, true);
--- a/traffic/exchange.cpp
+++ b/traffic/exchange.cpp
@@ -68,7 +68,7 @@
   if (e) { bool const f = guard_->fired(); cut(); co_return f ? Verdict::timeUp : Verdict::unclear; }
   for (int i = 0; i < 4; ++i) {
     parser_.emplace();
-    parser_->body_limit(boost::none);
+    parser_->body_limit(std::uint64_t{1} << 40);
     parser_->header_limit(64u << 10);
     co_await http::async_read_header(pipe_->sock, pipe_->buf, *parser_, asio::redirect_error(asio::use_awaitable, e));
     if (e) { bool const f = guard_->fired(); cut(); co_return f ? Verdict::timeUp : Verdict::unclear; }
