--- a/registry/rounds.cpp
+++ b/registry/rounds.cpp
@@ -183,7 +183,8 @@
 }
 
 void Registry::refused(Mail const& m, Shelf& s) {
-  if (m.promised > s.epoch && s.phase != Phase::none) stepDown(s);
+  // A promise under the same number but for another owner refuses just as a higher one does.
+  if (m.promised != s.epoch && m.promised.n >= s.epoch.n && s.phase != Phase::none) stepDown(s);
 }
 
 void Registry::onPromise(Mail const& m, Shelf& s, Moment now) {
--- /dev/null
+++ b/tests/sim.hpp
@@ -0,0 +1,229 @@
+#pragma once
+#include "registry/registry.hpp"
+
+#include <random>
+
+namespace tealshelf::sim {
+
+/// A group of registries on a virtual clock, a lossy network and disks that lose power.
+class Group {
+ public:
+  struct Node {
+    std::unique_ptr<Registry> reg;
+    Member self;
+    vector<string> disk, unsynced;           ///< records synced, and records not yet synced
+    std::deque<std::pair<std::size_t, Batch>> waiting;  ///< batches that wait for a sync, with the disk length they need
+    bool up = true, frozen = false;
+    std::uint64_t life = 0;
+    Moment syncAt;
+    std::uint64_t seenVersion = 0;           ///< highest settled version in this life
+  };
+  struct Op {
+    bool write = false;
+    std::uint64_t value = 0, floor = 0, node = 0, life = 0, op = 0;
+  };
+
+  Group(std::uint64_t seed, std::size_t n, bool breakSync = false) : g_(seed), breakSync_(breakSync), nodes_(n) {
+    tealshelf::Group first;
+    first.no = GroupNo(1);
+    first.oldSize = n;
+    for (std::size_t i = 0; i < n; ++i) {
+      nodes_[i].self = Member{Identity(100 + i), "n" + std::to_string(i), "10.0.0." + std::to_string(i), "z", true};
+      first.members.push_back(nodes_[i].self);
+    }
+    for (Node& x : nodes_) {
+      make(x);
+      x.reg->install(first, true);
+      pump(x);
+    }
+  }
+  std::uint64_t dice(std::uint64_t n) { return std::uniform_int_distribution<std::uint64_t>(0, n - 1)(g_); }
+  Moment now() const { return now_; }
+  vector<Node>& nodes() { return nodes_; }
+  double loss = 0;
+  std::set<std::pair<std::size_t, std::size_t>> cuts;  ///< one-way
+
+  /// One step of 5 ms.
+  void step() {
+    now_ += Ms(5);
+    ++turn_;
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      Node& x = nodes_[i];
+      if (!x.up || x.frozen) continue;
+      if (turn_ % 10 == i % 10) { x.reg->tick(now_); pump(x); }
+      if (turn_ % 30 == i % 30)
+        for (std::size_t j = 0; j < nodes_.size(); ++j)
+          if (j != i) deliver(i, j, x.reg->ping(now_));
+      if (now_ >= x.syncAt) sync(x);
+    }
+    std::deque<std::function<void()>> due;
+    while (!net_.empty() && net_.begin()->first <= now_) {
+      due.push_back(std::move(net_.begin()->second));
+      net_.erase(net_.begin());
+    }
+    for (std::function<void()>& f : due) f();
+  }
+  void run(std::size_t steps) {
+    for (std::size_t i = 0; i < steps; ++i) step();
+  }
+  /// Loses power: what was not synced is gone, or partly there.
+  void power(std::size_t i) {
+    Node& x = nodes_[i];
+    std::size_t const keep = dice(x.unsynced.size() + 1);
+    for (std::size_t k = 0; k < keep; ++k) x.disk.push_back(x.unsynced[k]);
+    stop(x);
+  }
+  void kill(std::size_t i) {
+    Node& x = nodes_[i];
+    for (string& r : x.unsynced) x.disk.push_back(r);
+    stop(x);
+  }
+  void start(std::size_t i) {
+    Node& x = nodes_[i];
+    make(x);
+    for (string const& r : x.disk) x.reg->replay(r);
+  }
+
+  /// The charter shelf as a counter: each write adds one to what the owner holds.
+  void write() {
+    std::size_t const i = dice(nodes_.size());
+    Node& x = nodes_[i];
+    if (!x.up || x.frozen || !x.reg->owns("charter") || writing_.count(i)) return;
+    std::map<string, string> const& v = x.reg->view("charter");
+    std::map<string, string>::const_iterator const c = v.find("current");
+    std::uint64_t const value = (c == v.end() ? 0 : std::strtoull(c->second.c_str(), nullptr, 10)) + 1;
+    Op o{true, value, acked, i, x.life, x.reg->propose("charter", {{"current", std::to_string(value), false}, {"k" + std::to_string(value % 7), std::to_string(value), false}}, now_)};
+    writing_.insert(i);
+    ops_.push_back(o);
+    pump(x);
+  }
+  void read() {
+    std::size_t const i = dice(nodes_.size());
+    Node& x = nodes_[i];
+    if (!x.up || x.frozen || !x.reg->owns("charter")) return;
+    ops_.push_back(Op{false, 0, acked, i, x.life, x.reg->confirm("charter", now_)});
+    pump(x);
+  }
+  std::uint64_t value(Node const& x) const {
+    std::map<string, string> const& v = x.reg->view("charter");
+    std::map<string, string>::const_iterator const c = v.find("current");
+    return c == v.end() ? 0 : std::strtoull(c->second.c_str(), nullptr, 10);
+  }
+  std::uint64_t acked = 0, reads = 0, writes = 0;
+  string broken;
+
+  /// Nobody's settled view goes back within a life, nor is ahead of what was ever proposed.
+  void check() {
+    for (Node& x : nodes_) {
+      if (!x.up) continue;
+      std::optional<std::map<string, string>> const v = x.reg->settled("charter");
+      if (!v || !v->count("current")) continue;
+      std::uint64_t const n = std::strtoull(v->at("current").c_str(), nullptr, 10);
+      if (n < x.seenVersion) fail("a settled view went back at " + x.self.name);
+      x.seenVersion = n;
+    }
+  }
+
+ private:
+  void fail(string const& s) { if (broken.empty()) broken = s; }
+  void make(Node& x) {
+    x.reg = std::make_unique<Registry>(x.self, Registry::Times{Ms(750), Ms(100)});
+    x.reg->know("charter");
+    x.reg->know("members");
+    x.up = true;
+    x.frozen = false;
+    x.seenVersion = 0;
+    ++x.life;
+  }
+  void stop(Node& x) {
+    x.up = false;
+    x.unsynced.clear();
+    x.waiting.clear();
+    writing_.erase(static_cast<std::size_t>(&x - nodes_.data()));
+    x.reg = std::make_unique<Registry>(x.self, Registry::Times{Ms(750), Ms(100)});
+  }
+  void pump(Node& x) {
+    Batch b = x.reg->take();
+    for (string& r : b.records) x.unsynced.push_back(std::move(r));
+    if (b.sync && !breakSync_) {
+      x.waiting.emplace_back(x.disk.size() + x.unsynced.size(), std::move(b));
+      if (x.syncAt < now_) x.syncAt = now_ + Ms(5);
+    } else {
+      send(x, std::move(b));
+    }
+  }
+  void sync(Node& x) {
+    for (string& r : x.unsynced) x.disk.push_back(std::move(r));
+    x.unsynced.clear();
+    std::deque<std::pair<std::size_t, Batch>> w;
+    w.swap(x.waiting);
+    for (std::pair<std::size_t, Batch>& p : w) send(x, std::move(p.second));
+  }
+  void send(Node& x, Batch b) {
+    std::size_t const from = static_cast<std::size_t>(&x - nodes_.data());
+    for (Mail& m : b.mails)
+      for (std::size_t j = 0; j < nodes_.size(); ++j)
+        if (nodes_[j].self.id == m.to) deliver(from, j, std::move(m));
+    for (Outcome const& o : b.outcomes) outcome(from, o);
+  }
+  template <class M> void deliver(std::size_t from, std::size_t to, M m) {
+    if (from != to && (cuts.count({from, to}) || std::uniform_real_distribution<>(0, 1)(g_) < loss)) return;
+    std::uint64_t const life = nodes_[to].life;
+    Moment const at = now_ + Ms(from == to ? 0 : 1 + dice(loss > 0 ? 60 : 3));
+    net_.emplace(at, [this, to, life, m = std::move(m)] {
+      Node& y = nodes_[to];
+      if (!y.up || y.life != life) return;
+      if (y.frozen) { late_.emplace_back(to, m); return; }
+      take(y, m);
+    });
+  }
+  void take(Node& y, Mail const& m) { y.reg->mail(m, now_); pump(y); }
+  void take(Node& y, Ping const& p) {
+    for (Node& x : nodes_)
+      if (x.self.id == p.self.id && x.reg && x.reg->group().no > y.reg->group().no) y.reg->install(x.reg->group(), false);
+    y.reg->heard(p, now_);
+    pump(y);
+  }
+  void outcome(std::size_t node, Outcome const& o) {
+    for (std::deque<Op>::iterator i = ops_.begin(); i != ops_.end(); ++i) {
+      if (i->node != node || i->life != nodes_[node].life || i->op != o.op) continue;
+      Op const op = *i;
+      ops_.erase(i);
+      if (op.write) writing_.erase(node);
+      if (!o.ok) return;
+      if (op.write) {
+        ++writes;
+        if (op.value <= op.floor) fail("a write was acknowledged over an older value");
+        acked = std::max(acked, op.value);
+      } else {
+        ++reads;
+        if (value(nodes_[node]) < op.floor) fail("a confirmed read missed an acknowledged write");
+      }
+      return;
+    }
+  }
+
+ public:
+  void thaw(std::size_t i) {
+    nodes_[i].frozen = false;
+    vector<std::pair<std::size_t, std::variant<Mail, Ping>>> l;
+    l.swap(late_);
+    for (std::pair<std::size_t, std::variant<Mail, Ping>>& p : l) {
+      if (p.first != i) { late_.push_back(std::move(p)); continue; }
+      std::visit([&](auto const& m) { take(nodes_[i], m); }, p.second);
+    }
+  }
+
+ private:
+  std::mt19937_64 g_;
+  bool breakSync_;
+  vector<Node> nodes_;
+  Moment now_ = Moment() + std::chrono::hours(1);
+  std::uint64_t turn_ = 0;
+  std::multimap<Moment, std::function<void()>> net_;
+  std::deque<Op> ops_;
+  std::set<std::size_t> writing_;
+  vector<std::pair<std::size_t, std::variant<Mail, Ping>>> late_;
+};
+
+}  // namespace tealshelf::sim
