The register of workers outlives a restart of control

Rows are noted on the disk; draining and gone are synced before their ack; a register is whole once a majority's are in it.

--- a/registry/control_node.cpp
+++ b/registry/control_node.cpp
@@ -6,14 +6,29 @@
     : io_(io), boot_(boot), rpc_(io, Ms(boot.bounds.inTouch / 2)), driver_(io, boot, rpc_), keeper_(io, boot, rpc_, driver_),
       table_(Ms(3 * boot.reportEvery)), server_(io, boot.controlAt(boot.ip), Ms(boot.bounds.inTouch / 2)),
       http_(io, boot.control, [this](Call c) { return handle(std::move(c)); }, 16u << 20, Ms(5 * boot.bounds.inTouch)) {
-  driver_.onWorkers = [this](vector<Worker> const& ws, bool) {
+  if (!boot.dataFolder.empty()) {
+    log_ = std::make_unique<DiskLog>(io, boot.dataFolder + "/workers", static_cast<std::size_t>(std::max<std::int64_t>(boot.diskMb, 8)) * (1u << 20) / 32, [this] {
+      vector<string> v;
+      for (Worker const& w : table_.all()) v.push_back(packed(w));
+      return v;
+    });
+    for (string const& r : log_->found().records) table_.merge(unpacked<Worker>(r), Clock::now());
+    table_.fresh();
+    noted_ = table_.rev();
+    log_->forget();
+  }
+  driver_.onWorkers = [this](vector<Worker> const& ws, bool full, Identity from) {
     bool news = false;
     for (Worker const& w : ws) news = table_.merge(w, Clock::now()) || news;
     table_.fresh();
-    tableTaken_ = true;
+    if (full && tables_.insert(from).second) changed();
     if (news) changed();
   };
-  driver_.giveWorkers = [this](bool full) { return full ? (table_.fresh(), table_.all()) : table_.fresh(); };
+  driver_.giveWorkers = [this](bool& full) {
+    // Before its own register can be whole, a node doesn't call it so.
+    full = full && (table_.size() || tableSound());
+    return full ? (table_.fresh(), table_.all()) : table_.fresh();
+  };
   driver_.onChange = [this] {
     if (std::optional<std::map<string, string>> const v = driver_.reg().settled("charter")) {
       std::map<string, string>::const_iterator const i = v->find("current");
@@ -61,13 +76,24 @@
   http_.stop();
 }
 
+void ControlNode::note() {
+  if (!log_) return;
+  for (Worker const& w : table_.all(noted_)) log_->append(packed(w));
+  noted_ = table_.rev();
+  log_->synced([] {});
+}
+
 void ControlNode::changed() {
   ++turn_;
+  note();
   for (std::shared_ptr<asio::steady_timer> const& t : asking_) t->cancel();
   asking_.clear();
 }
 
-bool ControlNode::tableSound() const { return tableTaken_ || Clock::now() - started_ > Ms(boot_.reportEvery * 3 / 2); }
+/// A register is whole once a majority's registers are in it, or all live workers have sent a beat.
+bool ControlNode::tableSound() const {
+  return (table_.size() && tables_.size() + 1 >= driver_.reg().group().most()) || Clock::now() - started_ > Ms(boot_.reportEvery * 3 / 2);
+}
 
 Task<void> ControlNode::sweepLoop() {
   for (;;) {
@@ -137,6 +163,7 @@
         if (!--*left) t->cancel();
       });
     }
+    if (log_ && (w.draining || w.gone)) co_await log_->settled();
     error_code e;
     if (*left && (w.draining || w.gone)) co_await t->async_wait(asio::redirect_error(asio::use_awaitable, e));
   }
--- a/registry/control_node.hpp
+++ b/registry/control_node.hpp
@@ -24,6 +24,8 @@
   Task<NewsReply> news(News q);
   Task<void> sweepLoop();
   void changed();
+  /// Notes changed rows of the register on the disk, without waiting.
+  void note();
   bool tableSound() const;
 
   asio::io_context& io_;
@@ -35,13 +37,15 @@
   RpcServer server_;
   HttpServer http_;
   Moment started_ = Clock::now();
-  bool tableTaken_ = false, changing_ = false, stopping_ = false;
+  std::unique_ptr<DiskLog> log_;
+  std::set<Identity> tables_;  ///< nodes whose whole register was taken in
+  bool changing_ = false, stopping_ = false;
   std::uint64_t life_ = randomId();
   std::uint64_t charterVersion_ = 0;
   string charterText_;
   std::shared_ptr<Charter const> charter_;
   std::set<std::shared_ptr<asio::steady_timer>> asking_;
-  std::uint64_t turn_ = 0;
+  std::uint64_t turn_ = 0, noted_ = 0;
 };
 
 }  // namespace tealshelf
--- a/registry/driver.cpp
+++ b/registry/driver.cpp
@@ -35,8 +35,8 @@
     Moment const now = Clock::now();
     if (m.group.no > reg_.group().no && m.group.no.v) reg_.install(m.group, false);
     reg_.heard(m.ping, now);
-    others_[m.ping.self.id] = {PingMsg{m.ping, Group(), {}}, now};
-    if (onWorkers && !m.workers.empty()) onWorkers(m.workers, m.ping.copied);
+    others_[m.ping.self.id] = {PingMsg{m.ping, Group(), {}, false}, now};
+    if (onWorkers && (m.full || !m.workers.empty())) onWorkers(m.workers, m.full, m.ping.self.id);
     pump();
     if (onChange) onChange();
     co_return Done{};
@@ -125,11 +125,12 @@
 
 void Driver::pingAll() {
   Moment const now = Clock::now();
-  bool const full = ++pings_ % 8 == 0;
+  bool full = ++pings_ % 8 == 0 || now - started_ < Ms(boot_.bounds.inTouch / 2);
   PingMsg m;
   m.ping = reg_.ping(now);
   if (leaving_) m.ping.copied = false;
   if (giveWorkers) m.workers = giveWorkers(full);
+  m.full = full;
   std::map<string, GroupNo> to;
   for (Member const& x : reg_.group().members)
     if (x.id != id_) to[x.ip] = GroupNo(0);
--- a/registry/driver.hpp
+++ b/registry/driver.hpp
@@ -15,6 +15,7 @@
   /// True once a majority says that this node still owns the shelf.
   Task<bool> confirm(string shelf, Ms limit);
   Registry& reg() { return reg_; }
+  Registry const& reg() const { return reg_; }
   bool sound() const { return reg_.inMajority(Clock::now()); }
   /// Where the wanted owner of a shelf is; nothing if unknown.
   std::optional<Addr> ownerOf(string const& shelf) const;
@@ -22,9 +23,9 @@
   void leave() { leaving_ = true; pingAll(); }
   void pingAll();
   /// Called for each ping that comes in, with the workers it carries.
-  std::function<void(vector<Worker> const&, bool full)> onWorkers;
+  std::function<void(vector<Worker> const&, bool full, Identity from)> onWorkers;
   /// Gives the workers that a ping shall carry.
-  std::function<vector<Worker>(bool full)> giveWorkers;
+  std::function<vector<Worker>(bool& full)> giveWorkers;
   /// Called whenever the control state may have changed.
   std::function<void()> onChange;
   Ms period() const { return period_; }
--- a/registry/workers.cpp
+++ b/registry/workers.cpp
@@ -54,10 +54,10 @@
   }
   return v;
 }
-vector<Worker> WorkerTable::all() const {
+vector<Worker> WorkerTable::all(std::uint64_t since) const {
   vector<Worker> v;
   for (std::pair<string const, Row> const& p : rows_)
-    if (!p.second.lost) v.push_back(p.second.w);
+    if (!p.second.lost && p.second.rev > since) v.push_back(p.second.w);
   return v;
 }
 Worker const* WorkerTable::find(string const& id) const {
--- a/registry/workers.hpp
+++ b/registry/workers.hpp
@@ -14,7 +14,8 @@
   /// Marks workers as lost whose beats are missing; true if any.
   bool sweep(Moment now);
   vector<Worker> since(std::uint64_t rev) const;
-  vector<Worker> all() const;
+  /// The register without the lost ones; the gone ones stand in it so that they don't come back.
+  vector<Worker> all(std::uint64_t since = 0) const;
   /// What was taken in since the last call, for the other control nodes.
   vector<Worker> fresh() { return std::exchange(fresh_, {}); }
   Worker const* find(string const& id) const;
--- a/wire/messages.hpp
+++ b/wire/messages.hpp
@@ -36,7 +36,8 @@
   Ping ping;
   Group group;
   vector<Worker> workers;
-  MSGPACK_DEFINE(ping, group, workers)
+  bool full = false;  ///< the whole register of workers is carried
+  MSGPACK_DEFINE(ping, group, workers, full)
 };
 struct HelloReply {
   Member self;
