--- a/lots/keeper.cpp
+++ b/lots/keeper.cpp
@@ -95,6 +95,12 @@
   return have;
 }
 
+/// True while a lot that was opened here may still be accepted.
+bool LotKeeper::mayAccept(Key const& k, Ms within) const {
+  std::map<Key, Soft>::const_iterator const s = soft_.find(k);
+  return s != soft_.end() && Clock::now() - s->second.opened < within;
+}
+
 Task<LotOpenReply> LotKeeper::open(LotOpen q) {
   if (std::optional<LotOpenReply> r = co_await elsewhere(q.lot.host, q)) co_return *r;
   Key const k(q.lot.host, q.lot.id);
@@ -117,18 +123,26 @@
     for (std::pair<string const, string> const& p : driver_.reg().view(shelfOf(r.host))) {
       LotRecord const o = unpacked<LotRecord>(p.second);
       if (o.id == r.id || o.route != r.route || o.state == static_cast<int>(LotState::ended)) continue;
-      if (o.state == static_cast<int>(LotState::taking) && wall - o.sentAt > boot_.bounds.confirmWithin) continue;
+      // A lot that was never accepted stops counting only when it can't be accepted any more.
+      if (o.state == static_cast<int>(LotState::taking) && !mayAccept({o.host, o.id}, Ms(boot_.bounds.inTouch))) continue;
+      if (opening_.count({o.host, o.id})) continue;
       std::map<Key, Soft>::const_iterator const s = soft_.find({o.host, o.id});
       std::uint64_t const done = s == soft_.end() ? 0 : s->second.doneTokens;
       waiting += o.tokens > done ? o.tokens - done : 0;
     }
+    for (std::pair<Key const, std::pair<string, std::uint64_t>> const& p : opening_)
+      if (p.first != k && p.second.first == r.route) waiting += p.second.second;
     if (waiting + r.tokens > q.most) throw Error(Code::lotOverQuota, std::to_string(waiting));
   }
   r.holders = choose(r.id, {}, {}, needed() + 1, Clock::now());
   if (r.holders.size() < needed()) throw Error(Code::noStores);
   r.state = static_cast<int>(LotState::taking);
   r.stamp = fresh(r.host);
-  if (!co_await save(r)) throw Error(Code::noQuorum);
+  soft_[k].opened = Clock::now();
+  opening_[k] = {r.route, r.tokens};
+  bool const saved = co_await save(r);
+  opening_.erase(k);
+  if (!saved) throw Error(Code::noQuorum);
   co_return LotOpenReply{false, r};
 }
 
@@ -144,7 +158,7 @@
   std::optional<LotRecord> r = load(q.host, q.id);
   if (!r) throw Error(Code::lotUnknown);
   if (r->state != static_cast<int>(LotState::taking)) co_return Done{};
-  if (r->stamp != q.stamp) throw Error(Code::staleStamp);
+  if (r->stamp != q.stamp || !mayAccept(k, Ms(boot_.bounds.inTouch / 2))) throw Error(Code::staleStamp);
   r->state = static_cast<int>(LotState::accepted);
   if (!co_await save(*r)) throw Error(Code::noQuorum);
   co_return Done{};
--- a/lots/keeper.hpp
+++ b/lots/keeper.hpp
@@ -27,7 +27,7 @@
   struct Soft {
     std::uint64_t rev = 0, doneTokens = 0, done = 0;
     std::set<Identity> bad;
-    Moment badAt, tried;
+    Moment badAt, tried, opened;
     bool resettle = false, busy = false, locked = false;
   };
   using Key = std::pair<string, string>;
@@ -44,6 +44,7 @@
   Task<void> lock(Key k);
   void unlock(Key const& k) { soft_[k].locked = false; }
   Stamp fresh(string const& host);
+  bool mayAccept(Key const& k, Ms within) const;
   std::size_t needed() const { return static_cast<std::size_t>(boot_.surviveMachines) + 1; }
   bool dead(Identity id, Moment now) const;
   vector<StoreRef> choose(string const& id, std::set<Identity> const& bar, vector<StoreRef> have, std::size_t count, Moment now) const;
@@ -64,6 +65,7 @@
   std::map<string, Epoch> ownedSince_;
   std::map<string, Moment> ownedAt_;
   std::size_t busy_ = 0;
+  std::map<Key, std::pair<string, std::uint64_t>> opening_;  ///< route and tokens of lots whose record is being written
 };
 
 }  // namespace tealshelf
--- a/registry/workers.cpp
+++ b/registry/workers.cpp
@@ -20,9 +20,9 @@
   if (r.w.gone && !w.gone) return false;
   if (!w.gone && w.callCount <= r.w.callCount) return false;
   if (w.gone && r.w.gone) return false;
-  bool const news = r.lost || w.gone != r.w.gone || w.draining != r.w.draining || w.at != r.w.at || w.service != r.w.service || w.capacity != r.w.capacity;
-  std::uint64_t const count = std::max(w.callCount, r.w.callCount);
   bool const draining = r.w.draining || w.draining;
+  bool const news = r.lost || w.gone != r.w.gone || draining != r.w.draining || w.at != r.w.at || w.service != r.w.service || w.capacity != r.w.capacity;
+  std::uint64_t const count = std::max(w.callCount, r.w.callCount);
   r.w = w;
   r.w.callCount = count;
   r.w.draining = draining;
--- /dev/null
+++ b/tests/parts_test.cpp
@@ -0,0 +1,168 @@
+#include "lots/desk.hpp"
+#include "registry/workers.hpp"
+#include "traffic/exchange.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <fstream>
+#include <sstream>
+
+using namespace tealshelf;
+
+namespace {
+string slurped(string const& p) {
+  std::ifstream f(string(TEALSHELF_SOURCE) + "/" + p);
+  std::stringstream s;
+  s << f.rdbuf();
+  return s.str();
+}
+string const bootText =
+    "nodeName=a-1\nrole=control\nipAddress=127.0.0.9\nzone=z\ninternalPorts=7000,7005\nseedNodes=127.0.0.9:8000,127.0.0.10:8000\n"
+    "firstBoot=true\nbounds.catchUpS=5.1\nlimits.memoryMb=260\nsurvive.machines=1\n";
+}  // namespace
+
+TEST_GROUP(errors) {};
+
+TEST(errors, docsHoldTheWholeTable) {
+  string const doc = slurped("docs/errors.md");
+  for (std::size_t i = 0; i < codeCount; ++i) {
+    CodeLine const& l = codeTable[i];
+    string row = "| E";
+    row.append(std::to_string(static_cast<int>(l.code))).append(" | ").append(std::to_string(statusOf(l.kind)));
+    row.append(" | ").append(l.text).append(" |");
+    CHECK_TEXT(doc.find(row) != string::npos, row.c_str());
+    if (i) CHECK(codeTable[i - 1].code < l.code);
+  }
+}
+TEST(errors, statusFollowsFromTheKind) {
+  LONGS_EQUAL(412, Error(Code::lostRace).status());
+  LONGS_EQUAL(503, Error(Code::workersFull).status());
+  LONGS_EQUAL(502, Error(Code::workerBroke).status());
+  LONGS_EQUAL(429, Error(Code::lotOverQuota).status());
+}
+
+TEST_GROUP(boot) {};
+
+TEST(boot, readsTheExample) {
+  vector<BootFault> f;
+  Boot const b = readBoot(bootText + "some.new.field=7\n", f);
+  CHECK(f.empty());
+  LONGS_EQUAL(5100, b.bounds.catchUp);
+  LONGS_EQUAL(7000, b.controlAt("x").port);
+  LONGS_EQUAL(2, b.seeds.size());
+  CHECK(b.firstBoot);
+  LONGS_EQUAL(1, b.unknown.size());
+}
+TEST(boot, listsAllFaultsInOnePass) {
+  vector<BootFault> f;
+  readBoot("nodeName=a\nipAddress=1\ninternalPorts=9,8\nlimits.memoryMb=-4\nfirstBoot=maybe\nbounds.graceS=x\n", f);
+  LONGS_EQUAL(6, f.size());  // four bad values, no ports and no seeds
+  LONGS_EQUAL(3, f[0].line);
+}
+
+TEST_GROUP(workers) {
+  WorkerTable t{Ms(3600)};
+  Moment now = Moment() + std::chrono::hours(1);
+  static Worker worker(std::uint64_t count, bool draining = false) {
+    Worker w;
+    w.id = "i-1";
+    w.service = "s";
+    w.at = {"10.0.0.1", 80};
+    w.callCount = count;
+    w.draining = draining;
+    return w;
+  }
+};
+
+TEST(workers, lateBeatsAreDropped) {
+  CHECK(t.merge(worker(5, true), now));
+  CHECK_FALSE(t.merge(worker(4), now));
+  CHECK(t.late(worker(4)));
+  CHECK(t.find("i-1")->draining);
+  CHECK_FALSE(t.merge(worker(6), now));
+  CHECK_TEXT(t.find("i-1")->draining, "a worker that drains never serves again");
+}
+TEST(workers, goneStaysGone) {
+  t.merge(worker(1), now);
+  Worker w = worker(1);
+  w.gone = true;
+  CHECK(t.merge(w, now));
+  CHECK_FALSE(t.merge(worker(9), now));
+  LONGS_EQUAL(1, t.since(0).size());
+  CHECK(t.since(0)[0].gone);
+}
+TEST(workers, lostOnesComeBackWithABeat) {
+  t.merge(worker(1), now);
+  std::uint64_t const rev = t.rev();
+  CHECK(t.sweep(now + Ms(4000)));
+  CHECK(t.since(rev)[0].gone);
+  CHECK_TEXT(t.all().empty(), "what is merely lost must not be noted as gone");
+  CHECK(t.merge(worker(2), now + Ms(4100)));
+  CHECK_FALSE(t.since(rev)[0].gone);
+}
+
+TEST_GROUP(lots) {};
+
+TEST(lots, readsItems) {
+  vector<ItemRecord> const v = readLot(
+      "{\"requests\":[{\"serverId\":\"a\",\"urlPath\":\"/p/1\",\"headerMap\":{\"Model\":\"m\"},\"payload\":\"q83vEjRWeJA=\",\"tokens\":940}]}");
+  LONGS_EQUAL(1, v.size());
+  LONGS_EQUAL(8, v[0].body.size());
+  LONGS_EQUAL(0xab, static_cast<unsigned char>(v[0].body[0]));
+  LONGS_EQUAL(940, v[0].tokens);
+}
+TEST(lots, refusesBadOnesByNumber) {
+  auto const code = [](string const& s) {
+    try {
+      readLot(s);
+    } catch (Error const& x) {
+      return static_cast<int>(x.code());
+    }
+    return 0;
+  };
+  LONGS_EQUAL(300, code("{"));
+  LONGS_EQUAL(300, code("{\"requests\":[]}"));
+  LONGS_EQUAL(300, code("{\"requests\":[{\"serverId\":\"a\"}]}"));
+  LONGS_EQUAL(300, code("{\"requests\":[{\"serverId\":\"a\",\"urlPath\":\"/p\",\"headerMap\":{\"X\":\"a\\r\\nB: c\"},\"tokens\":1}]}"));
+  LONGS_EQUAL(303, code("{\"requests\":[{\"serverId\":\"a\",\"urlPath\":\"/p\",\"payload\":\"a\",\"tokens\":1}]}"));
+  LONGS_EQUAL(302, code("{\"requests\":[{\"serverId\":\"a\",\"urlPath\":\"/p\",\"tokens\":1},{\"serverId\":\"a\",\"urlPath\":\"/p\",\"tokens\":1}]}"));
+  string many = "{\"requests\":[";
+  for (int i = 0; i < 201; ++i) many += string(i ? "," : "") + "{\"serverId\":\"a" + std::to_string(i) + "\",\"urlPath\":\"/p\",\"tokens\":1}";
+  LONGS_EQUAL(301, code(many + "]}"));
+}
+TEST(lots, base64IsStrict) {
+  string s;
+  CHECK(unbase64("QQ==", s));
+  STRCMP_EQUAL("A", s.c_str());
+  CHECK(unbase64("", s));
+  CHECK_FALSE(unbase64("QQ=", s));
+  CHECK_FALSE(unbase64("Q=Q=", s));
+  CHECK_FALSE(unbase64("QQ==QQ==", s));
+}
+
+TEST_GROUP(events) {};
+
+TEST(events, onlyWholeEventsPass) {
+  EventReader r;
+  r.data = "";
+  STRCMP_EQUAL("", r.feed("id: 1\ndata: a").c_str());
+  CHECK_FALSE(r.any());
+  STRCMP_EQUAL("id: 1\ndata: ab\n\n", r.feed("b\n\nid: 2\nda").c_str());
+  LONGS_EQUAL(1, r.last());
+  CHECK_FALSE(r.clean());
+  r.restart();
+  r.feed("id: 2\ndata: c\n\n");
+  STRCMP_EQUAL("ab\nc", r.data->c_str());
+  LONGS_EQUAL(2, r.last());
+  CHECK(r.clean());
+}
+TEST(events, anyCutGivesTheSameEvents) {
+  string const s = "weight-versions: 3\nid: 1\ndata: x\n\nid: 2\ndata: y\n\nid: 3\ndata: z\n\n";
+  for (std::size_t a = 0; a < s.size(); ++a) {
+    EventReader r;
+    r.data = "";
+    string out = r.feed(string_view(s).substr(0, a));
+    out += r.feed(string_view(s).substr(a));
+    STRCMP_EQUAL(s.c_str(), out.c_str());
+    STRCMP_EQUAL("x\ny\nz", r.data->c_str());
+  }
+}
--- /dev/null
+++ b/tests/replicas_test.cpp
@@ -0,0 +1,192 @@
+#include "segments/replicas.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <random>
+
+using namespace tealshelf;
+
+TEST_GROUP(replicas) {
+  static LotRecord lot(std::uint64_t stamp) {
+    LotRecord l;
+    l.host = "h";
+    l.id = "lot";
+    l.total = 1000;
+    l.stamp = Stamp(stamp);
+    return l;
+  }
+  static bool refused(std::function<void()> f) {
+    try {
+      f();
+    } catch (Error const& x) {
+      return x.code() == Code::staleStamp || x.code() == Code::lotUnknown;
+    }
+    return false;
+  }
+};
+
+TEST(replicas, anotherStampIsRefused) {
+  Replicas r;
+  r.create(lot(5), "items", {});
+  r.append("h", "lot", Stamp(5), 0, {"a"});
+  CHECK(refused([&] { r.append("h", "lot", Stamp(4), 1, {"b"}); }));
+  CHECK(refused([&] { r.append("h", "lot", Stamp(6), 1, {"b"}); }));
+  CHECK(refused([&] { r.read("h", "lot", Stamp(4)); }));
+  CHECK(refused([&] { r.settle("h", "lot", Stamp(6), Stamp(9), 0); }));
+  CHECK(refused([&] { r.settle("h", "lot", Stamp(1), Stamp(5), 0); }));
+  CHECK(refused([&] { r.create(lot(4), "items", {}); }));
+}
+TEST(replicas, aRecoveryStopsTheWriter) {
+  Replicas r;
+  r.create(lot(5), "items", {});
+  r.append("h", "lot", Stamp(5), 0, {"a", "b"});
+  LONGS_EQUAL(2, r.inspect("h", "lot").results);
+  CHECK(refused([&] { r.append("h", "lot", Stamp(5), 2, {"c"}); }));
+  r.settle("h", "lot", Stamp(5), Stamp(8), 1);
+  CHECK(refused([&] { r.append("h", "lot", Stamp(5), 1, {"c"}); }));
+  r.append("h", "lot", Stamp(8), 1, {"c"});
+  LONGS_EQUAL(2, r.read("h", "lot", Stamp(8)).results.size());
+}
+TEST(replicas, aRestartedReplicaWaitsForAFreshStamp) {
+  Replicas r, s;
+  r.create(lot(5), "items", {});
+  r.append("h", "lot", Stamp(5), 0, {"a"});
+  for (string const& x : r.take()) s.replay(x);
+  LONGS_EQUAL(1, s.find("h", "lot")->results.size());
+  CHECK(refused([&] { s.append("h", "lot", Stamp(5), 1, {"b"}); }));
+  s.settle("h", "lot", Stamp(5), Stamp(6), 1);
+  s.append("h", "lot", Stamp(6), 1, {"b"});
+}
+TEST(replicas, gapsAreRefusedAndRepeatsPassed) {
+  Replicas r;
+  r.create(lot(5), "items", {});
+  CHECK(refused([&] { r.append("h", "lot", Stamp(5), 1, {"b"}); }));
+  r.append("h", "lot", Stamp(5), 0, {"a"});
+  r.append("h", "lot", Stamp(5), 0, {"a", "b"});
+  LONGS_EQUAL(2, r.read("h", "lot", Stamp(5)).results.size());
+}
+TEST(replicas, staleOnesAreDeleted) {
+  Replicas r;
+  r.create(lot(5), "items", {});
+  CHECK_FALSE(r.drop("h", "lot", Stamp(4)));
+  CHECK(r.drop("h", "lot", Stamp(5)));
+  POINTERS_EQUAL(nullptr, r.find("h", "lot"));
+}
+TEST(replicas, snapshotAndLogGiveTheSame) {
+  Replicas r, s, t;
+  r.create(lot(5), "items", {});
+  r.append("h", "lot", Stamp(5), 0, {"a", "b", "c"});
+  r.settle("h", "lot", Stamp(5), Stamp(7), 2);
+  for (string const& x : r.snapshot()) s.replay(x);
+  for (string const& x : r.take()) t.replay(x);
+  for (Replicas const* const q : {&s, &t}) {
+    LONGS_EQUAL(2, q->find("h", "lot")->results.size());
+    CHECK(q->find("h", "lot")->lot.stamp == Stamp(7));
+  }
+}
+
+/// A writer, three holders and a keeper under seeded trouble. What was listed (synced on all
+/// holders of the record) must stand at its place for ever.
+TEST(replicas, aListedResultNeverVanishes) {
+  struct Holder {
+    Replicas live;
+    vector<string> disk;
+    bool up = true;
+    void sync() { for (string& x : live.take()) disk.push_back(std::move(x)); }
+    void restart(bool loseUnsynced) {
+      if (!loseUnsynced) sync();
+      live = Replicas();
+      for (string const& x : disk) live.replay(x);
+      up = true;
+    }
+  };
+  bool brokenCaught = false;
+  for (int broken = 0; broken < 2; ++broken)
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+      std::mt19937_64 g(seed);
+      Holder h[3];
+      Stamp stamp(1), last(1);
+      vector<int> holders = {0, 1, 2};
+      for (Holder& x : h) { x.live.create(lot(1), "items", {}); x.sync(); }
+      vector<string> listed;
+      int next = 0;
+      bool bad = false;
+      for (int k = 0; k < 300 && !bad; ++k) {
+        int const what = static_cast<int>(g() % 8);
+        if (what < 4) {
+          // The writer appends at every holder; it lists only if all of them synced.
+          int const p = holders[0];
+          Replicas::Replica const* const own = h[p].up ? h[p].live.find("h", "lot") : nullptr;
+          if (!own || own->lot.stamp != stamp) continue;
+          std::uint64_t const from = own->results.size();
+          string const rec = "r" + std::to_string(next++);
+          bool all = true;
+          for (int const i : holders) {
+            // The writer's own disk comes first; only a message to another can be lost.
+            bool ok = h[i].up && (i == p || g() % 12 != 0);
+            if (ok) {
+              try {
+                h[i].live.append("h", "lot", stamp, from, {rec});
+                h[i].sync();
+              } catch (Error const&) {
+                ok = false;
+              }
+            }
+            all = all && ok;
+          }
+          if (all || (broken && g() % 4 == 0)) {
+            if (listed.size() == from) listed.push_back(rec);
+          }
+        } else if (what == 4) {
+          Holder& x = h[g() % 3];
+          if (x.up && h[0].up + h[1].up + h[2].up == 3) x.up = false;
+        } else if (what == 5) {
+          for (Holder& x : h)
+            if (!x.up) x.restart(g() % 2);
+        } else {
+          // The keeper's recovery, which may stop anywhere.
+          vector<int> good;
+          std::uint64_t cut = ~0ull;
+          for (int const i : holders) {
+            if (!h[i].up) continue;
+            SegInspectReply const q = h[i].live.inspect("h", "lot");
+            if (!q.known || q.stamp < stamp) continue;
+            good.push_back(i);
+            cut = std::min(cut, q.results);
+          }
+          if (good.size() < 2) continue;
+          Stamp const fresh(last.v + 1);
+          last = fresh;
+          vector<int> kept;
+          for (int const i : good) {
+            if (g() % 10 == 0) continue;
+            try {
+              h[i].live.settle("h", "lot", stamp, fresh, cut);
+              h[i].sync();
+              kept.push_back(i);
+            } catch (Error const&) {
+            }
+          }
+          if (kept.size() < 2 || g() % 5 == 0) continue;
+          for (int i = 0; i < 3; ++i) {
+            if (std::find(kept.begin(), kept.end(), i) != kept.end() || !h[i].up) continue;
+            Replicas::Replica const c = *h[kept[0]].live.find("h", "lot");
+            LotRecord l = lot(fresh.v);
+            h[i].live.create(l, c.items, c.results);
+            h[i].sync();
+            kept.push_back(i);
+          }
+          stamp = fresh;
+          holders = kept;
+        }
+        for (int const i : holders) {
+          Replicas::Replica const* const x = h[i].up ? h[i].live.find("h", "lot") : nullptr;
+          if (!x || x->lot.stamp != stamp) continue;
+          for (std::size_t n = 0; n < listed.size(); ++n) bad = bad || n >= x->results.size() || x->results[n] != listed[n];
+        }
+      }
+      if (broken) brokenCaught = brokenCaught || bad;
+      else CHECK_FALSE_TEXT(bad, ("seed " + std::to_string(seed)).c_str());
+      if (!broken) CHECK(listed.size() > 0);
+    }
+  CHECK_TEXT(brokenCaught, "listing before every holder synced was never caught");
+}
