Lots start items one by one at a worker, so many as end them by half their time

Prompts are also weighed by the tokens not yet read, and a lost shared prefix by its tokens. Lots themselves are still late after a loss.

--- a/lots/run_items.cpp
+++ b/lots/run_items.cpp
@@ -34,7 +34,18 @@
   Match const* const m = scene_.charter()->byName(best->lot.route);
   if (m)
     for (Worker const* const w : scene_.of(m->serviceFor(0))) slots += w->capacity;
-  if (m && live_ > slots / 3 + 8) return false;
+  // So many items run at once that each lot would be done by half of its time.
+  double need = 1;
+  std::int64_t const wall = wallMs();
+  for (std::pair<Key const, RunPtr> const& p : runs_) {
+    LotRun const& r = *p.second;
+    if (r.over || r.ended()) continue;
+    std::size_t left = 0;
+    for (LotRun::State const s : r.states) left += s != LotRun::done;
+    double const spare = static_cast<double>(r.lot.sentAt + r.lot.dueIn / 2 - wall);
+    need += static_cast<double>(left) * meanRun_ / std::max(spare, meanRun_ / 2);
+  }
+  if (static_cast<double>(live_) >= std::min(need, static_cast<double>(slots) / 2)) return false;
   std::size_t const n = best->next++;
   best->states[n] = LotRun::running;
   ++best->live;
@@ -84,9 +95,11 @@
   q.prepare_payload();
   string const id = w->id;
   Ms const silence(boot_.bounds.inTouch);
+  Moment const began = Clock::now();
   Exchange x(pools_, *w);
-  balance_.began(id);
+  balance_.began(id, it.tokens / 2);
   Verdict const v = co_await x.start(q, it.id, Clock::now() + 2 * silence);
+  balance_.first(id, it.tokens / 2);
   bool over = false;
   if (v == Verdict::notRun) {
     if (x.status() == 503 || x.status() == 429) balance_.full(id);
@@ -106,6 +119,7 @@
     }
     if (p == Piece::whole) {
       x.done();
+      if (status == 200) meanRun_ += (static_cast<double>(std::chrono::duration_cast<Ms>(Clock::now() - began).count()) - meanRun_) / 16;
       balance_.well(id);
       if (status == 200) { finish(run, n, true, *ev.data); over = true; }
       if (status == 422) { finish(run, n, false, ""); over = true; }
--- a/lots/store_node.cpp
+++ b/lots/store_node.cpp
@@ -8,6 +8,7 @@
       self_{id_, boot.nodeName, boot.area, boot.storeAt(boot.ip)},
       log_(io, boot.dataFolder + "/segments", static_cast<std::size_t>(std::max<std::int64_t>(boot.diskMb, 16)) * (1u << 20) / 3, [this] { return replicas_.snapshot(); }),
       hold_(static_cast<std::uint64_t>(wallMs())), work_(io), flushes_(io) {
+  meanRun_ = static_cast<double>(8 * boot.bounds.step);
   for (string const& r : log_.found().records) replicas_.replay(r);
   if (log_.found().torn) warn("segments", "a torn tail of " + std::to_string(log_.found().torn) + " bytes was cut");
   for (string const& c : log_.found().corrupt) warn("segments", "a corrupt record was passed over: " + c);
--- a/lots/store_node.hpp
+++ b/lots/store_node.hpp
@@ -87,6 +87,7 @@
   std::map<Key, std::pair<Stamp, Moment>> odd_;
   vector<Member> members_;
   std::size_t live_ = 0;
+  double meanRun_ = 1000;  ///< how long an item runs, in ms, as seen lately
   asio::steady_timer work_, flushes_;
 };
 
--- a/traffic/balance.cpp
+++ b/traffic/balance.cpp
@@ -2,11 +2,28 @@
 
 namespace tealshelf {
 
-void Balance::began(string const& id) { Row& r = rows_[id]; ++r.own; ++r.since; }
+namespace {
+constexpr double chunkTokens = 1024;  ///< a prompt is weighed in pieces of so many tokens
+constexpr double chunkCost = 0.25;    ///< a piece waiting to be read weighs as a quarter of all slots taken
+}  // namespace
+
+void Balance::began(string const& id, std::uint64_t tokens) {
+  Row& r = rows_[id];
+  ++r.own;
+  ++r.since;
+  ++r.unreadVisits;
+  r.unread += static_cast<std::int64_t>(tokens);
+}
+void Balance::first(string const& id, std::uint64_t tokens) {
+  Row& r = rows_[id];
+  --r.unreadVisits;
+  r.unread -= static_cast<std::int64_t>(tokens);
+}
 void Balance::ended(string const& id) { Row& r = rows_[id]; --r.own; --r.since; }
 void Balance::told(string const& id, std::array<std::uint64_t, 3> const& b) {
   Row& r = rows_[id];
   r.base = static_cast<std::int64_t>(b[0] + b[1]);
+  r.waiting = static_cast<std::int64_t>(b[1]);
   r.since = 0;
   r.told = Clock::now();
 }
@@ -27,6 +44,15 @@
   return std::max(base, static_cast<double>(r.own)) / static_cast<double>(w.capacity);
 }
 
+double Balance::cost(Worker const& w, Moment now) const {
+  std::map<string, Row>::const_iterator const i = rows_.find(w.id);
+  if (i == rows_.end()) return 0;
+  Row const& r = i->second;
+  double c = burden(w, now) + chunkCost * static_cast<double>(r.unread) / chunkTokens;
+  if (now - r.told < Ms(boot_.bounds.step)) c += chunkCost * static_cast<double>(r.waiting);
+  return c;
+}
+
 Worker const* Balance::pick(Scene const& s, Want const& want, std::set<string> const& tried) {
   Moment const now = Clock::now();
   vector<Worker const*> good, rest;
@@ -34,24 +60,28 @@
     Row const& r = rows_[w->id];
     if (tried.count(w->id)) continue;
     bool const out = now < r.outUntil || now < r.fullUntil;
-    if (want.behind && (out || burden(*w, now) > 1 - want.leave)) continue;
+    if (want.behind && (out || r.unreadVisits > 0 || burden(*w, now) > 1 - want.leave)) continue;
     (out ? rest : good).push_back(w);
   }
   vector<Worker const*>& l = good.empty() ? rest : good;
   if (l.empty()) return nullptr;
-  if (want.sharedTokens >= 1024 && l.size() > 1) {
-    double sum = 0;
-    for (Worker const* const w : l) sum += burden(*w, now);
-    double const bound = 1.25 * sum / static_cast<double>(l.size()) + 0.1;
-    std::sort(l.begin(), l.end(), [&](Worker const* a, Worker const* b) { return hashOf(a->id, want.key) > hashOf(b->id, want.key); });
-    for (Worker const* const w : l)
-      if (burden(*w, now) <= bound) return w;
+  std::sort(l.begin(), l.end(), [&](Worker const* a, Worker const* b) { return hashOf(a->id, want.key) > hashOf(b->id, want.key); });
+  // The first in rendezvous order likely keeps the shared parts, the next may; all others read them again.
+  double const miss = chunkCost * static_cast<double>(want.sharedTokens) / chunkTokens;
+  bool const all = want.sharedTokens >= chunkTokens;
+  Worker const* best = nullptr;
+  double least = 0;
+  std::function<void(std::size_t)> const weigh = [&](std::size_t n) {
+    double const c = cost(*l[n], now) + (n == 0 ? 0 : n == 1 ? miss / 2 : miss);
+    if (!best || c < least) { best = l[n]; least = c; }
+  };
+  for (std::size_t n = 0; n < l.size(); ++n)
+    if (all) weigh(n);
+  for (int k = 0; k < 3 && !all; ++k) {
+    dice_ = dice_ * 6364136223846793005ull + 1442695040888963407ull;
+    weigh((dice_ >> 33) % l.size());
   }
-  dice_ = dice_ * 6364136223846793005ull + 1442695040888963407ull;
-  Worker const* const a = l[(dice_ >> 33) % l.size()];
-  dice_ = dice_ * 6364136223846793005ull + 1442695040888963407ull;
-  Worker const* const b = l[(dice_ >> 33) % l.size()];
-  return burden(*a, now) <= burden(*b, now) ? a : b;
+  return best;
 }
 
 void Balance::sweep(Scene const& s) {
--- a/traffic/balance.hpp
+++ b/traffic/balance.hpp
@@ -19,7 +19,9 @@
   explicit Balance(Boot const& boot) : boot_(boot) {}
   /// The best worker; null if there is none. Passed-over ones are tried last.
   Worker const* pick(Scene const& s, Want const& w, std::set<string> const& tried);
-  void began(string const& id);
+  /// A visit goes there that has so many prompt tokens to be read; then its first piece came; then it ended.
+  void began(string const& id, std::uint64_t tokens);
+  void first(string const& id, std::uint64_t tokens);
   void ended(string const& id);
   /// The worker's own word on running, waiting and slots.
   void told(string const& id, std::array<std::uint64_t, 3> const& b);
@@ -29,11 +31,13 @@
   void broke(string const& id, bool hard);
   void well(string const& id);
   double burden(Worker const& w, Moment now) const;
+  /// Burden plus what a new prompt would wait behind, in the same measure.
+  double cost(Worker const& w, Moment now) const;
   void sweep(Scene const& s);
 
  private:
   struct Row {
-    std::int64_t own = 0, base = 0, since = 0;
+    std::int64_t own = 0, base = 0, since = 0, unread = 0, unreadVisits = 0, waiting = 0;
     Moment told, outUntil, fullUntil;
     int breaks = 0;
   };
--- a/traffic/carry_out.cpp
+++ b/traffic/carry_out.cpp
@@ -32,8 +32,10 @@
     tried.insert(id);
     Ask const ask = forWorker(q, l, *w, ev);
     Exchange x(pools_, *w);
-    balance_.began(id);
+    std::uint64_t const unread = l.want.tokens - l.want.sharedTokens;
+    balance_.began(id, unread);
     Verdict const v = co_await x.start(ask, l.attempt, l.horizon);
+    balance_.first(id, unread);
     bool over = false;
     say(Level::debug, "visit", l.attempt + " at " + id + " verdict " + std::to_string(static_cast<int>(v)) + (v == Verdict::answered ? " status " + std::to_string(x.status()) : ""));
     switch (v) {
