--- a/lots/desk.cpp
+++ b/lots/desk.cpp
@@ -115,6 +115,7 @@
 
 Task<CallAnswer> LotDesk::handIn(Match const& m, string id, string const& body) {
   vector<ItemRecord> items = readLot(body);
+  if (!scene_.near()) throw Error(Code::lotUnsure);
   if (id.empty()) throw Error(Code::lotUnreadable, "no id");
   LotOpen q;
   q.lot.id = id;
@@ -128,14 +129,27 @@
   q.most = m.mostQueued;
   string const packedItems = packed(items);
   items.clear();
-  Ms const limit(boot_.bounds.inTouch / 2);
+  Ms const limit(boot_.bounds.inTouch / 5);
   try {
-    LotOpenReply const o = co_await keeper(q, limit);
-    if (!o.taken) {
-      SegCreate const ask{o.lot, packedItems, {}, true};
-      co_await rpc_.ask(o.lot.holders[0].at, ask, limit);
+    for (int turn = 0;; ++turn) {
+      LotOpenReply const o = co_await keeper(q, limit);
+      if (o.taken) break;
+      std::optional<Error> failed;
+      try {
+        SegCreate const ask{o.lot, packedItems, {}, true};
+        co_await rpc_.ask(o.lot.holders[0].at, ask, limit);
+      } catch (Error const& x) {
+        failed = x;
+      }
+      if (failed) {
+        // Another store may do; the stamp of this try is never accepted then.
+        if (turn >= 1) throw *failed;
+        q.bar.push_back(o.lot.holders[0].id);
+        continue;
+      }
       LotAccept const then{m.host, id, o.lot.stamp, 0};
       co_await keeper(then, limit);
+      break;
     }
   } catch (Error const& x) {
     // Only a refusal that came before anything was recorded is a promise.
@@ -167,6 +181,7 @@
 Task<CallAnswer> LotDesk::call(string verb, string host, string target, std::int64_t holdMs) {
   string_view const path = string_view(target).substr(0, target.find('?'));
   try {
+    if (!scene_.near()) throw Error(Code::lotUnsure);
     if (path.substr(0, 7) == "/items/") co_return co_await item(host, string(path.substr(7)), query(target, "serverId"));
     string const id(path.substr(6));
     if (verb == "DELETE") {
@@ -183,7 +198,9 @@
   } catch (Error const& x) {
     if (x.status() == 404 || x.status() == 400) co_return answerOf(x);
     say(Level::debug, "lots", target + ": " + x.what());
-    co_return answerOf(Error(Code::lotUnsure));
+    CallAnswer a = answerOf(Error(Code::lotUnsure));
+    a.heads.emplace_back("Retry-After", "0.05");
+    co_return a;
   }
 }
 
--- a/lots/keeper.cpp
+++ b/lots/keeper.cpp
@@ -64,7 +64,7 @@
 bool LotKeeper::dead(Identity id, Moment now) const {
   std::map<Identity, Seen>::const_iterator const i = stores_.find(id);
   Moment const at = i == stores_.end() ? started_ + Ms(boot_.bounds.catchUp / 2) : i->second.at;
-  return now > at && now - at > Ms(boot_.bounds.inTouch / 2);
+  return now > at && now - at > Ms(boot_.bounds.inTouch * 3 / 10);
 }
 vector<StoreRef> LotKeeper::liveStores(Moment now) const {
   vector<StoreRef> v;
@@ -134,7 +134,7 @@
       if (p.first != k && p.second.first == r.route) waiting += p.second.second;
     if (waiting + r.tokens > q.most) throw Error(Code::lotOverQuota, std::to_string(waiting));
   }
-  r.holders = choose(r.id, {}, {}, needed() + 1, Clock::now());
+  r.holders = choose(r.id, std::set<Identity>(q.bar.begin(), q.bar.end()), {}, needed() + 1, Clock::now());
   if (r.holders.size() < needed()) throw Error(Code::noStores);
   r.state = static_cast<int>(LotState::taking);
   r.stamp = fresh(r.host);
@@ -247,7 +247,7 @@
 
 Task<Done> LotKeeper::fence(StoreFence q) {
   Seen& s = stores_[q.store];
-  Ms const hold(boot_.bounds.inTouch / 3);
+  Ms const hold(boot_.bounds.inTouch / 5);
   Moment const now = Clock::now();
   s.fenced = std::max(s.fenced, s.hold);
   co_return Done{now - s.acked > hold && now - started_ > hold};
--- a/lots/run_items.cpp
+++ b/lots/run_items.cpp
@@ -19,7 +19,7 @@
 
 /// Starts the most urgent queued item if a worker has room that others leave.
 bool StoreNode::dispatch() {
-  if (!scene_.sound() || stopping_ || !holds()) return false;
+  if (!scene_.near() || stopping_ || !holds()) return false;
   RunPtr best;
   Moment const now = Clock::now();
   for (std::pair<Key const, RunPtr> const& p : runs_) {
@@ -34,7 +34,7 @@
   Match const* const m = scene_.charter()->byName(best->lot.route);
   if (m)
     for (Worker const* const w : scene_.of(m->serviceFor(0))) slots += w->capacity;
-  // So many items run at once that each lot would be done by half of its time.
+  // So many items run at once that each lot would be done by two fifths of its time.
   double need = 1;
   std::int64_t const wall = wallMs();
   for (std::pair<Key const, RunPtr> const& p : runs_) {
@@ -42,7 +42,7 @@
     if (r.over || r.ended()) continue;
     std::size_t left = 0;
     for (LotRun::State const s : r.states) left += s != LotRun::done;
-    double const spare = static_cast<double>(r.lot.sentAt + r.lot.dueIn / 2 - wall);
+    double const spare = static_cast<double>(r.lot.sentAt + r.lot.dueIn * 2 / 5 - wall);
     need += static_cast<double>(left) * meanRun_ / std::max(spare, meanRun_ / 2);
   }
   if (static_cast<double>(live_) >= std::min(need, static_cast<double>(slots) / 2)) return false;
@@ -82,7 +82,7 @@
   want.service = m->serviceFor(hashOf(it.id));
   want.behind = true;
   std::int64_t const spare = run->lot.sentAt + run->lot.dueIn - wallMs();
-  want.leave = spare > run->lot.dueIn / 2 ? 0.4 : 0.15;
+  want.leave = spare > run->lot.dueIn / 2 ? 0.25 : 0.1;
   Worker const* const w = balance_.pick(scene_, want, {});
   if (!w) co_return false;
   Ask q(http::verb::post, it.path, 11);
@@ -204,6 +204,7 @@
     if (r.run->lot.stamp != r.part.stamp) continue;
     if (!r.ok) { r.run->stalled = true; continue; }
     r.run->listed = std::max(r.run->listed, r.part.from + r.count);
+    if (r.run->listed == r.run->lot.total) tell("lots", r.run->lot.id + " is whole after " + std::to_string(wallMs() - r.run->lot.sentAt) + " ms");
     r.run->pending.erase(r.run->pending.begin(), r.run->pending.begin() + static_cast<std::ptrdiff_t>(r.count));
     for (std::shared_ptr<asio::steady_timer> const& x : r.run->readers) x->cancel();
   }
--- a/lots/store_node.cpp
+++ b/lots/store_node.cpp
@@ -56,7 +56,7 @@
   replicas_.create(q.lot, std::move(q.items), std::move(q.results));
   persist();
   std::size_t ok = 1;
-  bool bad = false;
+  std::size_t const need = static_cast<std::size_t>(boot_.surviveMachines) + 1;
   if (pass) {
     std::shared_ptr<std::size_t> const left = std::make_shared<std::size_t>(0);
     std::shared_ptr<std::size_t> const good = std::make_shared<std::size_t>(0);
@@ -64,22 +64,24 @@
     for (StoreRef const& h : holders) {
       if (h.id == id_) continue;
       ++*left;
-      asio::co_spawn(io_, rpc_.call(h.at, Method::segCreate, body, Ms(boot_.bounds.inTouch / 3)), [left, good, t](std::exception_ptr p, string) {
+      asio::co_spawn(io_, rpc_.call(h.at, Method::segCreate, body, Ms(boot_.bounds.inTouch / 3)), [left, good, t, need](std::exception_ptr p, string) {
         if (!p) ++*good;
-        if (!--*left) t->cancel();
+        if (!--*left || *good + 1 >= need) t->cancel();
       });
     }
     co_await log_.settled();
     error_code e;
-    if (*left) co_await t->async_wait(asio::redirect_error(asio::use_awaitable, e));
+    // Once the copies suffice, a slower holder gets only a moment more; if it fails, the lot is settled anew.
+    if (*left && *good + 1 < need) co_await t->async_wait(asio::redirect_error(asio::use_awaitable, e));
+    if (*left) {
+      t->expires_after(Ms(boot_.bounds.step / 6));
+      co_await t->async_wait(asio::redirect_error(asio::use_awaitable, e));
+    }
     ok += *good;
-    bad = *good + 1 < holders.size();
   } else {
     co_await log_.settled();
   }
-  // With a holder missing, the copies still suffice; the keeper settles the lot anew.
-  if (ok < static_cast<std::size_t>(pass ? boot_.surviveMachines + 1 : 1)) throw Error(Code::noStores);
-  if (bad) say(Level::debug, "segments", q.lot.id + " has a holder that failed its create");
+  if (ok < (pass ? need : 1)) throw Error(Code::noStores);
   co_return Done{};
 }
 
@@ -166,7 +168,7 @@
   Moment const now = Clock::now();
   for (Member const& m : members_) {
     std::map<Addr, Control>::const_iterator const c = controls_.find(boot_.controlAt(m.ip));
-    if (c != controls_.end() && now - c->second.held < Ms(boot_.bounds.inTouch / 3)) ++n;
+    if (c != controls_.end() && now - c->second.held < Ms(boot_.bounds.inTouch / 5)) ++n;
   }
   return !members_.empty() && n >= members_.size() / 2 + 1;
 }
@@ -317,6 +319,17 @@
     co_await pause(Ms(boot_.bounds.inTouch / 2));
     pools_.sweep(scene_);
     balance_.sweep(scene_);
+    std::size_t queued = 0, pending = 0, stalled = 0, open = 0;
+    for (std::pair<Key const, RunPtr> const& p : runs_) {
+      for (LotRun::State const s : p.second->states) queued += s == LotRun::queued;
+      pending += p.second->pending.size();
+      stalled += p.second->stalled;
+      open += p.second->listed < p.second->states.size();
+    }
+    string burdens;
+    for (std::pair<string const, Worker> const& w : scene_.workers())
+      if (w.second.capacity > 10) burdens += " " + std::to_string(static_cast<int>(100 * balance_.burden(w.second, Clock::now())));
+    if (open) say(Level::debug, "store", std::to_string(open) + " lots open, " + std::to_string(stalled) + " stalled; items queued " + std::to_string(queued) + ", live " + std::to_string(live_) + ", unlisted " + std::to_string(pending) + ", mean run " + std::to_string(static_cast<int>(meanRun_)) + " ms; holds " + std::to_string(holds()) + "; burdens" + burdens);
   }
 }
 
--- a/traffic/edge_node.cpp
+++ b/traffic/edge_node.cpp
@@ -166,9 +166,9 @@
 Task<bool> EdgeNode::visit(PipePtr p, Ask q) {
   Moment const now = Clock::now();
   std::shared_ptr<Charter const> const c = scene_.charter();
-  if (!c || !scene_.sound()) {
+  if (!c) {
     CallAnswer a = answerOf(Error(Code::unsound));
-    a.heads.emplace_back("Retry-After", "0.2");
+    a.heads.emplace_back("Retry-After", "0.3");
     co_await answer(p, std::move(a));
     co_return p->keep;
   }
--- a/traffic/scene.cpp
+++ b/traffic/scene.cpp
@@ -15,11 +15,13 @@
     Addr const a = boot_.controlAt(s.ip);
     if (std::find(near.begin(), near.end(), a) == near.end()) near.push_back(a);
   }
+  if (std::vector<Addr>::iterator const g = std::find(near.begin(), near.end(), good_); g != near.end()) std::rotate(near.begin(), g, g + 1);
   return near;
 }
 
 Task<void> Scene::loop() {
   std::size_t turn = 0;
+  std::uint64_t news = 0;
   std::int64_t const hold = boot_.bounds.inTouch / 8;
   for (;;) {
     vector<Addr> const c = controls();
@@ -29,11 +31,16 @@
       News const ask{boot_.nodeName, role_, life_, rev_, charter_ ? charter_->version : 0, hold};
       NewsReply const r = co_await rpc_.ask(at, ask, Ms(hold + boot_.bounds.inTouch / 10));
       good = r.sound;
-      if (good) take(r);
+      if (good) { good_ = at; take(r); }
     } catch (Error const& x) {
       say(Level::debug, "news", x.what());
     }
-    if (good) continue;
+    if (good) {
+      // Now and then the nearest one is tried again.
+      turn = 0;
+      if (++news % 32 == 0) good_ = Addr();
+      continue;
+    }
     ++turn;
     if (turn % c.size() == 0) co_await pause(Ms(boot_.bounds.inTouch / 60));
     else co_await pause(Ms(5));
--- a/traffic/scene.hpp
+++ b/traffic/scene.hpp
@@ -14,8 +14,11 @@
   /// Workers of a service that take new visits.
   vector<Worker const*> of(string const& service) const;
   Worker const* find(string const& id) const;
-  /// True if the news are fresh enough to serve by.
-  bool sound() const { return charter_ && Clock::now() - heard_ < Ms(boot_.bounds.inTouch); }
+  /// True if the node may call itself ready: it has a charter, and news not too long ago. One that
+  /// is cut off goes on with what it knows, as the workers themselves refuse what is not for them.
+  bool sound() const { return charter_ && Clock::now() - heard_ < Ms(5 * boot_.bounds.inTouch); }
+  /// True if a control node answered just now.
+  bool near() const { return charter_ && Clock::now() - heard_ < Ms(boot_.bounds.inTouch / 3); }
   /// Control nodes to ask, the one in use first.
   vector<Addr> controls() const;
   std::function<void()> onNews;
@@ -30,7 +33,7 @@
   std::shared_ptr<Charter const> charter_;
   std::map<string, Worker> workers_;
   vector<Member> members_;
-  vector<Addr> order_;
+  Addr good_;  ///< the control node that answered last
   std::uint64_t life_ = 0, rev_ = 0;
   Moment heard_;
 };
--- a/wire/messages.hpp
+++ b/wire/messages.hpp
@@ -129,7 +129,8 @@
   LotRecord lot;
   std::uint64_t most = 0;
   int hops = 0;
-  MSGPACK_DEFINE(lot, most, hops)
+  vector<Identity> bar;  ///< stores that failed a try before
+  MSGPACK_DEFINE(lot, most, hops, bar)
 };
 struct LotAccept {
   using Reply = Done;
