--- a/registry/control_node.cpp
+++ b/registry/control_node.cpp
@@ -26,8 +26,9 @@
   };
   driver_.giveWorkers = [this](bool& full) {
     // Before its own register can be whole, a node doesn't call it so.
-    full = full && (table_.size() || tableSound());
-    return full ? (table_.fresh(), table_.all()) : table_.fresh();
+    if (!full) return table_.fresh();
+    full = table_.size() || tableSound();
+    return full ? table_.all() : vector<Worker>();
   };
   driver_.onChange = [this] {
     if (std::optional<std::map<string, string>> const v = driver_.reg().settled("charter")) {
--- a/registry/driver.cpp
+++ b/registry/driver.cpp
@@ -37,7 +37,15 @@
     reg_.heard(m.ping, now);
     others_[m.ping.self.id] = {PingMsg{m.ping, Group(), {}, false}, now};
     if (onWorkers && (m.full || !m.workers.empty())) onWorkers(m.workers, m.full, m.ping.self.id);
+    reg_.tick(now);
     pump();
+    // One that doesn't hear this node yet gets a ping at once, so that a start takes no whole period.
+    bool const known = std::find(m.ping.hears.begin(), m.ping.hears.end(), id_) != m.ping.hears.end();
+    Moment& back = backAt_[m.ping.self.ip];
+    if (!known && now - back > period_ / 5) {
+      back = now;
+      rpc_.tellTo(at(m.ping.self.ip), pingFor(m.ping.group, true));
+    }
     if (onChange) onChange();
     co_return Done{};
   });
@@ -59,6 +67,12 @@
 
 void Driver::pump() {
   std::shared_ptr<Batch> const b = std::make_shared<Batch>(reg_.take());
+  bool news = false;
+  for (string const& s : {string("charter"), string("members")}) {
+    if (!reg_.owns(s)) owned_.erase(s);
+    else news = owned_.insert(s).second || news;
+  }
+  if (news) asio::post(io_, [this] { pingAll(); });
   if (b->records.empty() && b->mails.empty() && b->outcomes.empty()) return;
   if (log_)
     for (string const& r : b->records) log_->append(r);
@@ -123,14 +137,20 @@
   return at(m->ip);
 }
 
-void Driver::pingAll() {
-  Moment const now = Clock::now();
-  bool full = ++pings_ % 8 == 0 || now - started_ < Ms(boot_.bounds.inTouch / 2);
+PingMsg Driver::pingFor(GroupNo theirs, bool full) {
   PingMsg m;
-  m.ping = reg_.ping(now);
+  m.ping = reg_.ping(Clock::now());
   if (leaving_) m.ping.copied = false;
   if (giveWorkers) m.workers = giveWorkers(full);
   m.full = full;
+  if (theirs < reg_.group().no) m.group = reg_.group();
+  return m;
+}
+
+void Driver::pingAll() {
+  Moment const now = Clock::now();
+  bool const full = ++pings_ % 8 == 0 || now - started_ < Ms(boot_.bounds.inTouch / 2);
+  PingMsg m = pingFor(reg_.group().no, full);
   std::map<string, GroupNo> to;
   for (Member const& x : reg_.group().members)
     if (x.id != id_) to[x.ip] = GroupNo(0);
--- a/registry/driver.hpp
+++ b/registry/driver.hpp
@@ -37,6 +37,7 @@
     bool done = false, ok = false;
   };
   void pump();
+  PingMsg pingFor(GroupNo theirs, bool full);
   void send(std::shared_ptr<Batch> b);
   Task<bool> await(std::uint64_t op, Ms limit);
   Task<void> tickLoop();
@@ -60,6 +61,8 @@
   std::map<std::uint64_t, std::shared_ptr<Wait>> waits_;
   std::map<std::uint64_t, bool> early_;
   std::map<Identity, std::pair<PingMsg, Moment>> others_;
+  std::map<string, Moment> backAt_;  ///< when a ping was last sent back at once
+  std::set<string> owned_;
   std::uint64_t pings_ = 0;
   Moment started_ = Clock::now();
 };
--- a/traffic/edge_node.cpp
+++ b/traffic/edge_node.cpp
@@ -165,7 +165,13 @@
 
 Task<bool> EdgeNode::visit(PipePtr p, Ask q) {
   Moment const now = Clock::now();
-  std::shared_ptr<Charter const> const c = scene_.charter();
+  std::shared_ptr<Charter const> c = scene_.charter();
+  if (!c) {
+    // News is due any moment after a start; a short wait spares the client a try.
+    Moment const until = now + Ms(boot_.bounds.inTouch / 8);
+    while (!scene_.charter() && Clock::now() < until) co_await pause(Ms(boot_.bounds.step / 8));
+    c = scene_.charter();
+  }
   if (!c) {
     CallAnswer a = answerOf(Error(Code::unsound));
     a.heads.emplace_back("Retry-After", "0.3");
