--- a/lots/run_items.cpp
+++ b/lots/run_items.cpp
@@ -136,6 +136,7 @@
 void StoreNode::finish(RunPtr const& run, std::size_t n, bool finished, string text) {
   if (run->states[n] != LotRun::running) return;
   run->states[n] = LotRun::done;
+  string().swap(run->items[n].body);
   run->doneTokens += run->items[n].tokens;
   run->pending.push_back({static_cast<std::uint32_t>(n), finished, std::move(text)});
   flushes_.cancel();
--- a/lots/store_node.cpp
+++ b/lots/store_node.cpp
@@ -299,11 +299,14 @@
   std::set<std::uint32_t> ready;
   for (ResultRecord const& x : run->pending) ready.insert(x.item);
   run->doneTokens = 0;
+  bool cutBack = false;
   for (std::uint32_t n = 0; n < run->states.size(); ++n) {
     bool const d = on.count(n) || ready.count(n);
     if (d) { run->states[n] = LotRun::done; run->doneTokens += run->items[n].tokens; }
-    else if (run->states[n] == LotRun::done) run->states[n] = LotRun::queued;
+    else if (run->states[n] == LotRun::done) { run->states[n] = LotRun::queued; cutBack = true; }
   }
+  // An item whose result was cut runs once more; its body was let go and is read again.
+  if (cutBack) run->items = unpacked<vector<ItemRecord>>(r.items);
   run->next = 0;
   run->lot = l;
   run->listed = r.results.size();
--- a/traffic/scene.cpp
+++ b/traffic/scene.cpp
@@ -19,7 +19,28 @@
   return near;
 }
 
+Task<void> Scene::askOne(Addr at) {
+  asking_.insert(at);
+  try {
+    News const ask{boot_.nodeName, role_, 0, 0, 0, 0};
+    NewsReply const r = co_await rpc_.ask(at, ask, Ms(boot_.bounds.inTouch / 8));
+    if (r.sound && !charter_) { good_ = at; take(r); }
+  } catch (Error const& x) {
+    say(Level::debug, "news", x.what());
+  }
+  asking_.erase(at);
+}
+
+Task<void> Scene::first() {
+  while (!charter_) {
+    for (Addr const& a : controls())
+      if (!asking_.count(a)) spawn(io_, "first news", askOne(a));
+    co_await pause(Ms(boot_.bounds.inTouch / 100));
+  }
+}
+
 Task<void> Scene::loop() {
+  co_await first();
   std::size_t turn = 0;
   std::uint64_t news = 0;
   std::int64_t const hold = boot_.bounds.inTouch / 8;
--- a/traffic/scene.hpp
+++ b/traffic/scene.hpp
@@ -25,6 +25,9 @@
 
  private:
   Task<void> loop();
+  /// Asks every control node that is known at once, until the first charter is there.
+  Task<void> first();
+  Task<void> askOne(Addr at);
   void take(NewsReply const& r);
   asio::io_context& io_;
   Boot const& boot_;
@@ -33,6 +36,7 @@
   std::shared_ptr<Charter const> charter_;
   std::map<string, Worker> workers_;
   vector<Member> members_;
+  std::set<Addr> asking_;
   Addr good_;  ///< the control node that answered last
   std::uint64_t life_ = 0, rev_ = 0;
   Moment heard_;
