--- a/lots/keeper.cpp
+++ b/lots/keeper.cpp
@@ -197,11 +197,11 @@
   Seen& s = stores_[q.self.id];
   s.ref = q.self;
   s.at = now;
-  s.hold = q.hold;
   s.leaving = q.leaving;
   StoreBeatReply r;
-  r.ok = q.hold > s.fenced && driver_.sound();
-  if (r.ok) s.acked = now;
+  HoldGrants::Word const w = grants_.beat(q.self.id, q.hold, driver_.sound(), now);
+  r.ok = w == HoldGrants::Word::granted;
+  r.fenced = w == HoldGrants::Word::fenced;
   r.life = life_;
   r.rev = rev_;
   r.members = driver_.reg().group().members;
@@ -242,15 +242,16 @@
       if (!l || (!holds && m.stamp < l->stamp)) r.drops.push_back({m.host, m.id, l ? l->stamp : m.stamp});
     }
   }
+  // Nothing is deleted on the word of an owner that may have been overtaken.
+  std::set<string> asked;
+  for (ReplicaMark const& m : vector<ReplicaMark>(r.drops)) {
+    if (!asked.insert(m.host).second) continue;
+    bool const sure = co_await driver_.confirm(shelfOf(m.host), Ms(boot_.bounds.inTouch / 15));
+    if (!sure) std::erase_if(r.drops, [&](ReplicaMark const& d) { return d.host == m.host; });
+  }
   co_return r;
 }
 
-Task<Done> LotKeeper::fence(StoreFence q) {
-  Seen& s = stores_[q.store];
-  Ms const hold(boot_.bounds.inTouch / 5);
-  Moment const now = Clock::now();
-  s.fenced = std::max(s.fenced, s.hold);
-  co_return Done{now - s.acked > hold && now - started_ > hold};
-}
+Task<Done> LotKeeper::fence(StoreFence q) { co_return Done{grants_.fence(q.store, Clock::now())}; }
 
 }  // namespace tealshelf
--- a/lots/keeper.hpp
+++ b/lots/keeper.hpp
@@ -1,5 +1,6 @@
 #pragma once
 #include "registry/driver.hpp"
+#include "registry/holds.hpp"
 
 namespace tealshelf {
 
@@ -20,8 +21,7 @@
  private:
   struct Seen {
     StoreRef ref;
-    std::uint64_t hold = 0, fenced = 0;
-    Moment at, acked;
+    Moment at;
     bool leaving = false;
   };
   struct Soft {
@@ -60,6 +60,7 @@
   Driver& driver_;
   Moment started_ = Clock::now();
   std::uint64_t life_ = randomId(), rev_ = 0, counter_ = 0;
+  HoldGrants grants_{Ms(boot_.bounds.inTouch / 5), started_};
   std::map<Identity, Seen> stores_;
   std::map<Key, Soft> soft_;
   std::map<string, Epoch> ownedSince_;
--- a/lots/reshape.cpp
+++ b/lots/reshape.cpp
@@ -69,7 +69,7 @@
   try {
     std::optional<LotRecord> const now = load(r.host, r.id);
     if (now && driver_.reg().owns(shelfOf(r.host))) co_await reshapeNow(*now);
-  } catch (Error const& x) {
+  } catch (std::exception const& x) {
     say(Level::debug, "stamps", r.id + ": " + x.what());
   }
   unlock(k);
--- a/lots/store_node.cpp
+++ b/lots/store_node.cpp
@@ -132,6 +132,7 @@
     if (i == runs_.end() || i->second->lot.stamp != q.stamp || !holds()) throw Error(Code::staleStamp, q.id);
     RunPtr const run = i->second;
     Replicas::Replica const& r = replicas_.read(q.host, q.id, q.stamp);
+    if (!r.since) throw Error(Code::staleStamp, q.id);
     if (run->listed > q.from || Clock::now() >= until || run->ended()) {
       SegReadReply a;
       a.total = run->lot.total;
@@ -209,7 +210,7 @@
     StoreBeatReply const r = co_await rpc_.ask(at, q, Ms(boot_.bounds.inTouch / 5));
     members_ = r.members;
     if (r.ok && q.hold == hold_) c.held = now;
-    if (!r.ok && q.hold == hold_ && !r.owned.empty()) say(Level::debug, "store", "the hold was refused");
+    if (r.fenced && q.hold == hold_) renewHold();
     if (c.life != r.life) { c.life = r.life; c.rev = 0; if (q.life != 0) { c.asking = false; co_return; } }
     for (LotRecord const& l : r.lots) want(l);
     c.rev = std::max(c.rev, r.rev);
@@ -227,6 +228,17 @@
   c.asking = false;
 }
 
+/// The hold was fenced: a new one is asked for, and every lot run here must be settled anew first.
+void StoreNode::renewHold() {
+  hold_ = std::max<std::uint64_t>(hold_ + 1, static_cast<std::uint64_t>(wallMs()));
+  for (std::pair<Addr const, Control>& p : controls_) p.second.held = Moment();
+  for (std::pair<Key const, RunPtr>& p : runs_) {
+    p.second->stalled = true;
+    replicas_.doubt(p.first.first, p.first.second);
+  }
+  tell("store", "the hold was fenced; a new one is asked for");
+}
+
 void StoreNode::want(LotRecord const& l) {
   LotRecord& w = wanted_[{l.host, l.id}];
   if (w.stamp.v && (l.stamp < w.stamp || (l.stamp == w.stamp && l.state < w.state))) return;
--- a/lots/store_node.hpp
+++ b/lots/store_node.hpp
@@ -54,6 +54,7 @@
   Task<void> beatLoop();
   Task<void> beat(Addr at, bool marks);
   bool holds() const;
+  void renewHold();
   void want(LotRecord const& l);
   void adopt(LotRecord const& l);
   void drop(Key const& k);
--- a/segments/replicas.cpp
+++ b/segments/replicas.cpp
@@ -73,6 +73,11 @@
   out_.push_back(packed(Record{recSettle, host, id, s, cut, {}, "", {}}));
 }
 
+void Replicas::doubt(string const& host, string const& id) {
+  std::map<Key, Replica>::iterator const i = all_.find({host, id});
+  if (i != all_.end()) i->second.since = false;
+}
+
 bool Replicas::drop(string const& host, string const& id, Stamp upTo) {
   std::map<Key, Replica>::iterator const i = all_.find({host, id});
   if (i == all_.end() || i->second.lot.stamp > upTo) return false;
--- a/segments/replicas.hpp
+++ b/segments/replicas.hpp
@@ -25,6 +25,8 @@
   void append(string const& host, string const& id, Stamp s, std::uint64_t from, vector<string> const& records);
   /// Gives a fresh stamp and cuts; refused unless the present stamp lies between old and fresh.
   void settle(string const& host, string const& id, Stamp old, Stamp s, std::uint64_t cut);
+  /// Lets a replica go on only under a fresh stamp, as after a restart.
+  void doubt(string const& host, string const& id);
   /// Deletes a replica whose stamp is not above the given one.
   bool drop(string const& host, string const& id, Stamp upTo);
   /// The replica, if its stamp is the one asked for; throws staleStamp.
--- a/tests/replicas_test.cpp
+++ b/tests/replicas_test.cpp
@@ -1,3 +1,4 @@
+#include "registry/holds.hpp"
 #include "segments/replicas.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -194,3 +195,31 @@
     }
   CHECK_TEXT(brokenCaught, "listing before every holder synced was never caught");
 }
+
+TEST_GROUP(holds) {
+  Moment const start = Moment() + std::chrono::hours(1);
+  HoldGrants g{Ms(600), start};
+  Identity const store{7};
+};
+
+TEST(holds, aFencedHoldIsNeverGrantedAgainButTheNextIs) {
+  Moment now = start + Ms(1000);
+  CHECK(g.beat(store, 5, true, now) == HoldGrants::Word::granted);
+  CHECK(g.fence(store, now + Ms(601)));
+  CHECK(g.beat(store, 5, true, now + Ms(700)) == HoldGrants::Word::fenced);
+  CHECK(g.beat(store, 6, true, now + Ms(800)) == HoldGrants::Word::granted);
+}
+TEST(holds, aLivingHoldIsNotFencedAndNotHarmed) {
+  Moment now = start + Ms(1000);
+  CHECK(g.beat(store, 5, true, now) == HoldGrants::Word::granted);
+  CHECK_FALSE(g.fence(store, now + Ms(600)));
+  CHECK(g.beat(store, 5, true, now + Ms(650)) == HoldGrants::Word::granted);
+}
+TEST(holds, aRestartedGrantorWaitsOutWhatItForgot) {
+  CHECK_FALSE(g.fence(store, start + Ms(600)));
+  CHECK(g.fence(store, start + Ms(601)));
+}
+TEST(holds, anUnsoundNodeGrantsNothing) {
+  CHECK(g.beat(store, 5, false, start) == HoldGrants::Word::unsound);
+  CHECK(g.fence(store, start + Ms(601)));
+}
--- a/wire/messages.hpp
+++ b/wire/messages.hpp
@@ -181,13 +181,13 @@
   MSGPACK_DEFINE(host, id, stamp, about)
 };
 struct StoreBeatReply {
-  bool ok = false;
+  bool ok = false, fenced = false;
   std::uint64_t life = 0, rev = 0;
   vector<LotRecord> lots;     ///< changed since the version asked with
   vector<ReplicaMark> drops;  ///< stale replicas to delete, with the stamp up to which
   vector<string> owned;       ///< shelves that this control node owns
   vector<Member> members;
-  MSGPACK_DEFINE(ok, life, rev, lots, drops, owned, members)
+  MSGPACK_DEFINE(ok, fenced, life, rev, lots, drops, owned, members)
 };
 struct StoreBeat {
   using Reply = StoreBeatReply;
