A change is waited for until its end is sure

A change given up on after a time could still be committed, after another was built on what stood before it. Waits for a sure end now; a stamp is given only under the epoch a recovery began with.

--- a/lots/keeper.cpp
+++ b/lots/keeper.cpp
@@ -49,7 +49,7 @@
 Task<bool> LotKeeper::save(LotRecord const& r) {
   string const host = r.host, id = r.id, body = packed(r);
   vector<Registry::Change> cs(1, Registry::Change{id, body, false});
-  bool const ok = co_await driver_.propose(shelfOf(host), std::move(cs), Ms(boot_.bounds.inTouch / 2));
+  bool const ok = co_await driver_.propose(shelfOf(host), std::move(cs));
   if (ok) soft_[{host, id}].rev = ++rev_;
   co_return ok;
 }
--- a/lots/reshape.cpp
+++ b/lots/reshape.cpp
@@ -46,7 +46,7 @@
         if (over && !s.busy && !s.locked) old.push_back({l.id, "", true});
         else if (unfit(l, s, now)) todo.push_back(std::move(l));
       }
-      if (!old.empty()) co_await driver_.propose(shelf, old, Ms(boot_.bounds.inTouch / 2));
+      if (!old.empty()) co_await driver_.propose(shelf, old);
       std::sort(todo.begin(), todo.end(), [this](LotRecord const& a, LotRecord const& b) {
         bool const x = soft_[{a.host, a.id}].done >= a.total, y = soft_[{b.host, b.id}].done >= b.total;
         return std::tie(x, a.sentAt) < std::tie(y, b.sentAt);
@@ -84,6 +84,7 @@
 Task<void> LotKeeper::reshapeNow(LotRecord r) {
   Moment const now = Clock::now();
   Ms const limit(boot_.bounds.inTouch / 4);
+  Epoch const epoch = driver_.reg().epochOf(shelfOf(r.host));
   Soft& soft = soft_[{r.host, r.id}];
   std::set<string> const leaving = retiring ? retiring() : std::set<string>();
   std::set<Identity> const bad = soft.bad;
@@ -108,6 +109,8 @@
     }
   }
   if (good.empty()) co_return;
+  // Only a node that still owns the shelf, under the epoch it began with, may give a stamp.
+  if (!driver_.reg().owns(shelfOf(r.host)) || driver_.reg().epochOf(shelfOf(r.host)) != epoch) co_return;
   Stamp const stamp = fresh(r.host);
   vector<StoreRef> kept;
   for (StoreRef const& h : good) {
--- a/registry/control_node.cpp
+++ b/registry/control_node.cpp
@@ -223,7 +223,7 @@
   if (!readNumber(q.ifMatch, on) || on != current) throw Error(Code::lostRace, std::to_string(current));
   if (c->version <= current) throw Error(Code::oldVersion, std::to_string(c->version));
   vector<Registry::Change> cs(1, Registry::Change{"current", q.body, false});
-  if (!co_await driver_.propose("charter", std::move(cs), Ms(boot_.bounds.confirmWithin / 5))) throw Error(Code::noQuorum);
+  if (!co_await driver_.propose("charter", std::move(cs))) throw Error(Code::noQuorum);
   driver_.onChange();
   co_return CallReply{200, "{}"};
 }
@@ -241,7 +241,7 @@
       if (s.name != node && !going.count(s.name)) ++left;
     if (left < static_cast<std::size_t>(boot_.surviveMachines) + 1) throw Error(Code::tooFewLeft);
     vector<Registry::Change> cs(1, Registry::Change{"retire/" + node, "1", false});
-    if (!co_await driver_.propose("members", std::move(cs), Ms(boot_.bounds.confirmWithin / 5))) throw Error(Code::noQuorum);
+    if (!co_await driver_.propose("members", std::move(cs))) throw Error(Code::noQuorum);
     tell("control", node + " is to be emptied");
   }
   if (q.verb == "POST") co_return CallReply{200, "{}"};
--- a/registry/driver.cpp
+++ b/registry/driver.cpp
@@ -121,9 +121,9 @@
   waits_.erase(op);
   co_return w->ok;
 }
-Task<bool> Driver::propose(string shelf, vector<Registry::Change> changes, Ms limit) {
+Task<bool> Driver::propose(string shelf, vector<Registry::Change> changes) {
   std::uint64_t const op = reg_.propose(shelf, std::move(changes), Clock::now());
-  bool const ok = co_await await(op, limit);
+  bool const ok = co_await await(op, std::chrono::hours(24));
   if (ok && (shelf == "charter" || shelf == "members")) pingAll();
   co_return ok;
 }
--- a/registry/driver.hpp
+++ b/registry/driver.hpp
@@ -10,8 +10,10 @@
   Driver(asio::io_context& io, Boot const& boot, Rpc& rpc);
   /// Starts pings, founding or joining, and the listeners of the registry's messages.
   void start(RpcServer& server);
-  /// Has a change on a majority of the disks; false if that could not be had.
-  Task<bool> propose(string shelf, vector<Registry::Change> changes, Ms limit);
+  /// Has a change on a majority of the disks; false once it is sure that this node won't do so.
+  /// It waits as long as that takes: a change given up on could still come into force later,
+  /// after another was made on what stood before it.
+  Task<bool> propose(string shelf, vector<Registry::Change> changes);
   /// True once a majority says that this node still owns the shelf.
   Task<bool> confirm(string shelf, Ms limit);
   Registry& reg() { return reg_; }
--- a/registry/joining.cpp
+++ b/registry/joining.cpp
@@ -127,7 +127,7 @@
   msgpack::sbuffer b;
   msgpack::pack(b, g);
   vector<Registry::Change> cs(1, Registry::Change{"group", string(b.data(), b.size()), false});
-  bool const ok = co_await propose("members", std::move(cs), Ms(boot_.bounds.inTouch / 3));
+  bool const ok = co_await propose("members", std::move(cs));
   if (!ok || reg_.group().no != old.no) co_return false;
   reg_.install(g, false);
   tell("registry", "group " + std::to_string(g.no.v) + " has " + std::to_string(g.members.size()) + " disks; " + q.self.name + (q.leave ? " left" : " joined"));
