A start syncs what a killed process left unsynced

Logs and folders are synced at the start before they are relied on. The same held for the control disks.

--- a/base/disk.cpp
+++ b/base/disk.cpp
@@ -117,6 +117,14 @@
 DiskLog::DiskLog(asio::io_context& io, string dir, std::size_t turnAt, Snapshot snap)
     : io_(io), dir_(std::move(dir)), turnAt_(turnAt), snap_(std::move(snap)) {
   ::mkdir(dir_.c_str(), 0755);
+  // What a killed process had written but not synced is read back now and would be relied on, so
+  // it is synced first: a later loss of power must not take it away again.
+  for (std::pair<string, std::uint64_t> const& p : listed(dir_)) {
+    int const fd = ::open(nameOf(dir_, p.first.c_str(), p.second).c_str(), O_RDONLY);
+    if (fd < 0 || ::fsync(fd)) throw Error(Code::diskFailed, dir_);
+    ::close(fd);
+  }
+  syncDir(dir_);
   found_ = readLogs(dir_);
   no_ = found_.lastNo;
   written_ = found_.bytes;
@@ -222,7 +230,10 @@
   string const p = dir + "/identity";
   std::uint64_t v = 0;
   fresh = !(slurp(p, s) && s.size() == 16);
-  if (!fresh) return Identity(std::strtoull(s.c_str(), nullptr, 16));
+  if (!fresh) {
+    syncDir(dir);
+    return Identity(std::strtoull(s.c_str(), nullptr, 16));
+  }
   ::mkdir(dir.c_str(), 0755);
   v = randomId();
   string const tmp = dir + "/identity.new";
--- a/tests/registry_test.cpp
+++ b/tests/registry_test.cpp
@@ -35,8 +35,9 @@
       else if (g.nodes()[i].frozen) g.thaw(i);
     }
   }
-  static string play(std::uint64_t seed, std::size_t n, bool breakSync, std::uint64_t& writes, std::uint64_t& reads) {
+  static string play(std::uint64_t seed, std::size_t n, bool breakSync, std::uint64_t& writes, std::uint64_t& reads, bool syncAtStart = true) {
     sim::Group g(seed, n, breakSync);
+    g.syncAtStart = syncAtStart;
     g.run(400);
     std::uint64_t last = 0;
     for (int k = 0; k < 6000 && g.broken.empty(); ++k) {
@@ -92,6 +93,13 @@
   CHECK_TEXT(caught, "the broken variant was never caught");
 }
 
+TEST(registrysim, aStartThatDoesNotSyncIsCaught) {
+  std::uint64_t w = 0, r = 0;
+  bool caught = false;
+  for (std::uint64_t s = 1; s <= 400 && !caught; ++s) caught = !play(s, 3, false, w, r, false).empty();
+  CHECK_TEXT(caught, "the broken variant was never caught");
+}
+
 TEST(registrysim, restartedMemberLearnsOfNextVersions) {
   sim::Group g(7, 4);
   g.run(600);
--- a/tests/sim.hpp
+++ b/tests/sim.hpp
@@ -11,7 +11,7 @@
   struct Node {
     std::unique_ptr<Registry> reg;
     Member self;
-    vector<string> disk, unsynced;           ///< records synced, and records not yet synced
+    vector<string> disk, cached, unsynced;   ///< records synced, left unsynced by a killed process, and not yet synced
     std::deque<std::pair<std::size_t, Batch>> waiting;  ///< batches that wait for a sync, with the disk length they need
     bool up = true, frozen = false;
     std::uint64_t life = 0;
@@ -41,6 +41,7 @@
   Moment now() const { return now_; }
   vector<Node>& nodes() { return nodes_; }
   double loss = 0;
+  bool syncAtStart = true;  ///< a start syncs what a killed process left unsynced
   std::set<std::pair<std::size_t, std::size_t>> cuts;  ///< one-way
 
   /// One step of 5 ms.
@@ -69,19 +70,26 @@
   /// Loses power: what was not synced is gone, or partly there.
   void power(std::size_t i) {
     Node& x = nodes_[i];
+    x.unsynced.insert(x.unsynced.begin(), x.cached.begin(), x.cached.end());
+    x.cached.clear();
     std::size_t const keep = dice(x.unsynced.size() + 1);
     for (std::size_t k = 0; k < keep; ++k) x.disk.push_back(x.unsynced[k]);
     stop(x);
   }
   void kill(std::size_t i) {
     Node& x = nodes_[i];
-    for (string& r : x.unsynced) x.disk.push_back(r);
+    for (string& r : x.unsynced) x.cached.push_back(r);
     stop(x);
   }
   void start(std::size_t i) {
     Node& x = nodes_[i];
     make(x);
+    if (syncAtStart) {
+      for (string& r : x.cached) x.disk.push_back(std::move(r));
+      x.cached.clear();
+    }
     for (string const& r : x.disk) x.reg->replay(r);
+    for (string const& r : x.cached) x.reg->replay(r);
   }
 
   /// The charter shelf as a counter: each write adds one to what the owner holds.
@@ -153,6 +161,7 @@
     }
   }
   void sync(Node& x) {
+    // A sync covers the log that this life writes, not what an earlier life left.
     for (string& r : x.unsynced) x.disk.push_back(std::move(r));
     x.unsynced.clear();
     std::deque<std::pair<std::size_t, Batch>> w;
