--- a/apps/data_plane.cpp
+++ b/apps/data_plane.cpp
@@ -6,7 +6,7 @@
 
 int main(int argc, char** argv) {
   using namespace tealshelf;
-  CLI::App app("The data plane of tealshelf: takes visits in, or keeps lots.", "tealshelf-data-plane");
+  CLI::App app("The data plane of tealshelf: takes requests in, or keeps lots.", "tealshelf-data-plane");
   app.set_version_flag("--version", string(versionText));
   string bootPath, level = "info";
   app.add_option("--boot", bootPath, "the boot file (else TEALSHELF_BOOT, else /etc/tealshelf/boot.conf)");
--- a/base/boot.cpp
+++ b/base/boot.cpp
@@ -45,12 +45,12 @@
 std::map<string, Put> const& fields() {
   static std::map<string, Put> const m = {
       {"nodeName", text(&Boot::nodeName)}, {"role", text(&Boot::role)}, {"machineClass", text(&Boot::machineClass)},
-      {"serves", list(&Boot::serves)}, {"ipAddress", text(&Boot::ip)}, {"zone", text(&Boot::area)}, {"region", text(&Boot::region)},
+      {"serves", list(&Boot::serves)}, {"ipAddress", text(&Boot::ip)}, {"zone", text(&Boot::zone)}, {"region", text(&Boot::region)},
       {"listenOn.outside", addr(&Boot::outside)}, {"listenOn.readiness", addr(&Boot::readiness)}, {"listenOn.control", addr(&Boot::control)},
       {"internalPorts", [](Boot& b, string const& s) {
          vector<string> const p = split(s, ',');
          std::uint64_t x = 0, y = 0;
-         if (p.size() != 2 || !readNumber(p[0], x) || !readNumber(p[1], y) || !x || x + 1 > y || y > 65535) return false;
+         if (p.size() != 2 || !readNumber(p[0], x) || !readNumber(p[1], y) || !x || x + 2 > y || y > 65535) return false;
          b.firstPort = static_cast<int>(x);
          b.lastPort = static_cast<int>(y);
          return true;
@@ -72,7 +72,7 @@
       {"limits.diskMb", whole(&Boot::diskMb, 0, 1 << 30)}, {"dataFolder", text(&Boot::dataFolder)},
       {"discovery", text(&Boot::discovery)}, {"entry", text(&Boot::entry)}, {"reportEveryMs", whole(&Boot::reportEvery, 1, 1 << 24)},
       {"rulesInForce", list(&Boot::rulesInForce)}, {"survive.machines", whole(&Boot::surviveMachines, 0, 1000)},
-      {"survive.zones", whole(&Boot::surviveAreas, 0, 1000)}, {"survive.regions", whole(&Boot::surviveRegions, 0, 1000)},
+      {"survive.zones", whole(&Boot::surviveZones, 0, 1000)}, {"survive.regions", whole(&Boot::surviveRegions, 0, 1000)},
       {"bounds.seedDelayS", span(&Bounds::seedDelay, 1000)}, {"bounds.reuseAfterS", span(&Bounds::reuseAfter, 1000)},
       {"bounds.inTouchMs", span(&Bounds::inTouch, 1)}, {"bounds.confirmWithinMs", span(&Bounds::confirmWithin, 1)},
       {"bounds.catchUpS", span(&Bounds::catchUp, 1000)}, {"bounds.drainMs", span(&Bounds::drain, 1)},
@@ -111,7 +111,7 @@
     std::size_t const q = l.find('=');
     if (q == string::npos) { faults.push_back({n, "no '=' in the line"}); continue; }
     string const k = l.substr(0, q), v = l.substr(q + 1);
-    if (k.rfind("zones.", 0) == 0) { b.areas[k.substr(6)] = v; continue; }
+    if (k.rfind("zones.", 0) == 0) { b.zones[k.substr(6)] = v; continue; }
     std::map<string, Put>::const_iterator const f = fields().find(k);
     if (f == fields().end()) b.unknown.push_back(k);
     else if (!f->second(b, v)) faults.push_back({n, k + " can't be " + v});
--- a/base/boot.hpp
+++ b/base/boot.hpp
@@ -26,16 +26,16 @@
 
 /// What a process is told at its start.
 struct Boot {
-  std::string path, nodeName, role, machineClass, ip, area, region, dataFolder, discovery, entry;
+  std::string path, nodeName, role, machineClass, ip, zone, region, dataFolder, discovery, entry;
   std::vector<std::string> serves, rulesInForce;
-  std::map<std::string, std::string> areas;  ///< area to region
+  std::map<std::string, std::string> zones;  ///< zone to region
   Addr outside, readiness, control;
   int firstPort = 0, lastPort = 0;
   std::vector<Addr> seeds;
   bool firstBoot = false, countsAsLoss = false;
   double cpuFraction = 1;
   std::int64_t cpuCores = 1, memoryMb = 256, openFiles = 1024, diskMb = 0, reportEvery = 1000;
-  std::int64_t surviveMachines = 0, surviveAreas = 0, surviveRegions = 0;
+  std::int64_t surviveMachines = 0, surviveZones = 0, surviveRegions = 0;
   Bounds bounds;
   std::vector<std::string> unknown;  ///< fields that no part knows
 
@@ -43,6 +43,7 @@
   /// Internal address of a role on a machine; ports are alike on all machines.
   Addr controlAt(std::string const& h) const { return {h, firstPort}; }
   Addr storeAt(std::string const& h) const { return {h, firstPort + 1}; }
+  Addr relayAt(std::string const& h) const { return {h, firstPort + 2}; }
 };
 
 /// One fault found in a boot file.
--- a/charter/charter.cpp
+++ b/charter/charter.cpp
@@ -52,8 +52,8 @@
 constexpr std::pair<string_view, RouteKind> kinds[] = {
     {"repeatable", RouteKind::repeatable}, {"one_shot", RouteKind::oneShot}, {"streaming", RouteKind::streaming}, {"bulk", RouteKind::bulk}};
 
-Match readRoute(Reader& r, Tree const& t, Charter const& c) {
-  Match m;
+Route readRoute(Reader& r, Tree const& t, Charter const& c) {
+  Route m;
   m.name = r.text(t, "name", "route", true);
   string const w = "route " + m.name;
   m.host = r.text(t, "host", w, true);
@@ -90,7 +90,7 @@
 }
 }  // namespace
 
-string const& Match::serviceFor(std::uint64_t h) const {
+string const& Route::serviceFor(std::uint64_t h) const {
   std::uint64_t x = h % std::max<std::uint64_t>(1, weights);
   for (Share const& s : shares) {
     if (x < s.weight) return s.service;
@@ -99,7 +99,7 @@
   return shares.front().service;
 }
 
-Match const* Charter::find(string_view host, string_view path) const {
+Route const* Charter::find(string_view host, string_view path) const {
   string_view const p = path.substr(0, path.find('?'));
   std::map<string, vector<std::uint32_t>, std::less<>>::const_iterator const i = table.find(host);
   if (i == table.end()) return nullptr;
@@ -109,8 +109,8 @@
   }
   return nullptr;
 }
-Match const* Charter::byName(string_view name) const {
-  for (Match const& m : routes)
+Route const* Charter::byName(string_view name) const {
+  for (Route const& m : routes)
     if (m.name == name) return &m;
   return nullptr;
 }
@@ -137,7 +137,7 @@
       ServiceLine s;
       s.name = r.text(p.second, "name", "service", true);
       s.healthPath = r.text(p.second, "healthPath", "service " + s.name, false);
-      s.maxPipes = r.number(p.second, "maxConnections", "service " + s.name, 0);
+      s.maxConnections = r.number(p.second, "maxConnections", "service " + s.name, 0);
       if (boost::optional<Tree const&> const e = p.second.get_child_optional("runtime")) {
         s.capacity = r.number(*e, "capacity", "runtime of " + s.name, 0);
         s.cacheTokens = r.number(*e, "cacheTokens", "runtime of " + s.name, 0);
@@ -148,7 +148,7 @@
   if (rs)
     for (Tree::value_type const& p : *rs) {
       c->routes.push_back(readRoute(r, p.second, *c));
-      Match const& m = c->routes.back();
+      Route const& m = c->routes.back();
       if (!places.insert({m.host, m.prefix}).second) r.fault(Code::samePlace, m.host + m.prefix);
       c->table[m.host].push_back(static_cast<std::uint32_t>(c->routes.size() - 1));
     }
--- a/charter/charter.hpp
+++ b/charter/charter.hpp
@@ -11,7 +11,7 @@
   std::uint64_t weight = 1;
 };
 /// A route as the operator states it.
-struct Match {
+struct Route {
   string name, host, prefix;
   RouteKind kind = RouteKind::oneShot;
   std::int64_t timeLimit = 0, aim = 0, gapAim = 0, dueIn = 0, keepFor = 0;
@@ -19,14 +19,14 @@
   bool sticky = false, resumable = false;
   vector<Share> shares;
   std::uint64_t weights = 0;
-  /// True if a visit may run more than once.
+  /// True if a request may run more than once.
   bool mayRepeat() const { return kind == RouteKind::repeatable || (kind == RouteKind::streaming && resumable); }
-  /// The service for a visit, by its hash.
+  /// The service for a request, by its hash.
   string const& serviceFor(std::uint64_t h) const;
 };
 struct ServiceLine {
   string name, healthPath;
-  std::uint64_t maxPipes = 0, capacity = 0, cacheTokens = 0;
+  std::uint64_t maxConnections = 0, capacity = 0, cacheTokens = 0;
 };
 struct Limits {
   std::uint64_t headerBytes = 16384, bodyBytes = 4u << 20;
@@ -35,14 +35,14 @@
 /// A whole configuration, checked; immutable once compiled.
 struct Charter {
   std::uint64_t version = 0;
-  vector<Match> routes;
+  vector<Route> routes;
   std::map<string, ServiceLine> services;
   Limits limits;
   std::map<string, vector<std::uint32_t>, std::less<>> table;  ///< host to routes, longest prefix first
 
-  /// The route of a visit, or null.
-  Match const* find(string_view host, string_view path) const;
-  Match const* byName(string_view name) const;
+  /// The route of a request, or null.
+  Route const* find(string_view host, string_view path) const;
+  Route const* byName(string_view name) const;
 };
 /// A fault found in a charter.
 struct CharterFault {
--- a/lots/desk.cpp
+++ b/lots/desk.cpp
@@ -92,7 +92,7 @@
 bool LotDesk::isLotCall(Charter const& c, string_view verb, string_view host, string_view path) const {
   bool const list = path.substr(0, 6) == "/lots/", one = path.substr(0, 7) == "/items/";
   if (!(list && (verb == "GET" || verb == "DELETE")) && !(one && verb == "GET")) return false;
-  for (Match const& m : c.routes)
+  for (Route const& m : c.routes)
     if (m.kind == RouteKind::bulk && m.host == host) return true;
   return c.find(host, path) == nullptr;
 }
@@ -101,7 +101,7 @@
 template <class Q> Task<typename Q::Reply> LotDesk::keeper(Q q, Ms limit) {
   std::optional<Error> last;
   int tries = 0;
-  for (Addr const& a : scene_.controls()) {
+  for (Addr const& a : view_.controls()) {
     if (++tries > 3) break;
     try {
       co_return co_await rpc_.ask(a, q, limit);
@@ -113,9 +113,9 @@
   throw last ? *last : Error(Code::noPath);
 }
 
-Task<CallAnswer> LotDesk::handIn(Match const& m, string id, string const& body) {
+Task<CallAnswer> LotDesk::handIn(Route const& m, string id, string const& body) {
   vector<ItemRecord> items = readLot(body);
-  if (!scene_.near()) throw Error(Code::lotUnsure);
+  if (!view_.near()) throw Error(Code::lotUnsure);
   if (id.empty()) throw Error(Code::lotUnreadable, "no id");
   LotOpen q;
   q.lot.id = id;
@@ -181,7 +181,7 @@
 Task<CallAnswer> LotDesk::call(string verb, string host, string target, std::int64_t holdMs) {
   string_view const path = string_view(target).substr(0, target.find('?'));
   try {
-    if (!scene_.near()) throw Error(Code::lotUnsure);
+    if (!view_.near()) throw Error(Code::lotUnsure);
     if (path.substr(0, 7) == "/items/") co_return co_await item(host, string(path.substr(7)), query(target, "serverId"));
     string const id(path.substr(6));
     if (verb == "DELETE") {
--- a/lots/desk.hpp
+++ b/lots/desk.hpp
@@ -1,5 +1,5 @@
 #pragma once
-#include "traffic/scene.hpp"
+#include "news/fleet_view.hpp"
 #include "wire/http.hpp"
 
 namespace tealshelf {
@@ -12,11 +12,11 @@
 /// The lot calls of clients at an edge node; one handler for the resource.
 class LotDesk {
  public:
-  LotDesk(asio::io_context& io, Boot const& boot, Rpc& rpc, Scene& scene) : io_(io), boot_(boot), rpc_(rpc), scene_(scene) {}
+  LotDesk(asio::io_context& io, Boot const& boot, Rpc& rpc, FleetView& view) : io_(io), boot_(boot), rpc_(rpc), view_(view) {}
   /// True if a call is one of lots by its verb and path.
   bool isLotCall(Charter const& c, string_view verb, string_view host, string_view path) const;
   Task<CallAnswer> call(string verb, string host, string target, std::int64_t holdMs);
-  Task<CallAnswer> handIn(Match const& m, string id, string const& body);
+  Task<CallAnswer> handIn(Route const& m, string id, string const& body);
 
  private:
   template <class Q> Task<typename Q::Reply> keeper(Q q, Ms limit);
@@ -26,7 +26,7 @@
   asio::io_context& io_;
   Boot const& boot_;
   Rpc& rpc_;
-  Scene& scene_;
+  FleetView& view_;
   std::map<std::pair<string, string>, LotRecord> known_;
 };
 
--- a/lots/keeper.cpp
+++ b/lots/keeper.cpp
@@ -78,7 +78,7 @@
   return false;
 }
 
-/// Adds stores to the ones a lot has, in other areas first, in rendezvous order.
+/// Adds stores to the ones a lot has, in other zones first, in rendezvous order.
 vector<StoreRef> LotKeeper::choose(string const& id, std::set<Identity> const& bar, vector<StoreRef> have, std::size_t count, Moment now) const {
   std::set<string> const leaving = retiring ? retiring() : std::set<string>();
   vector<StoreRef> live = liveStores(now);
@@ -88,7 +88,7 @@
       bool used = bar.count(s.id) || leaving.count(s.name), near = false;
       for (StoreRef const& h : have) {
         used = used || h.id == s.id || h.name == s.name;
-        near = near || h.area == s.area;
+        near = near || h.zone == s.zone;
       }
       if (!used && (pass || !near) && have.size() < count) have.push_back(s);
     }
@@ -199,9 +199,9 @@
   s.at = now;
   s.leaving = q.leaving;
   StoreBeatReply r;
-  HoldGrants::Word const w = grants_.beat(q.self.id, q.hold, driver_.sound(), now);
-  r.ok = w == HoldGrants::Word::granted;
-  r.fenced = w == HoldGrants::Word::fenced;
+  LeaseGrants::Word const w = grants_.beat(q.self.id, q.lease, driver_.healthy(), now);
+  r.ok = w == LeaseGrants::Word::granted;
+  r.fenced = w == LeaseGrants::Word::fenced;
   r.life = life_;
   r.rev = rev_;
   r.members = driver_.reg().group().members;
--- a/lots/keeper.hpp
+++ b/lots/keeper.hpp
@@ -1,6 +1,6 @@
 #pragma once
 #include "registry/driver.hpp"
-#include "registry/holds.hpp"
+#include "registry/leases.hpp"
 
 namespace tealshelf {
 
@@ -60,7 +60,7 @@
   Driver& driver_;
   Moment started_ = Clock::now();
   std::uint64_t life_ = randomId(), rev_ = 0, counter_ = 0;
-  HoldGrants grants_{Ms(boot_.bounds.inTouch / 5), started_};
+  LeaseGrants grants_{Ms(boot_.bounds.inTouch / 5), started_};
   std::map<Identity, Seen> stores_;
   std::map<Key, Soft> soft_;
   std::map<string, Epoch> ownedSince_;
--- a/lots/run_items.cpp
+++ b/lots/run_items.cpp
@@ -19,7 +19,7 @@
 
 /// Starts the most urgent queued item if a worker has room that others leave.
 bool StoreNode::dispatch() {
-  if (!scene_.near() || stopping_ || !holds()) return false;
+  if (!view_.near() || stopping_ || !hasLease()) return false;
   RunPtr best;
   Moment const now = Clock::now();
   for (std::pair<Key const, RunPtr> const& p : runs_) {
@@ -31,9 +31,9 @@
   }
   if (!best) return false;
   std::uint64_t slots = 0;
-  Match const* const m = scene_.charter()->byName(best->lot.route);
+  Route const* const m = view_.charter()->byName(best->lot.route);
   if (m)
-    for (Worker const* const w : scene_.of(m->serviceFor(0))) slots += w->capacity;
+    for (Worker const* const w : view_.of(m->serviceFor(0))) slots += w->capacity;
   // So many items run at once that each lot would be done by two fifths of its time.
   double need = 1;
   std::int64_t const wall = wallMs();
@@ -74,8 +74,8 @@
 /// One try at one worker; true once the item has its result.
 Task<bool> StoreNode::tryItem(RunPtr run, std::size_t n, EventReader& ev) {
   ItemRecord const& it = run->items[n];
-  std::shared_ptr<Charter const> const c = scene_.charter();
-  Match const* const m = c->byName(run->lot.route);
+  std::shared_ptr<Charter const> const c = view_.charter();
+  Route const* const m = c->byName(run->lot.route);
   if (!m || m->kind != RouteKind::bulk || m->host != run->lot.host) { finish(run, n, false, ""); co_return true; }
   if (wallMs() > run->lot.sentAt + run->lot.keepFor) { finish(run, n, false, ""); co_return true; }
   Want want;
@@ -83,7 +83,7 @@
   want.behind = true;
   std::int64_t const spare = run->lot.sentAt + run->lot.dueIn - wallMs();
   want.leave = spare > run->lot.dueIn / 2 ? 0.25 : 0.1;
-  Worker const* const w = balance_.pick(scene_, want, {});
+  Worker const* const w = balance_.pick(view_, want, {});
   if (!w) co_return false;
   Ask q(http::verb::post, it.path, 11);
   q.set(http::field::host, m->host);
@@ -107,7 +107,7 @@
   } else if (v != Verdict::answered) {
     balance_.broke(id, v == Verdict::notSent);
   } else {
-    if (std::optional<std::array<std::uint64_t, 3>> const b = x.burden()) balance_.told(id, *b);
+    if (std::optional<std::array<std::uint64_t, 3>> const b = x.load()) balance_.told(id, *b);
     int const status = x.status();
     string body;
     Piece p = Piece::some;
--- a/lots/store_node.cpp
+++ b/lots/store_node.cpp
@@ -4,10 +4,10 @@
 
 StoreNode::StoreNode(asio::io_context& io, Boot const& boot)
     : io_(io), boot_(boot), rpc_(io, Ms(boot.bounds.inTouch / 2)), server_(io, boot.storeAt(boot.ip), Ms(boot.bounds.inTouch / 2)),
-      scene_(io, boot, rpc_, "store"), pools_(io, boot), balance_(boot), id_(identityOf(boot.dataFolder, fresh_)),
-      self_{id_, boot.nodeName, boot.area, boot.storeAt(boot.ip)},
+      view_(io, boot, rpc_, "store", boot.storeAt(boot.ip)), pools_(io, boot), balance_(boot), id_(identityOf(boot.dataFolder, fresh_)),
+      self_{id_, boot.nodeName, boot.zone, boot.storeAt(boot.ip)},
       log_(io, boot.dataFolder + "/segments", static_cast<std::size_t>(std::max<std::int64_t>(boot.diskMb, 16)) * (1u << 20) / 3, [this] { return replicas_.snapshot(); }),
-      hold_(static_cast<std::uint64_t>(wallMs())), work_(io), flushes_(io) {
+      lease_(static_cast<std::uint64_t>(wallMs())), work_(io), flushes_(io) {
   meanRun_ = static_cast<double>(8 * boot.bounds.step);
   for (string const& r : log_.found().records) replicas_.replay(r);
   if (log_.found().torn) warn("segments", "a torn tail of " + std::to_string(log_.found().torn) + " bytes was cut");
@@ -29,9 +29,9 @@
     reconcile();
     co_return "";
   });
+  view_.onNews = [this] { work_.cancel(); };
+  view_.start(server_);
   server_.start();
-  scene_.onNews = [this] { work_.cancel(); };
-  scene_.start();
   spawn(io_, "store beat", beatLoop());
   spawn(io_, "dispatch", dispatchLoop());
   spawn(io_, "flush", flushLoop());
@@ -129,7 +129,7 @@
   Moment const until = Clock::now() + Ms(std::min<std::int64_t>(q.holdMs, boot_.bounds.inTouch));
   for (;;) {
     std::map<Key, RunPtr>::iterator const i = runs_.find(k);
-    if (i == runs_.end() || i->second->lot.stamp != q.stamp || !holds()) throw Error(Code::staleStamp, q.id);
+    if (i == runs_.end() || i->second->lot.stamp != q.stamp || !hasLease()) throw Error(Code::staleStamp, q.id);
     RunPtr const run = i->second;
     Replicas::Replica const& r = replicas_.read(q.host, q.id, q.stamp);
     if (!r.since) throw Error(Code::staleStamp, q.id);
@@ -156,15 +156,15 @@
 
 Task<SegItemReply> StoreNode::item(SegItem q) {
   std::map<Key, RunPtr>::iterator const i = runs_.find({q.host, q.id});
-  if (i == runs_.end() || i->second->lot.stamp != q.stamp || !holds()) throw Error(Code::staleStamp, q.id);
+  if (i == runs_.end() || i->second->lot.stamp != q.stamp || !hasLease()) throw Error(Code::staleStamp, q.id);
   Replicas::Replica const& r = replicas_.read(q.host, q.id, q.stamp);
   for (ItemRecord& x : unpacked<vector<ItemRecord>>(r.items))
     if (x.id == q.item) co_return SegItemReply{true, false, std::move(x.body)};
   co_return SegItemReply{};
 }
 
-/// True while a majority of the control nodes granted this store its hold.
-bool StoreNode::holds() const {
+/// True while a majority of the control nodes granted this store its lease.
+bool StoreNode::hasLease() const {
   std::size_t n = 0;
   Moment const now = Clock::now();
   for (Member const& m : members_) {
@@ -177,7 +177,7 @@
 Task<void> StoreNode::beatLoop() {
   std::uint64_t turn = 0;
   for (;;) {
-    for (Addr const& a : scene_.controls()) {
+    for (Addr const& a : view_.controls()) {
       Control& c = controls_[a];
       if (!c.asking) spawn(io_, "beat", beat(a, turn % 6 == 0));
     }
@@ -192,7 +192,7 @@
   c.asking = true;
   StoreBeat q;
   q.self = self_;
-  q.hold = hold_;
+  q.lease = lease_;
   q.life = c.life;
   q.rev = c.rev;
   q.counts = boot_.countsAsLoss;
@@ -209,8 +209,8 @@
   try {
     StoreBeatReply const r = co_await rpc_.ask(at, q, Ms(boot_.bounds.inTouch / 5));
     members_ = r.members;
-    if (r.ok && q.hold == hold_) c.held = now;
-    if (r.fenced && q.hold == hold_) renewHold();
+    if (r.ok && q.lease == lease_) c.held = now;
+    if (r.fenced && q.lease == lease_) renewLease();
     if (c.life != r.life) { c.life = r.life; c.rev = 0; if (q.life != 0) { c.asking = false; co_return; } }
     for (LotRecord const& l : r.lots) want(l);
     c.rev = std::max(c.rev, r.rev);
@@ -228,15 +228,15 @@
   c.asking = false;
 }
 
-/// The hold was fenced: a new one is asked for, and every lot run here must be settled anew first.
-void StoreNode::renewHold() {
-  hold_ = std::max<std::uint64_t>(hold_ + 1, static_cast<std::uint64_t>(wallMs()));
+/// The lease was fenced: a new one is asked for, and every lot run here must be settled anew first.
+void StoreNode::renewLease() {
+  lease_ = std::max<std::uint64_t>(lease_ + 1, static_cast<std::uint64_t>(wallMs()));
   for (std::pair<Addr const, Control>& p : controls_) p.second.held = Moment();
   for (std::pair<Key const, RunPtr>& p : runs_) {
     p.second->stalled = true;
     replicas_.doubt(p.first.first, p.first.second);
   }
-  tell("store", "the hold was fenced; a new one is asked for");
+  tell("store", "the lease was fenced; a new one is asked for");
 }
 
 void StoreNode::want(LotRecord const& l) {
@@ -332,8 +332,8 @@
 Task<void> StoreNode::sweepLoop() {
   for (;;) {
     co_await pause(Ms(boot_.bounds.inTouch / 2));
-    pools_.sweep(scene_);
-    balance_.sweep(scene_);
+    pools_.sweep(view_);
+    balance_.sweep(view_);
     std::size_t queued = 0, pending = 0, stalled = 0, open = 0;
     for (std::pair<Key const, RunPtr> const& p : runs_) {
       for (LotRun::State const s : p.second->states) queued += s == LotRun::queued;
@@ -341,10 +341,10 @@
       stalled += p.second->stalled;
       open += p.second->listed < p.second->states.size();
     }
-    string burdens;
-    for (std::pair<string const, Worker> const& w : scene_.workers())
-      if (w.second.capacity > 10) burdens += " " + std::to_string(static_cast<int>(100 * balance_.burden(w.second, Clock::now())));
-    if (open) say(Level::debug, "store", std::to_string(open) + " lots open, " + std::to_string(stalled) + " stalled; items queued " + std::to_string(queued) + ", live " + std::to_string(live_) + ", unlisted " + std::to_string(pending) + ", mean run " + std::to_string(static_cast<int>(meanRun_)) + " ms; holds " + std::to_string(holds()) + "; burdens" + burdens);
+    string loads;
+    for (std::pair<string const, Worker> const& w : view_.workers())
+      if (w.second.capacity > 10) loads += " " + std::to_string(static_cast<int>(100 * balance_.load(w.second, Clock::now())));
+    if (open) say(Level::debug, "store", std::to_string(open) + " lots open, " + std::to_string(stalled) + " stalled; items queued " + std::to_string(queued) + ", live " + std::to_string(live_) + ", unlisted " + std::to_string(pending) + ", mean run " + std::to_string(static_cast<int>(meanRun_)) + " ms; lease " + std::to_string(hasLease()) + "; loads" + loads);
   }
 }
 
--- a/lots/store_node.hpp
+++ b/lots/store_node.hpp
@@ -53,8 +53,8 @@
 
   Task<void> beatLoop();
   Task<void> beat(Addr at, bool marks);
-  bool holds() const;
-  void renewHold();
+  bool hasLease() const;
+  void renewLease();
   void want(LotRecord const& l);
   void adopt(LotRecord const& l);
   void drop(Key const& k);
@@ -73,7 +73,7 @@
   Boot const& boot_;
   Rpc rpc_;
   RpcServer server_;
-  Scene scene_;
+  FleetView view_;
   Pools pools_;
   Balance balance_;
   bool fresh_ = false, stopping_ = false;
@@ -82,7 +82,7 @@
   Replicas replicas_;
   DiskLog log_;
   std::map<Addr, Control> controls_;
-  std::uint64_t hold_ = 0;
+  std::uint64_t lease_ = 0;
   std::map<Key, LotRecord> wanted_;
   std::map<Key, RunPtr> runs_;
   std::map<Key, std::pair<Stamp, Moment>> odd_;
--- /dev/null
+++ b/news/hub.cpp
@@ -0,0 +1,85 @@
+#include "news/hub.hpp"
+
+namespace tealshelf {
+
+void NewsHub::changed(Ms gather) {
+  if (gathering_) return;
+  gathering_ = true;
+  std::shared_ptr<asio::steady_timer> const t = std::make_shared<asio::steady_timer>(io_, gather);
+  t->async_wait([this, t](error_code) {
+    gathering_ = false;
+    for (std::shared_ptr<asio::steady_timer> const& h : held_) h->cancel();
+  });
+}
+
+void NewsHub::note(NewsAsk const& q, Moment now) {
+  if (q.self.name.empty()) return;
+  Asker& a = askers_[q.self.name];
+  a.self = q.self;
+  a.at = now;
+  if (q.children == 0) { a.list.clear(); a.children = 0; }
+  else if (q.hasList) { a.list = q.list; a.children = q.children; }
+  if (askers_.size() > 4 * Relays::fanOut && askers_.size() > held_.size() * 2)
+    std::erase_if(askers_, [&](std::pair<string const, Asker> const& p) { return now - p.second.at > Ms(2 * boot_.bounds.inTouch); });
+}
+
+vector<NodeRow> NewsHub::heard(Moment now) const {
+  vector<NodeRow> v;
+  std::set<string> seen;
+  for (std::pair<string const, Asker> const& p : askers_)
+    if (now - p.second.at <= Ms(boot_.bounds.inTouch / 2) && seen.insert(p.first).second) v.push_back(p.second.self);
+  for (std::pair<string const, Asker> const& p : askers_) {
+    if (now - p.second.at > Ms(boot_.bounds.inTouch / 2)) continue;
+    for (NodeRow const& c : p.second.list)
+      if (seen.insert(c.name).second) v.push_back(c);
+  }
+  return v;
+}
+
+string const& NewsHub::packedDelta(Book const& b, std::uint64_t from) {
+  std::pair<std::uint64_t, std::uint64_t> const k(from, b.digest());
+  std::map<std::pair<std::uint64_t, std::uint64_t>, string>::iterator const i = packed_.find(k);
+  if (i != packed_.end()) return i->second;
+  if (packed_.size() >= 16) packed_.clear();
+  return packed_[k] = packed(b.since(from));
+}
+
+Task<NewsReply> NewsHub::serve(NewsAsk q) {
+  if (q.form != newsForm) throw Error(Code::badMessage, "form of news " + std::to_string(q.form));
+  Moment const came = Clock::now();
+  note(q, came);
+  Moment const until = came + Ms(std::min<std::int64_t>(q.holdMs, boot_.bounds.inTouch));
+  bool const crowded = most_ && held_.size() >= most_;
+  for (;;) {
+    Moment const now = Clock::now();
+    Proof const p = proof();
+    NewsReply r;
+    r.healthy = p.healthy && !crowded;
+    r.depth = p.depth;
+    Book const& zone = zones[q.self.zone];
+    r.wantChildren = q.children && !q.hasList && askers_[q.self.name].children != q.children;
+    bool const news = version_ > q.charterVersion || common.digest() != q.common || zone.digest() != q.zone || r.wantChildren;
+    if ((r.healthy && news) || (!r.healthy && !q.first) || now >= until) {
+      r.ageMs = std::max<std::int64_t>(0, std::chrono::duration_cast<Ms>(now - p.fresh).count());
+      r.heldMs = std::chrono::duration_cast<Ms>(now - came).count();
+      r.charterVersion = version_;
+      r.commonTo = common.digest();
+      r.zoneTo = zone.digest();
+      if (r.healthy) {
+        if (version_ > q.charterVersion) r.charter = charter_;
+        if (r.commonTo != q.common) r.common = packedDelta(common, q.common);
+        if (r.zoneTo != q.zone) r.zone = packedDelta(zone, q.zone);
+      }
+      ++replies_;
+      bytes_ += r.charter.size() + r.common.size() + r.zone.size() + 64;
+      co_return r;
+    }
+    std::shared_ptr<asio::steady_timer> const t = std::make_shared<asio::steady_timer>(io_, until);
+    held_.insert(t);
+    error_code e;
+    co_await t->async_wait(asio::redirect_error(asio::use_awaitable, e));
+    held_.erase(t);
+  }
+}
+
+}  // namespace tealshelf
--- /dev/null
+++ b/news/hub.hpp
@@ -0,0 +1,55 @@
+#pragma once
+#include "news/book.hpp"
+#include "news/messages.hpp"
+#include "news/relays.hpp"
+
+namespace tealshelf {
+
+/// Serves news to those who ask: the same part at control nodes and at relays.
+class NewsHub {
+ public:
+  /// What the serving node can say of itself.
+  struct Proof {
+    bool healthy = false;
+    int depth = 0;
+    Moment fresh;  ///< when control last had a majority, as far as known here
+  };
+  /// Holds at most so many asks at once; 0: no bound.
+  NewsHub(asio::io_context& io, Boot const& boot, std::size_t most) : io_(io), boot_(boot), most_(most) {}
+  std::function<Proof()> proof;
+  Book common;
+  std::map<string, Book> zones;
+  void setCharter(std::uint64_t version, string text) { version_ = version; charter_ = std::move(text); }
+  std::uint64_t charterVersion() const { return version_; }
+  string const& charter() const { return charter_; }
+  /// Wakes held asks, after a moment in which more news may come.
+  void changed(Ms gather);
+  /// Answers an ask as soon as there is news for it.
+  Task<NewsReply> serve(NewsAsk q);
+  /// Nodes that asked here lately, and those that asked at them.
+  vector<NodeRow> heard(Moment now) const;
+  std::size_t asking() const { return held_.size(); }
+  std::uint64_t replies() const { return replies_; }
+  std::uint64_t bytes() const { return bytes_; }
+
+ private:
+  struct Asker {
+    NodeRow self;
+    Moment at;
+    std::uint64_t children = 0;
+    vector<NodeRow> list;
+  };
+  void note(NewsAsk const& q, Moment now);
+  string const& packedDelta(Book const& b, std::uint64_t from);
+  asio::io_context& io_;
+  Boot const& boot_;
+  std::size_t most_;
+  std::uint64_t version_ = 0, replies_ = 0, bytes_ = 0;
+  string charter_;
+  bool gathering_ = false;
+  std::set<std::shared_ptr<asio::steady_timer>> held_;
+  std::map<string, Asker> askers_;
+  std::map<std::pair<std::uint64_t, std::uint64_t>, string> packed_;  ///< deltas are packed once for all askers
+};
+
+}  // namespace tealshelf
--- /dev/null
+++ b/news/sources.cpp
@@ -0,0 +1,75 @@
+#include "news/sources.hpp"
+
+namespace tealshelf {
+
+void Sources::set(vector<Addr> parents, vector<Addr> controls) {
+  parents_ = std::move(parents);
+  controls_ = std::move(controls);
+}
+
+bool Sources::rests(Addr const& a, Moment now) const {
+  std::map<Addr, Row>::const_iterator const i = rows_.find(a);
+  return i != rows_.end() && now < i->second.until;
+}
+
+Addr Sources::next(Moment now) const {
+  std::optional<std::pair<Moment, Addr>> least;
+  for (vector<Addr> const* const l : {&parents_, &controls_})
+    for (Addr const& a : *l) {
+      if (!rests(a, now)) return a;
+      Moment const until = rows_.at(a).until;
+      if (!least || until < least->first) least = {until, a};
+    }
+  return least ? least->second : Addr();
+}
+
+bool Sources::resting(Moment now) const {
+  for (vector<Addr> const* const l : {&parents_, &controls_})
+    for (Addr const& a : *l)
+      if (!rests(a, now)) return false;
+  return true;
+}
+
+void Sources::failed(Addr const& a, Moment now) {
+  Row& r = rows_[a];
+  r.fails = std::min(r.fails + 1, 5);
+  dice_ = dice_ * 6364136223846793005ull + 1442695040888963407ull;
+  std::int64_t const span = base_.count() << (r.fails - 1);
+  r.until = now + Ms(span + static_cast<std::int64_t>((dice_ >> 33) % static_cast<std::uint64_t>(std::max<std::int64_t>(1, span / 2))));
+}
+
+vector<Addr> Sources::controls(Moment now) const {
+  vector<Addr> v = controls_;
+  std::stable_partition(v.begin(), v.end(), [&](Addr const& a) { return !rests(a, now); });
+  return v;
+}
+
+void NewsCopy::versions(NewsAsk& q) const {
+  q.charterVersion = hub_.charterVersion();
+  q.common = gap_ ? 0 : hub_.common.digest();
+  q.zone = gap_ ? 0 : hub_.zones[zone_].digest();
+}
+
+NewsCopy::Verdict NewsCopy::take(NewsReply const& r, Moment sent, std::function<void(BookRow const&)> const& onCommon, std::function<void(BookRow const&)> const& onZone) {
+  if (!r.healthy) return Verdict::unhealthy;
+  if (r.depth >= deepest) return Verdict::deep;
+  // The proof was true when the ask was answered, at the latest so long after it was sent as it was held.
+  Moment const at = sent + Ms(r.heldMs) - Ms(r.ageMs);
+  if (r.charterVersion > hub_.charterVersion() && !r.charter.empty()) hub_.setCharter(r.charterVersion, r.charter);
+  bool const news = !r.common.empty() || !r.zone.empty();
+  if (news && at < fresh_) return Verdict::older;
+  if (!r.common.empty()) {
+    bool const ok = hub_.common.apply(unpacked<BookDelta>(r.common), onCommon);
+    if (!ok) { gap_ = true; return Verdict::gap; }
+  }
+  if (!r.zone.empty()) {
+    bool const ok = hub_.zones[zone_].apply(unpacked<BookDelta>(r.zone), onZone);
+    if (!ok) { gap_ = true; return Verdict::gap; }
+  }
+  gap_ = false;
+  fresh_ = std::max(fresh_, at);
+  depth_ = r.depth + 1;
+  return Verdict::taken;
+}
+
+}  // namespace tealshelf
--- /dev/null
+++ b/news/sources.hpp
@@ -0,0 +1,58 @@
+#pragma once
+#include "news/hub.hpp"
+
+namespace tealshelf {
+
+/// Which node is asked for news next; no input or output of its own. One that failed rests for a
+/// growing, jittered time, so that many who lose one relay don't all press on the next at once.
+class Sources {
+ public:
+  Sources(Ms base, std::uint64_t dice) : base_(base), dice_(dice) {}
+  void set(vector<Addr> parents, vector<Addr> controls);
+  /// The first that doesn't rest, relays before control nodes; else the one that rests least.
+  Addr next(Moment now) const;
+  /// True if all rest, so that the asker should pause.
+  bool resting(Moment now) const;
+  bool isParent(Addr const& a) const { return std::find(parents_.begin(), parents_.end(), a) != parents_.end(); }
+  std::size_t parents() const { return parents_.size(); }
+  void worked(Addr const& a) { rows_.erase(a); }
+  void failed(Addr const& a, Moment now);
+  /// Control nodes, those that rest last.
+  vector<Addr> controls(Moment now) const;
+
+ private:
+  struct Row {
+    int fails = 0;
+    Moment until;
+  };
+  bool rests(Addr const& a, Moment now) const;
+  Ms base_;
+  std::uint64_t dice_;
+  vector<Addr> parents_, controls_;
+  std::map<Addr, Row> rows_;
+};
+
+/// What a node has of the news, kept in its hub so that it can serve it on.
+class NewsCopy {
+ public:
+  enum class Verdict { taken, older, gap, deep, unhealthy };
+  /// A chain of relays is never longer than this.
+  static constexpr int deepest = 2;
+  NewsCopy(NewsHub& hub, string zone) : hub_(hub), zone_(std::move(zone)) {}
+  /// Takes an answer in whose ask was sent at a moment. Content of an older proof than what is
+  /// here is refused; a charter never goes back.
+  Verdict take(NewsReply const& r, Moment sent, std::function<void(BookRow const&)> const& onCommon, std::function<void(BookRow const&)> const& onZone);
+  /// The versions to ask with; after a gap a whole copy is asked for.
+  void versions(NewsAsk& q) const;
+  Moment fresh() const { return fresh_; }
+  int depth() const { return depth_; }
+
+ private:
+  NewsHub& hub_;
+  string zone_;
+  Moment fresh_;
+  int depth_ = 0;
+  bool gap_ = false;
+};
+
+}  // namespace tealshelf
--- a/registry/control_node.cpp
+++ b/registry/control_node.cpp
@@ -4,8 +4,8 @@
 
 ControlNode::ControlNode(asio::io_context& io, Boot const& boot)
     : io_(io), boot_(boot), rpc_(io, Ms(boot.bounds.inTouch / 2)), driver_(io, boot, rpc_), keeper_(io, boot, rpc_, driver_),
-      table_(Ms(3 * boot.reportEvery)), server_(io, boot.controlAt(boot.ip), Ms(boot.bounds.inTouch / 2)),
-      http_(io, boot.control, [this](Call c) { return handle(std::move(c)); }, 16u << 20, Ms(5 * boot.bounds.inTouch)) {
+      table_(Ms(3 * boot.reportEvery), driver_.reg().self().id), server_(io, boot.controlAt(boot.ip), Ms(boot.bounds.inTouch / 2)),
+      http_(io, boot.control, [this](Call c) { return handle(std::move(c)); }, 16u << 20, Ms(5 * boot.bounds.inTouch)), hub_(io, boot, 0) {
   if (!boot.dataFolder.empty()) {
     log_ = std::make_unique<DiskLog>(io, boot.dataFolder + "/workers", static_cast<std::size_t>(std::max<std::int64_t>(boot.diskMb, 8)) * (1u << 20) / 32, [this] {
       vector<string> v;
@@ -17,35 +17,27 @@
     noted_ = table_.rev();
     log_->forget();
   }
-  driver_.onWorkers = [this](vector<Worker> const& ws, bool full, Identity from) {
-    bool news = false;
-    for (Worker const& w : ws) news = table_.merge(w, Clock::now()) || news;
-    table_.fresh();
-    if (full && tables_.insert(from).second) changed();
-    if (news) changed();
-  };
-  driver_.giveWorkers = [this](bool& full) {
-    // Before its own register can be whole, a node doesn't call it so.
-    if (!full) return table_.fresh();
-    full = table_.size() || tableSound();
-    return full ? table_.all() : vector<Worker>();
-  };
+  hub_.proof = [this] { return NewsHub::Proof{driver_.healthy() && tableWhole() && !stopping_, 0, driver_.reg().provenAt(Clock::now())}; };
+  driver_.onPing = [this](PingMsg const& m) { return onPing(m); };
+  driver_.fillPing = [this](PingMsg& m, bool full) { fillPing(m, full); };
   driver_.onChange = [this] {
+    bool news = false;
     if (std::optional<std::map<string, string>> const v = driver_.reg().settled("charter")) {
       std::map<string, string>::const_iterator const i = v->find("current");
-      if (i != v->end() && i->second != charterText_) {
+      if (i != v->end() && i->second != hub_.charter()) {
         std::shared_ptr<Charter const> const c = compileCharter(i->second);
-        if (c->version > charterVersion_) {
-          charterVersion_ = c->version;
-          charterText_ = i->second;
-          charter_ = c;
-          for (Match const& m : c->routes)
+        if (c->version > hub_.charterVersion()) {
+          hub_.setCharter(c->version, i->second);
+          for (Route const& m : c->routes)
             if (m.kind == RouteKind::bulk) driver_.reg().know(LotKeeper::shelfOf(m.host));
           tell("charter", "version " + std::to_string(c->version) + " is in force");
-          changed();
+          news = true;
         }
       }
     }
+    bool const healthy = hub_.proof().healthy;
+    if (news || healthy != wasHealthy_ || driver_.reg().group().no != groupNo_) changed();
+    wasHealthy_ = healthy;
   };
   keeper_.retiring = [this] {
     std::set<string> s;
@@ -60,7 +52,7 @@
 void ControlNode::start() {
   driver_.start(server_);
   keeper_.start(server_);
-  server_.on<News>([this](News q) { return news(std::move(q)); });
+  server_.on<NewsAsk>([this](NewsAsk q) { return hub_.serve(std::move(q)); });
   server_.on<ForwardCall>([this](ForwardCall q) -> Task<CallReply> {
     if (q.path.rfind("/settings", 0) == 0) co_return co_await settings(std::move(q));
     co_return co_await retire(std::move(q));
@@ -85,46 +77,40 @@
 }
 
 void ControlNode::changed() {
-  ++turn_;
   note();
-  for (std::shared_ptr<asio::steady_timer> const& t : asking_) t->cancel();
-  asking_.clear();
+  for (Worker const& w : table_.since(booked_)) {
+    if (w.gone) { hub_.common.erase("w/" + w.id); continue; }
+    Worker x = w;
+    x.callCount = 0;
+    x.warmupLeft = 0;
+    x.hearer = Identity();
+    hub_.common.put("w/" + w.id, packed(x));
+  }
+  booked_ = table_.rev();
+  Group const& g = driver_.reg().group();
+  groupNo_ = g.no;
+  std::set<string> named;
+  for (Member const& m : g.members) {
+    hub_.common.put("m/" + hex(m.id.v), packed(m));
+    named.insert("m/" + hex(m.id.v));
+  }
+  vector<string> out;
+  for (std::map<string, string>::const_iterator i = hub_.common.rows().lower_bound("m/"); i != hub_.common.rows().end() && i->first[0] == 'm'; ++i)
+    if (!named.count(i->first)) out.push_back(i->first);
+  for (string const& k : out) hub_.common.erase(k);
+  hub_.changed(Ms(boot_.bounds.inTouch / 80));
 }
 
 /// A register is whole once a majority's registers are in it, or all live workers have sent a beat.
-bool ControlNode::tableSound() const {
+bool ControlNode::tableWhole() const {
   return (table_.size() && tables_.size() + 1 >= driver_.reg().group().most()) || Clock::now() - started_ > Ms(boot_.reportEvery * 3 / 2);
 }
 
 Task<void> ControlNode::sweepLoop() {
   for (;;) {
     co_await pause(Ms(boot_.reportEvery / 4));
-    if (driver_.sound() && table_.sweep(Clock::now())) changed();
-  }
-}
-
-Task<NewsReply> ControlNode::news(News q) {
-  Moment const until = Clock::now() + Ms(std::min<std::int64_t>(q.holdMs, boot_.bounds.inTouch));
-  for (;;) {
-    NewsReply r;
-    r.sound = driver_.sound() && tableSound() && !stopping_;
-    r.life = life_;
-    r.full = q.life != life_;
-    r.rev = table_.rev();
-    r.charterVersion = charterVersion_;
-    std::uint64_t const since = r.full ? 0 : q.rev;
-    bool const newer = charterVersion_ > q.charterVersion;
-    if (newer || r.full || table_.rev() > since || !r.sound || Clock::now() >= until) {
-      if (newer) r.charter = charterText_;
-      r.workers = table_.since(since);
-      r.members = driver_.reg().group().members;
-      co_return r;
-    }
-    std::shared_ptr<asio::steady_timer> const t = std::make_shared<asio::steady_timer>(io_, until);
-    asking_.insert(t);
-    error_code e;
-    co_await t->async_wait(asio::redirect_error(asio::use_awaitable, e));
-    asking_.erase(t);
+    if (driver_.healthy() && table_.sweep(Clock::now())) changed();
+    listNodes();
   }
 }
 
@@ -140,7 +126,7 @@
 Task<CallReply> ControlNode::servers(ForwardCall q) {
   string const id = q.path.substr(9);
   if (id.empty()) throw Error(Code::badBeat);
-  if (!driver_.sound()) throw Error(Code::noQuorum);
+  if (!driver_.healthy()) throw Error(Code::noQuorum);
   Worker w;
   if (q.verb == "PUT") w = readBeat(id, q.body);
   else if (q.verb == "DELETE") {
@@ -148,6 +134,7 @@
     w.id = id;
     w.gone = true;
   } else throw Error(Code::badBeat);
+  w.hearer = driver_.reg().self().id;
   bool const news = table_.merge(w, Clock::now());
   if (news) {
     changed();
@@ -168,7 +155,8 @@
     error_code e;
     if (*left && (w.draining || w.gone)) co_await t->async_wait(asio::redirect_error(asio::use_awaitable, e));
   }
-  co_return CallReply{200, "{}"};
+  std::optional<Addr> const to = w.gone || stopping_ ? std::nullopt : hearerOf(w);
+  co_return CallReply{200, to ? "{\"reportTo\":\"" + to->text() + "\"}" : "{}"};
 }
 
 /// Hands a call to the owner of a shelf if that is another node.
--- a/registry/control_node.hpp
+++ b/registry/control_node.hpp
@@ -1,6 +1,7 @@
 #pragma once
 #include "charter/charter.hpp"
 #include "lots/keeper.hpp"
+#include "news/hub.hpp"
 #include "registry/workers.hpp"
 #include "wire/http.hpp"
 
@@ -21,12 +22,18 @@
   Task<CallReply> putSettings(ForwardCall q);
   Task<CallReply> retire(ForwardCall q);
   Task<std::optional<CallReply>> elsewhere(string const& shelf, ForwardCall q);
-  Task<NewsReply> news(News q);
   Task<void> sweepLoop();
+  /// Brings the news book up to the register and the group, and tells those who ask.
   void changed();
+  /// Brings the lists of the zones' nodes up to who asks here and at the other control nodes.
+  void listNodes();
+  bool onPing(PingMsg const& m);
+  void fillPing(PingMsg& m, bool full);
+  /// Where the next beats of a worker should go: a control node of its zone if there is one.
+  std::optional<Addr> hearerOf(Worker const& w) const;
   /// Notes changed rows of the register on the disk, without waiting.
   void note();
-  bool tableSound() const;
+  bool tableWhole() const;
 
   asio::io_context& io_;
   Boot const& boot_;
@@ -40,12 +47,17 @@
   std::unique_ptr<DiskLog> log_;
   std::set<Identity> tables_;  ///< nodes whose whole register was taken in
   bool changing_ = false, stopping_ = false;
-  std::uint64_t life_ = randomId();
-  std::uint64_t charterVersion_ = 0;
-  string charterText_;
-  std::shared_ptr<Charter const> charter_;
-  std::set<std::shared_ptr<asio::steady_timer>> asking_;
-  std::uint64_t turn_ = 0, noted_ = 0;
+  struct Part {
+    std::uint64_t digest = 0;
+    vector<NodeRow> nodes;
+    Moment at;
+  };
+  NewsHub hub_;
+  std::map<Identity, Part> parts_;  ///< which nodes ask at which other control node
+  std::uint64_t booked_ = 0, noted_ = 0, nodesDigest_ = 0;
+  GroupNo groupNo_;
+  int nodesTurns_ = 0;
+  bool wasHealthy_ = false;
 };
 
 }  // namespace tealshelf
--- a/registry/driver.cpp
+++ b/registry/driver.cpp
@@ -12,7 +12,7 @@
 
 Driver::Driver(asio::io_context& io, Boot const& boot, Rpc& rpc)
     : io_(io), boot_(boot), rpc_(rpc), period_(boot.bounds.inTouch / 20), id_(ownIdentity(boot, fresh_)),
-      reg_(Member{id_, boot.nodeName, boot.ip, boot.area, false}, Registry::Times{Ms(boot.bounds.inTouch / 4), Ms(boot.bounds.inTouch / 30)}) {
+      reg_(Member{id_, boot.nodeName, boot.ip, boot.zone, false}, Registry::Times{Ms(boot.bounds.inTouch / 4), Ms(boot.bounds.inTouch / 30)}) {
   if (!boot.dataFolder.empty()) {
     std::size_t const turn = static_cast<std::size_t>(std::max<std::int64_t>(boot.diskMb, 8)) * (1u << 20) / 8;
     log_ = std::make_unique<DiskLog>(io, boot.dataFolder + "/registry", turn, [this] { return reg_.snapshot(); });
@@ -35,8 +35,15 @@
     Moment const now = Clock::now();
     if (m.group.no > reg_.group().no && m.group.no.v) reg_.install(m.group, false);
     reg_.heard(m.ping, now);
-    others_[m.ping.self.id] = {PingMsg{m.ping, Group(), {}, false}, now};
-    if (onWorkers && (m.full || !m.workers.empty())) onWorkers(m.workers, m.full, m.ping.self.id);
+    PingMsg& kept = others_[m.ping.self.id].first;
+    kept = PingMsg();
+    kept.ping = m.ping;
+    others_[m.ping.self.id].second = now;
+    if (onPing) {
+      bool const differs = onPing(m);
+      int& n = differ_[m.ping.self.ip];
+      n = differs ? n + 1 : 0;
+    }
     reg_.tick(now);
     pump();
     // One that doesn't hear this node yet gets a ping at once, so that a start takes no whole period.
@@ -141,16 +148,16 @@
   PingMsg m;
   m.ping = reg_.ping(Clock::now());
   if (leaving_) m.ping.copied = false;
-  if (giveWorkers) m.workers = giveWorkers(full);
-  m.full = full;
+  if (fillPing) fillPing(m, full);
   if (theirs < reg_.group().no) m.group = reg_.group();
   return m;
 }
 
 void Driver::pingAll() {
   Moment const now = Clock::now();
-  bool const full = ++pings_ % 8 == 0 || now - started_ < Ms(boot_.bounds.inTouch / 2);
-  PingMsg m = pingFor(reg_.group().no, full);
+  ++pings_;
+  PingMsg m = pingFor(reg_.group().no, false);
+  std::optional<PingMsg> whole;
   std::map<string, GroupNo> to;
   for (Member const& x : reg_.group().members)
     if (x.id != id_) to[x.ip] = GroupNo(0);
@@ -162,8 +169,13 @@
     if (now - o.second.second < Ms(boot_.bounds.inTouch) && ip != boot_.ip) to[ip] = o.second.first.ping.group;
   }
   for (std::pair<string const, GroupNo> const& p : to) {
-    m.group = p.second < reg_.group().no ? reg_.group() : Group();
-    rpc_.tellTo(at(p.first), m);
+    // The whole register goes to those that lately had another one, and to all after a start.
+    bool const full = differ_[p.first] >= 2 || now - started_ < Ms(boot_.bounds.inTouch / 2);
+    if (full) differ_[p.first] = 0;
+    if (full && !whole) whole = pingFor(reg_.group().no, true);
+    PingMsg& x = full ? *whole : m;
+    x.group = p.second < reg_.group().no ? reg_.group() : Group();
+    rpc_.tellTo(at(p.first), x);
   }
 }
 
--- a/registry/driver.hpp
+++ b/registry/driver.hpp
@@ -4,7 +4,7 @@
 
 namespace tealshelf {
 
-/// Runs a Registry against the disk, the pipes and the clock.
+/// Runs a Registry against the disk, the connections and the clock.
 class Driver {
  public:
   Driver(asio::io_context& io, Boot const& boot, Rpc& rpc);
@@ -18,16 +18,16 @@
   Task<bool> confirm(string shelf, Ms limit);
   Registry& reg() { return reg_; }
   Registry const& reg() const { return reg_; }
-  bool sound() const { return reg_.inMajority(Clock::now()); }
+  bool healthy() const { return reg_.inMajority(Clock::now()); }
   /// Where the wanted owner of a shelf is; nothing if unknown.
   std::optional<Addr> ownerOf(string const& shelf) const;
   /// Hands everything over: this node is wanted no more.
   void leave() { leaving_ = true; pingAll(); }
   void pingAll();
-  /// Called for each ping that comes in, with the workers it carries.
-  std::function<void(vector<Worker> const&, bool full, Identity from)> onWorkers;
-  /// Gives the workers that a ping shall carry.
-  std::function<vector<Worker>(bool& full)> giveWorkers;
+  /// Called for each ping that comes in, with what it carries; true if the registers differ.
+  std::function<bool(PingMsg const&)> onPing;
+  /// Fills in the workers and nodes that a ping shall carry; full asks for the whole register.
+  std::function<void(PingMsg&, bool full)> fillPing;
   /// Called whenever the control state may have changed.
   std::function<void()> onChange;
   Ms period() const { return period_; }
@@ -63,6 +63,7 @@
   std::map<std::uint64_t, std::shared_ptr<Wait>> waits_;
   std::map<std::uint64_t, bool> early_;
   std::map<Identity, std::pair<PingMsg, Moment>> others_;
+  std::map<string, int> differ_;  ///< how many pings in a row came with another register, by address
   std::map<string, Moment> backAt_;  ///< when a ping was last sent back at once
   std::set<string> owned_;
   std::uint64_t pings_ = 0;
--- /dev/null
+++ b/registry/leases.hpp
@@ -0,0 +1,39 @@
+#pragma once
+#include "base/tealshelf.hpp"
+
+namespace tealshelf {
+
+/// The leases that one control node granted to stores; a lease counts while a majority granted it.
+class LeaseGrants {
+ public:
+  enum class Word { granted, fenced, unhealthy };
+  LeaseGrants(Ms span, Moment started) : span_(span), started_(started) {}
+  /// A store asks for its lease to go on.
+  Word beat(Identity store, std::uint64_t lease, bool healthy, Moment now) {
+    Row& r = rows_[store];
+    r.lease = std::max(r.lease, lease);
+    if (lease <= r.fenced) return Word::fenced;
+    if (!healthy) return Word::unhealthy;
+    r.granted = now;
+    return Word::granted;
+  }
+  /// True if no lease granted here can still count; the lease is never granted again then. A store
+  /// whose lease may count is left alone.
+  bool fence(Identity store, Moment now) {
+    Row& r = rows_[store];
+    if (now - r.granted <= span_ || now - started_ <= span_) return false;
+    r.fenced = std::max(r.fenced, r.lease);
+    return true;
+  }
+
+ private:
+  struct Row {
+    std::uint64_t lease = 0, fenced = 0;
+    Moment granted;
+  };
+  Ms span_;
+  Moment started_;
+  std::map<Identity, Row> rows_;
+};
+
+}  // namespace tealshelf
--- a/registry/registry.cpp
+++ b/registry/registry.cpp
@@ -145,6 +145,17 @@
   }
   return !group_.members.empty() && n >= group_.most();
 }
+Moment Registry::provenAt(Moment now) const {
+  vector<Moment> at;
+  for (Member const& m : group_.members) {
+    std::map<Identity, Peer>::const_iterator const p = peers_.find(m.id);
+    if (m.id == self_.id) at.push_back(now);
+    else if (p != peers_.end()) at.push_back(p->second.at);
+  }
+  if (group_.members.empty() || at.size() < group_.most()) return Moment();
+  std::sort(at.begin(), at.end(), std::greater<Moment>());
+  return at[group_.most() - 1];
+}
 bool Registry::ready(Identity id, Moment now) const {
   if (id == self_.id) return copied_;
   std::map<Identity, Peer>::const_iterator const p = peers_.find(id);
--- a/registry/registry.hpp
+++ b/registry/registry.hpp
@@ -22,10 +22,10 @@
 /// A disk of the group.
 struct Member {
   Identity id;
-  string name, ip, area;
+  string name, ip, zone;
   bool founder = false;  ///< of the first group: its disk never missed anything
   bool operator==(Member const&) const = default;
-  MSGPACK_DEFINE(id, name, ip, area, founder)
+  MSGPACK_DEFINE(id, name, ip, zone, founder)
 };
 /// The disks that hold the control state; changed one at a time under a rising number.
 struct Group {
@@ -131,6 +131,8 @@
   /// True if a member runs, holds all keys and knows this group.
   bool ready(Identity id, Moment now) const;
   Moment lastHeard(Identity id) const;
+  /// When a majority, this node included, was heard last.
+  Moment provenAt(Moment now) const;
   /// True if a majority was heard lately.
   bool inMajority(Moment now) const;
   vector<string> shelves() const;
--- a/registry/workers.cpp
+++ b/registry/workers.cpp
@@ -12,16 +12,25 @@
 bool WorkerTable::merge(Worker const& w, Moment now) {
   std::map<string, Row>::iterator const i = rows_.find(w.id);
   if (i == rows_.end()) {
+    if (w.lost) return false;
     rows_[w.id] = {w, now, ++rev_, false};
     fresh_.push_back(w);
     return true;
   }
   Row& r = i->second;
+  if (w.lost) {
+    // Only the one that hears a worker can lose it.
+    if (r.lost || r.w.gone || r.w.hearer != w.hearer || w.callCount < r.w.callCount) return false;
+    r.lost = true;
+    r.rev = ++rev_;
+    return true;
+  }
   if (r.w.gone && !w.gone) return false;
   if (!w.gone && w.callCount <= r.w.callCount) return false;
   if (w.gone && r.w.gone) return false;
   bool const draining = r.w.draining || w.draining;
   bool const news = r.lost || w.gone != r.w.gone || draining != r.w.draining || w.at != r.w.at || w.service != r.w.service || w.capacity != r.w.capacity;
+  bool const moved = w.hearer != r.w.hearer;
   std::uint64_t const count = std::max(w.callCount, r.w.callCount);
   r.w = w;
   r.w.callCount = count;
@@ -29,18 +38,45 @@
   r.at = now;
   r.lost = false;
   if (news) r.rev = ++rev_;
-  fresh_.push_back(r.w);
+  if (news || moved) fresh_.push_back(r.w);
   return news;
 }
 
-bool WorkerTable::sweep(Moment now) {
-  bool any = false;
+bool WorkerTable::mergeAll(vector<Worker> const& ws, Identity from, Moment now) {
+  bool news = false;
+  std::set<string> named;
+  for (Worker const& w : ws) {
+    named.insert(w.id);
+    news = merge(w, now) || news;
+  }
   for (std::pair<string const, Row>& p : rows_) {
     Row& r = p.second;
+    if (r.lost || r.w.gone || r.w.hearer != from || named.count(p.first)) continue;
+    r.lost = true;
+    r.rev = ++rev_;
+    news = true;
+  }
+  return news;
+}
+
+void WorkerTable::alive(Identity hearer, Moment now) {
+  for (std::pair<string const, Row>& p : rows_)
+    if (p.second.w.hearer == hearer) p.second.at = now;
+}
+
+bool WorkerTable::sweep(Moment now) {
+  bool any = false;
+  for (std::map<string, Row>::iterator i = rows_.begin(); i != rows_.end();) {
+    Row& r = i->second;
+    if ((r.w.gone || r.lost) && now - r.at > 16 * forget_) { i = rows_.erase(i); continue; }
+    ++i;
     if (r.lost || r.w.gone || now - r.at <= forget_) continue;
     r.lost = true;
     r.rev = ++rev_;
     any = true;
+    if (r.w.hearer != self_) continue;
+    fresh_.push_back(r.w);
+    fresh_.back().lost = true;
   }
   return any;
 }
@@ -82,7 +118,7 @@
   };
   w.service = text("service");
   if (!readAddr(text("address"), w.at)) throw Error(Code::badBeat, "address");
-  if (d.HasMember("zone")) w.area = text("zone");
+  if (d.HasMember("zone")) w.zone = text("zone");
   if (d.HasMember("version")) w.version = text("version");
   w.capacity = std::max<std::uint64_t>(1, num("capacity"));
   w.callCount = num("callCount");
--- a/registry/workers.hpp
+++ b/registry/workers.hpp
@@ -3,20 +3,26 @@
 
 namespace tealshelf {
 
-/// The register of workers at one control node; no input or output of its own.
+/// The register of workers at one control node; no input or output of its own. The control node
+/// that hears a worker's beats tells the others of transitions only; they hold the worker for
+/// living as long as its hearer lives and doesn't say that it lost it.
 class WorkerTable {
  public:
-  explicit WorkerTable(Ms forgetAfter) : forget_(forgetAfter) {}
-  /// Takes a beat in; true if data-plane nodes should hear of it.
+  explicit WorkerTable(Ms forgetAfter, Identity self = Identity()) : forget_(forgetAfter), self_(self) {}
+  /// Takes a row in, own beat or another's word; true if data-plane nodes should hear of it.
   bool merge(Worker const& w, Moment now);
+  /// Takes the whole register of another control node in: what it should hear but doesn't name is lost.
+  bool mergeAll(vector<Worker> const& ws, Identity from, Moment now);
+  /// Another control node lives, and so do the workers that it hears.
+  void alive(Identity hearer, Moment now);
   /// True if the beat is late: a newer one of this life was taken.
   bool late(Worker const& w) const;
-  /// Marks workers as lost whose beats are missing; true if any.
+  /// Marks workers as lost whose beats are missing, and forgets ended ones in time; true if any was lost.
   bool sweep(Moment now);
   vector<Worker> since(std::uint64_t rev) const;
   /// The register without the lost ones; the gone ones stand in it so that they don't come back.
   vector<Worker> all(std::uint64_t since = 0) const;
-  /// What was taken in since the last call, for the other control nodes.
+  /// Transitions since the last call, for the other control nodes.
   vector<Worker> fresh() { return std::exchange(fresh_, {}); }
   Worker const* find(string const& id) const;
   std::uint64_t rev() const { return rev_; }
@@ -30,6 +36,7 @@
     bool lost = false;
   };
   Ms forget_;
+  Identity self_;
   std::map<string, Row> rows_;
   vector<Worker> fresh_;
   std::uint64_t rev_ = 0;
--- a/tests/replicas_test.cpp
+++ b/tests/replicas_test.cpp
@@ -1,4 +1,4 @@
-#include "registry/holds.hpp"
+#include "registry/leases.hpp"
 #include "segments/replicas.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -196,30 +196,30 @@
   CHECK_TEXT(brokenCaught, "listing before every holder synced was never caught");
 }
 
-TEST_GROUP(holds) {
+TEST_GROUP(leases) {
   Moment const start = Moment() + std::chrono::hours(1);
-  HoldGrants g{Ms(600), start};
+  LeaseGrants g{Ms(600), start};
   Identity const store{7};
 };
 
-TEST(holds, aFencedHoldIsNeverGrantedAgainButTheNextIs) {
+TEST(leases, aFencedLeaseIsNeverGrantedAgainButTheNextIs) {
   Moment now = start + Ms(1000);
-  CHECK(g.beat(store, 5, true, now) == HoldGrants::Word::granted);
+  CHECK(g.beat(store, 5, true, now) == LeaseGrants::Word::granted);
   CHECK(g.fence(store, now + Ms(601)));
-  CHECK(g.beat(store, 5, true, now + Ms(700)) == HoldGrants::Word::fenced);
-  CHECK(g.beat(store, 6, true, now + Ms(800)) == HoldGrants::Word::granted);
+  CHECK(g.beat(store, 5, true, now + Ms(700)) == LeaseGrants::Word::fenced);
+  CHECK(g.beat(store, 6, true, now + Ms(800)) == LeaseGrants::Word::granted);
 }
-TEST(holds, aLivingHoldIsNotFencedAndNotHarmed) {
+TEST(leases, aLivingLeaseIsNotFencedAndNotHarmed) {
   Moment now = start + Ms(1000);
-  CHECK(g.beat(store, 5, true, now) == HoldGrants::Word::granted);
+  CHECK(g.beat(store, 5, true, now) == LeaseGrants::Word::granted);
   CHECK_FALSE(g.fence(store, now + Ms(600)));
-  CHECK(g.beat(store, 5, true, now + Ms(650)) == HoldGrants::Word::granted);
+  CHECK(g.beat(store, 5, true, now + Ms(650)) == LeaseGrants::Word::granted);
 }
-TEST(holds, aRestartedGrantorWaitsOutWhatItForgot) {
+TEST(leases, aRestartedGrantorWaitsOutWhatItForgot) {
   CHECK_FALSE(g.fence(store, start + Ms(600)));
   CHECK(g.fence(store, start + Ms(601)));
 }
-TEST(holds, anUnsoundNodeGrantsNothing) {
-  CHECK(g.beat(store, 5, false, start) == HoldGrants::Word::unsound);
+TEST(leases, anUnhealthyNodeGrantsNothing) {
+  CHECK(g.beat(store, 5, false, start) == LeaseGrants::Word::unhealthy);
   CHECK(g.fence(store, start + Ms(601)));
 }
--- a/traffic/balance.cpp
+++ b/traffic/balance.cpp
@@ -11,12 +11,12 @@
   Row& r = rows_[id];
   ++r.own;
   ++r.since;
-  ++r.unreadVisits;
+  ++r.unreadRequests;
   r.unread += static_cast<std::int64_t>(tokens);
 }
 void Balance::first(string const& id, std::uint64_t tokens) {
   Row& r = rows_[id];
-  --r.unreadVisits;
+  --r.unreadRequests;
   r.unread -= static_cast<std::int64_t>(tokens);
 }
 void Balance::ended(string const& id) { Row& r = rows_[id]; --r.own; --r.since; }
@@ -35,7 +35,7 @@
 }
 void Balance::well(string const& id) { rows_[id].breaks = 0; }
 
-double Balance::burden(Worker const& w, Moment now) const {
+double Balance::load(Worker const& w, Moment now) const {
   std::map<string, Row>::const_iterator const i = rows_.find(w.id);
   if (i == rows_.end()) return 0;
   Row const& r = i->second;
@@ -48,19 +48,19 @@
   std::map<string, Row>::const_iterator const i = rows_.find(w.id);
   if (i == rows_.end()) return 0;
   Row const& r = i->second;
-  double c = burden(w, now) + chunkCost * static_cast<double>(r.unread) / chunkTokens;
+  double c = load(w, now) + chunkCost * static_cast<double>(r.unread) / chunkTokens;
   if (now - r.told < Ms(boot_.bounds.step)) c += chunkCost * static_cast<double>(r.waiting);
   return c;
 }
 
-Worker const* Balance::pick(Scene const& s, Want const& want, std::set<string> const& tried) {
+Worker const* Balance::pick(FleetView const& s, Want const& want, std::set<string> const& tried) {
   Moment const now = Clock::now();
   vector<Worker const*> good, rest;
   for (Worker const* const w : s.of(want.service)) {
     Row const& r = rows_[w->id];
     if (tried.count(w->id)) continue;
     bool const out = now < r.outUntil || now < r.fullUntil;
-    if (want.behind && (out || r.unreadVisits > 0 || burden(*w, now) > 1 - want.leave)) continue;
+    if (want.behind && (out || r.unreadRequests > 0 || load(*w, now) > 1 - want.leave)) continue;
     (out ? rest : good).push_back(w);
   }
   vector<Worker const*>& l = good.empty() ? rest : good;
@@ -84,7 +84,7 @@
   return best;
 }
 
-void Balance::sweep(Scene const& s) {
+void Balance::sweep(FleetView const& s) {
   for (std::map<string, Row>::iterator i = rows_.begin(); i != rows_.end();) {
     if (!s.find(i->first) && i->second.own <= 0) i = rows_.erase(i);
     else ++i;
--- a/traffic/balance.hpp
+++ b/traffic/balance.hpp
@@ -1,5 +1,5 @@
 #pragma once
-#include "traffic/scene.hpp"
+#include "news/fleet_view.hpp"
 
 namespace tealshelf {
 
@@ -13,31 +13,31 @@
   double leave = 0;               ///< part of the slots to be left free, if behind
 };
 
-/// How burdened each worker is, by what this node has seen of it.
+/// How loaded each worker is, by what this node has seen of it.
 class Balance {
  public:
   explicit Balance(Boot const& boot) : boot_(boot) {}
   /// The best worker; null if there is none. Passed-over ones are tried last.
-  Worker const* pick(Scene const& s, Want const& w, std::set<string> const& tried);
-  /// A visit goes there that has so many prompt tokens to be read; then its first piece came; then it ended.
+  Worker const* pick(FleetView const& s, Want const& w, std::set<string> const& tried);
+  /// A request goes there that has so many prompt tokens to be read; then its first piece came; then it ended.
   void began(string const& id, std::uint64_t tokens);
   void first(string const& id, std::uint64_t tokens);
   void ended(string const& id);
   /// The worker's own word on running, waiting and slots.
   void told(string const& id, std::array<std::uint64_t, 3> const& b);
-  /// It turned a visit away as full.
+  /// It turned a request away as full.
   void full(string const& id);
   /// It broke off or couldn't be reached.
   void broke(string const& id, bool hard);
   void well(string const& id);
-  double burden(Worker const& w, Moment now) const;
-  /// Burden plus what a new prompt would wait behind, in the same measure.
+  double load(Worker const& w, Moment now) const;
+  /// Load plus what a new prompt would wait behind, in the same measure.
   double cost(Worker const& w, Moment now) const;
-  void sweep(Scene const& s);
+  void sweep(FleetView const& s);
 
  private:
   struct Row {
-    std::int64_t own = 0, base = 0, since = 0, unread = 0, unreadVisits = 0, waiting = 0;
+    std::int64_t own = 0, base = 0, since = 0, unread = 0, unreadRequests = 0, waiting = 0;
     Moment told, outUntil, fullUntil;
     int breaks = 0;
   };
--- a/traffic/carry_out.cpp
+++ b/traffic/carry_out.cpp
@@ -3,7 +3,7 @@
 namespace tealshelf {
 
 namespace {
-bool ofOnePipe(beast::string_view n) {
+bool ofOneConnection(beast::string_view n) {
   constexpr string_view own[] = {"Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "TE", "Trailer", "Upgrade", "Content-Length"};
   for (string_view const o : own)
     if (beast::iequals(n, beast::string_view(o.data(), o.size()))) return true;
@@ -11,20 +11,20 @@
 }
 }  // namespace
 
-Task<void> EdgeNode::carryOut(PipePtr p, Ask const& q, Plan l) {
+Task<void> EdgeNode::carryOut(ConnectionPtr p, Ask const& q, Plan l) {
   std::set<string> tried;
   std::uint64_t sends = 0;
   bool mayHaveRun = false;
   EventReader ev;
   Code why = Code::noWorker;
   int rounds = 0;
-  while (sends < l.tries && Clock::now() < l.horizon) {
-    Worker const* w = balance_.pick(scene_, l.want, tried);
+  while (sends < l.tries && Clock::now() < l.deadline) {
+    Worker const* w = balance_.pick(view_, l.want, tried);
     if (!w && rounds == 0 && !p->headSent) {
       // Everyone was tried; a short wait, then one more round, while there is time inside the aim.
-      if (++rounds > 1 || Clock::now() - l.came > Ms(l.match->aim / 4)) break;
+      if (++rounds > 1 || Clock::now() - l.came > Ms(l.route->aim / 4)) break;
       tried.clear();
-      co_await pause(Ms(std::max<std::int64_t>(1, l.match->aim / 20)));
+      co_await pause(Ms(std::max<std::int64_t>(1, l.route->aim / 20)));
       continue;
     }
     if (!w) break;
@@ -34,10 +34,10 @@
     Exchange x(pools_, *w);
     std::uint64_t const unread = l.want.tokens - l.want.sharedTokens;
     balance_.began(id, unread);
-    Verdict const v = co_await x.start(ask, l.attempt, l.horizon);
+    Verdict const v = co_await x.start(ask, l.attempt, l.deadline);
     balance_.first(id, unread);
     bool over = false;
-    say(Level::debug, "visit", l.attempt + " at " + id + " verdict " + std::to_string(static_cast<int>(v)) + (v == Verdict::answered ? " status " + std::to_string(x.status()) : ""));
+    say(Level::debug, "request", l.attempt + " at " + id + " verdict " + std::to_string(static_cast<int>(v)) + (v == Verdict::answered ? " status " + std::to_string(x.status()) : ""));
     switch (v) {
       case Verdict::notSent:
         balance_.broke(id, true);
@@ -58,12 +58,12 @@
         break;
       case Verdict::timeUp:
         mayHaveRun = true;
-        why = Code::horizonBroken;
+        why = Code::deadlineBroken;
         over = true;
         break;
       case Verdict::answered: {
         ++sends;
-        if (std::optional<std::array<std::uint64_t, 3>> const b = x.burden()) balance_.told(id, *b);
+        if (std::optional<std::array<std::uint64_t, 3>> const b = x.load()) balance_.told(id, *b);
         int const s = x.status();
         bool const promise = s == 408 || s == 421 || s == 429 || s == 503;
         if (promise || (l.mayRepeat && s >= 500 && sends < l.tries)) {
@@ -72,7 +72,7 @@
           over = !l.mayRepeat;
           x.cut();
         } else if (l.streams && s == 200) {
-          over = co_await relay(p, l, x, ev, l.horizon);
+          over = co_await relay(p, l, x, ev, l.deadline);
           if (!over) { balance_.broke(id, false); mayHaveRun = true; why = Code::workerBroke; over = !l.mayRepeat; }
         } else {
           over = co_await passWhole(p, l, x);
@@ -93,12 +93,12 @@
     co_return;
   }
   if (mayHaveRun) {
-    if (Clock::now() >= l.horizon) why = Code::horizonBroken;
+    if (Clock::now() >= l.deadline) why = Code::deadlineBroken;
     else if (lineOf(why).kind == Kind::refused) why = Code::workerBroke;
     co_await answer(p, Error(why));
     co_return;
   }
-  CallAnswer a = answerOf(Error(Clock::now() >= l.horizon ? Code::horizonPassed : why));
+  CallAnswer a = answerOf(Error(Clock::now() >= l.deadline ? Code::deadlinePassed : why));
   char t[32];
   std::snprintf(t, sizeof t, "%.3f", retryAfter(l));
   a.heads.emplace_back("Retry-After", t);
@@ -106,15 +106,15 @@
 }
 
 /// Takes a short answer whole, then passes it on; false if the worker broke it off.
-Task<bool> EdgeNode::passWhole(PipePtr p, Plan const& l, Exchange& x) {
+Task<bool> EdgeNode::passWhole(ConnectionPtr p, Plan const& l, Exchange& x) {
   string body;
   Piece s = Piece::some;
-  while (s == Piece::some) s = co_await x.read(body, l.horizon);
+  while (s == Piece::some) s = co_await x.read(body, l.deadline);
   if (s == Piece::broken) co_return false;
   http::response<http::string_body> r(static_cast<http::status>(x.status()), 11);
   r.result(static_cast<unsigned>(x.status()));
   for (http::fields::const_iterator f = x.head().begin(); f != x.head().end(); ++f)
-    if (!ofOnePipe(f->name_string())) r.insert(f->name_string(), f->value());
+    if (!ofOneConnection(f->name_string())) r.insert(f->name_string(), f->value());
   x.done();
   r.body() = std::move(body);
   p->keep = p->keep && !stopping_;
@@ -129,13 +129,13 @@
   co_return true;
 }
 
-Task<bool> EdgeNode::relay(PipePtr p, Plan const&, Exchange& x, EventReader& ev, Moment until) {
+Task<bool> EdgeNode::relay(ConnectionPtr p, Plan const&, Exchange& x, EventReader& ev, Moment until) {
   error_code e;
   bool const first = !p->headSent;
   if (first) {
     http::response<http::empty_body> r(static_cast<http::status>(x.status()), 11);
     for (http::fields::const_iterator f = x.head().begin(); f != x.head().end(); ++f)
-      if (!ofOnePipe(f->name_string())) r.insert(f->name_string(), f->value());
+      if (!ofOneConnection(f->name_string())) r.insert(f->name_string(), f->value());
     p->keep = p->keep && !stopping_;
     r.keep_alive(p->keep);
     r.chunked(true);
--- a/traffic/edge_node.cpp
+++ b/traffic/edge_node.cpp
@@ -3,18 +3,19 @@
 namespace tealshelf {
 
 EdgeNode::EdgeNode(asio::io_context& io, Boot const& boot)
-    : io_(io), boot_(boot), rpc_(io, Ms(boot.bounds.inTouch / 2)), scene_(io, boot, rpc_, "edge"), pools_(io, boot), balance_(boot), desk_(io, boot, rpc_, scene_),
+    : io_(io), boot_(boot), rpc_(io, Ms(boot.bounds.inTouch / 2)), server_(io, boot.relayAt(boot.ip), Ms(boot.bounds.inTouch / 2)), view_(io, boot, rpc_, "edge", boot.relayAt(boot.ip)), pools_(io, boot), balance_(boot), desk_(io, boot, rpc_, view_),
       readiness_(io, boot.readiness,
                  [this](Call c) -> Task<CallAnswer> {
                    CallAnswer a;
-                   a.status = c.path == "/readiness" ? (scene_.sound() && !stopping_ ? 200 : 503) : 404;
+                   a.status = c.path == "/readiness" ? (view_.healthy() && !stopping_ ? 200 : 503) : 404;
                    co_return a;
                  },
                  1u << 16, Ms(5 * boot.bounds.inTouch)),
       acceptor_(io) {}
 
 void EdgeNode::start() {
-  scene_.start();
+  view_.start(server_);
+  server_.start();
   readiness_.start();
   tcp::endpoint const p(asio::ip::make_address(boot_.outside.ip), static_cast<std::uint16_t>(boot_.outside.port));
   acceptor_.open(p.protocol());
@@ -28,7 +29,7 @@
 
 void EdgeNode::stop() {
   stopping_ = true;
-  for (ClientPipe* const p : idle_) {
+  for (ClientConnection* const p : idle_) {
     error_code e;
     p->sock.shutdown(tcp::socket::shutdown_both, e);
   }
@@ -37,8 +38,8 @@
 Task<void> EdgeNode::sweepLoop() {
   for (;;) {
     co_await pause(Ms(boot_.bounds.inTouch / 2));
-    pools_.sweep(scene_);
-    balance_.sweep(scene_);
+    pools_.sweep(view_);
+    balance_.sweep(view_);
   }
 }
 
@@ -47,15 +48,15 @@
     error_code e;
     tcp::socket s = co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, e));
     if (e) { if (e == asio::error::operation_aborted) co_return; co_await pause(Ms(10)); continue; }
-    spawn(io_, "client", serve(std::make_shared<ClientPipe>(std::move(s))));
+    spawn(io_, "client", serve(std::make_shared<ClientConnection>(std::move(s))));
   }
 }
 
-Task<void> EdgeNode::serve(PipePtr p) {
+Task<void> EdgeNode::serve(ConnectionPtr p) {
   tune(p->sock, Ms(2 * boot_.bounds.inTouch));
   error_code e;
   while (p->keep && p->sock.is_open()) {
-    std::shared_ptr<Charter const> const c = scene_.charter();
+    std::shared_ptr<Charter const> const c = view_.charter();
     Limits const lim = c ? c->limits : Limits();
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(lim.headerBytes));
@@ -91,7 +92,7 @@
     p->keep = parser.get().keep_alive() && !stopping_;
     bool ok = false;
     try {
-      ok = co_await visit(p, parser.release());
+      ok = co_await request(p, parser.release());
     } catch (Error const& x) {
       p->keep = false;
       warn("edge", x.what());
@@ -103,9 +104,9 @@
   p->sock.close(e);
 }
 
-Task<void> EdgeNode::answer(PipePtr p, Error const& x) { co_await answer(p, answerOf(x)); }
+Task<void> EdgeNode::answer(ConnectionPtr p, Error const& x) { co_await answer(p, answerOf(x)); }
 
-Task<void> EdgeNode::answer(PipePtr p, CallAnswer a) {
+Task<void> EdgeNode::answer(ConnectionPtr p, CallAnswer a) {
   http::response<http::string_body> r(static_cast<http::status>(a.status), 11);
   if (!a.body.empty()) r.set(http::field::content_type, a.type);
   for (std::pair<string, string> const& h : a.heads) r.set(h.first, h.second);
@@ -123,22 +124,22 @@
 
 Plan EdgeNode::plan(Ask const& q, Moment now) const {
   Plan l;
-  l.charter = scene_.charter();
+  l.charter = view_.charter();
   l.came = now;
   beast::string_view h = q[http::field::host];
   string host(h.data(), h.size());
   if (std::size_t const c = host.find(':'); c != string::npos) host.resize(c);
   beast::string_view const t = q.target();
-  l.match = l.charter ? l.charter->find(host, string_view(t.data(), t.size())) : nullptr;
+  l.route = l.charter ? l.charter->find(host, string_view(t.data(), t.size())) : nullptr;
   beast::string_view const id = q["Attempt-Id"];
   l.attempt = string(id.data(), id.size());
-  if (!l.match) return l;
-  Match const& m = *l.match;
+  if (!l.route) return l;
+  Route const& m = *l.route;
   std::uint64_t left = 0;
   beast::string_view const tl = q["Time-Left-Ms"];
   std::int64_t span = m.timeLimit;
   if (readNumber(string_view(tl.data(), tl.size()), left)) span = std::min<std::int64_t>(span, static_cast<std::int64_t>(left));
-  l.horizon = now + Ms(span);
+  l.deadline = now + Ms(span);
   l.service = m.serviceFor(hashOf(l.attempt));
   l.tries = m.tries;
   l.mayRepeat = m.mayRepeat();
@@ -159,21 +160,21 @@
 }
 
 double EdgeNode::retryAfter(Plan const& l) const {
-  double const aim = static_cast<double>(l.match ? l.match->aim : boot_.bounds.step);
+  double const aim = static_cast<double>(l.route ? l.route->aim : boot_.bounds.step);
   return std::max(0.02, aim / 4000.0);
 }
 
-Task<bool> EdgeNode::visit(PipePtr p, Ask q) {
+Task<bool> EdgeNode::request(ConnectionPtr p, Ask q) {
   Moment const now = Clock::now();
-  std::shared_ptr<Charter const> c = scene_.charter();
+  std::shared_ptr<Charter const> c = view_.charter();
   if (!c) {
     // News is due any moment after a start; a short wait spares the client a try.
     Moment const until = now + Ms(boot_.bounds.inTouch / 8);
-    while (!scene_.charter() && Clock::now() < until) co_await pause(Ms(boot_.bounds.step / 8));
-    c = scene_.charter();
+    while (!view_.charter() && Clock::now() < until) co_await pause(Ms(boot_.bounds.step / 8));
+    c = view_.charter();
   }
   if (!c) {
-    CallAnswer a = answerOf(Error(Code::unsound));
+    CallAnswer a = answerOf(Error(Code::unhealthy));
     a.heads.emplace_back("Retry-After", "0.3");
     co_await answer(p, std::move(a));
     co_return p->keep;
@@ -191,15 +192,15 @@
     co_return p->keep;
   }
   Plan l = plan(q, now);
-  if (!l.match) {
-    co_await answer(p, Error(Code::noMatch));
+  if (!l.route) {
+    co_await answer(p, Error(Code::noRoute));
     co_return p->keep;
   }
-  if (l.match->kind == RouteKind::bulk) {
+  if (l.route->kind == RouteKind::bulk) {
     CallAnswer a;
     try {
       if (verb != "POST") throw Error(Code::lotUnreadable);
-      a = co_await desk_.handIn(*l.match, l.attempt, q.body());
+      a = co_await desk_.handIn(*l.route, l.attempt, q.body());
     } catch (Error const& x) {
       a = answerOf(x);
     }
@@ -219,7 +220,7 @@
     for (string_view const o : own) skip = skip || beast::iequals(f->name_string(), beast::string_view(o.data(), o.size()));
     if (!skip) r.insert(f->name_string(), f->value());
   }
-  r.set("Time-Left-Ms", std::to_string(std::max<std::int64_t>(1, leftMs(l.horizon))));
+  r.set("Time-Left-Ms", std::to_string(std::max<std::int64_t>(1, leftMs(l.deadline))));
   r.set("Wanted-Server", w.id);
   if (ev.any()) r.set("Last-Event-Id", std::to_string(ev.last()));
   r.body() = q.body();
--- a/traffic/edge_node.hpp
+++ b/traffic/edge_node.hpp
@@ -6,26 +6,26 @@
 
 namespace tealshelf {
 
-/// What shall be done with a visit, worked out before anything is done.
+/// What shall be done with a request, worked out before anything is done.
 struct Plan {
   std::shared_ptr<Charter const> charter;
-  Match const* match = nullptr;
+  Route const* route = nullptr;
   string service, attempt;
-  Moment came, horizon;
+  Moment came, deadline;
   std::uint64_t tries = 1;
   bool mayRepeat = false, streams = false;
   Want want;
 };
 
-/// A client's pipe.
-struct ClientPipe {
-  explicit ClientPipe(tcp::socket s) : sock(std::move(s)) {}
+/// A client's connection.
+struct ClientConnection {
+  explicit ClientConnection(tcp::socket s) : sock(std::move(s)) {}
   tcp::socket sock;
   beast::flat_buffer buf;
   bool headSent = false, keep = true;
 };
 
-/// The data plane of an edge machine: takes visits in and passes them to workers.
+/// The data plane of an edge machine: takes requests in and passes them to workers.
 class EdgeNode {
  public:
   EdgeNode(asio::io_context& io, Boot const& boot);
@@ -34,25 +34,26 @@
   std::size_t live() const { return live_; }
 
  private:
-  using PipePtr = std::shared_ptr<ClientPipe>;
+  using ConnectionPtr = std::shared_ptr<ClientConnection>;
   Task<void> take();
-  Task<void> serve(PipePtr p);
-  Task<bool> visit(PipePtr p, Ask q);
+  Task<void> serve(ConnectionPtr p);
+  Task<bool> request(ConnectionPtr p, Ask q);
   Plan plan(Ask const& q, Moment now) const;
-  Task<void> carryOut(PipePtr p, Ask const& q, Plan plan);
-  /// One worker's part of a streaming visit; true once nothing more is to be done.
-  Task<bool> relay(PipePtr p, Plan const& plan, Exchange& x, EventReader& ev, Moment until);
-  Task<bool> passWhole(PipePtr p, Plan const& plan, Exchange& x);
+  Task<void> carryOut(ConnectionPtr p, Ask const& q, Plan plan);
+  /// One worker's part of a streaming request; true once nothing more is to be done.
+  Task<bool> relay(ConnectionPtr p, Plan const& plan, Exchange& x, EventReader& ev, Moment until);
+  Task<bool> passWhole(ConnectionPtr p, Plan const& plan, Exchange& x);
   Ask forWorker(Ask const& q, Plan const& plan, Worker const& w, EventReader const& ev) const;
-  Task<void> answer(PipePtr p, Error const& x);
-  Task<void> answer(PipePtr p, CallAnswer a);
+  Task<void> answer(ConnectionPtr p, Error const& x);
+  Task<void> answer(ConnectionPtr p, CallAnswer a);
   double retryAfter(Plan const& plan) const;
   Task<void> sweepLoop();
 
   asio::io_context& io_;
   Boot const& boot_;
   Rpc rpc_;
-  Scene scene_;
+  RpcServer server_;  ///< news is relayed there
+  FleetView view_;
   Pools pools_;
   Balance balance_;
   LotDesk desk_;
@@ -60,7 +61,7 @@
   tcp::acceptor acceptor_;
   bool stopping_ = false;
   std::size_t live_ = 0;
-  std::set<ClientPipe*> idle_;
+  std::set<ClientConnection*> idle_;
 };
 
 }  // namespace tealshelf
--- a/traffic/exchange.cpp
+++ b/traffic/exchange.cpp
@@ -4,37 +4,37 @@
 
 namespace tealshelf {
 
-std::unique_ptr<WorkerPipe> Pools::take(Worker const& w) {
-  vector<std::unique_ptr<WorkerPipe>>& v = idle_[w.id];
+std::unique_ptr<WorkerConnection> Pools::take(Worker const& w) {
+  vector<std::unique_ptr<WorkerConnection>>& v = idle_[w.id];
   while (!v.empty()) {
-    std::unique_ptr<WorkerPipe> p = std::move(v.back());
+    std::unique_ptr<WorkerConnection> p = std::move(v.back());
     v.pop_back();
     if (Clock::now() >= p->keepUntil) continue;
     char c = 0;
     ssize_t const n = ::recv(p->sock.native_handle(), &c, 1, MSG_PEEK | MSG_DONTWAIT);
     if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) return p;
   }
-  return std::make_unique<WorkerPipe>(io_);
+  return std::make_unique<WorkerConnection>(io_);
 }
-void Pools::give(string const& id, std::unique_ptr<WorkerPipe> p) { idle_[id].push_back(std::move(p)); }
+void Pools::give(string const& id, std::unique_ptr<WorkerConnection> p) { idle_[id].push_back(std::move(p)); }
 
-void Pools::sweep(Scene const& scene) {
+void Pools::sweep(FleetView const& view) {
   Moment const now = Clock::now();
-  for (std::map<string, vector<std::unique_ptr<WorkerPipe>>>::iterator i = idle_.begin(); i != idle_.end();) {
-    std::erase_if(i->second, [&](std::unique_ptr<WorkerPipe> const& p) { return now >= p->keepUntil; });
-    if (!scene.find(i->first)) i = idle_.erase(i);
+  for (std::map<string, vector<std::unique_ptr<WorkerConnection>>>::iterator i = idle_.begin(); i != idle_.end();) {
+    std::erase_if(i->second, [&](std::unique_ptr<WorkerConnection> const& p) { return now >= p->keepUntil; });
+    if (!view.find(i->first)) i = idle_.erase(i);
     else ++i;
   }
 }
 
 Exchange::~Exchange() {
   guard_.reset();
-  if (pipe_) { error_code e; pipe_->sock.close(e); }
+  if (conn_) { error_code e; conn_->sock.close(e); }
 }
 void Exchange::cut() {
   guard_.reset();
-  if (pipe_) { error_code e; pipe_->sock.close(e); }
-  pipe_.reset();
+  if (conn_) { error_code e; conn_->sock.close(e); }
+  conn_.reset();
 }
 
 string Exchange::headText(string_view name) const {
@@ -42,7 +42,7 @@
   return string(v.data(), v.size());
 }
 
-std::optional<std::array<std::uint64_t, 3>> Exchange::burden() const {
+std::optional<std::array<std::uint64_t, 3>> Exchange::load() const {
   vector<string> const p = split(headText("Server-Load"), ',');
   std::array<std::uint64_t, 3> a{};
   if (p.size() != 3) return std::nullopt;
@@ -52,32 +52,32 @@
 }
 
 Task<Verdict> Exchange::start(Ask const& q, string attempt, Moment until) {
-  pipe_ = pools_.take(worker_);
-  fresh_ = !pipe_->sock.is_open();
-  guard_ = std::make_unique<Guard>(pools_.io(), pipe_->sock);
+  conn_ = pools_.take(worker_);
+  fresh_ = !conn_->sock.is_open();
+  guard_ = std::make_unique<Guard>(pools_.io(), conn_->sock);
   error_code e;
   if (fresh_) {
     guard_->until(std::min(until, Clock::now() + Ms(pools_.boot().bounds.inTouch / 6)));
-    co_await pipe_->sock.async_connect({asio::ip::make_address(worker_.at.ip), static_cast<std::uint16_t>(worker_.at.port)}, asio::redirect_error(asio::use_awaitable, e));
+    co_await conn_->sock.async_connect({asio::ip::make_address(worker_.at.ip), static_cast<std::uint16_t>(worker_.at.port)}, asio::redirect_error(asio::use_awaitable, e));
     if (e || guard_->fired()) { cut(); co_return Verdict::notSent; }
-    tune(pipe_->sock, Ms(pools_.boot().bounds.inTouch));
+    tune(conn_->sock, Ms(pools_.boot().bounds.inTouch));
   }
   guard_->until(until);
-  ++pipe_->uses;
-  co_await http::async_write(pipe_->sock, q, asio::redirect_error(asio::use_awaitable, e));
+  ++conn_->uses;
+  co_await http::async_write(conn_->sock, q, asio::redirect_error(asio::use_awaitable, e));
   if (e) { bool const f = guard_->fired(); cut(); co_return f ? Verdict::timeUp : Verdict::unclear; }
   for (int i = 0; i < 4; ++i) {
     parser_.emplace();
     parser_->body_limit(std::uint64_t{1} << 40);
     parser_->header_limit(64u << 10);
-    co_await http::async_read_header(pipe_->sock, pipe_->buf, *parser_, asio::redirect_error(asio::use_awaitable, e));
+    co_await http::async_read_header(conn_->sock, conn_->buf, *parser_, asio::redirect_error(asio::use_awaitable, e));
     if (e) { bool const f = guard_->fired(); cut(); co_return f ? Verdict::timeUp : Verdict::unclear; }
     string const id = headText("Attempt-Id");
     if (id.empty() || id == attempt || headText("Not-Run") == "1") break;
     string junk;
     Piece p = Piece::some;
     while (p == Piece::some) p = co_await read(junk, until);
-    if (p == Piece::broken || !pipe_) { cut(); co_return Verdict::unclear; }
+    if (p == Piece::broken || !conn_) { cut(); co_return Verdict::unclear; }
   }
   bool const other = !headText("Attempt-Id").empty() && headText("Attempt-Id") != attempt;
   if (other && headText("Not-Run").empty()) { cut(); co_return Verdict::unclear; }
@@ -92,7 +92,7 @@
 }
 
 Task<Piece> Exchange::read(string& out, Moment until) {
-  if (!pipe_) co_return Piece::broken;
+  if (!conn_) co_return Piece::broken;
   if (parser_->is_done()) co_return Piece::whole;
   if (parser_->get().need_eof()) { cut(); co_return Piece::broken; }
   char b[8192];
@@ -101,7 +101,7 @@
   parser_->get().body().size = sizeof b;
   parser_->get().body().more = true;
   error_code e;
-  co_await http::async_read_some(pipe_->sock, pipe_->buf, *parser_, asio::redirect_error(asio::use_awaitable, e));
+  co_await http::async_read_some(conn_->sock, conn_->buf, *parser_, asio::redirect_error(asio::use_awaitable, e));
   if (e == http::error::need_buffer) e = {};
   if (e) { cut(); co_return Piece::broken; }
   out.append(b, sizeof b - parser_->get().body().size);
@@ -109,19 +109,19 @@
   co_return Piece::whole;
 }
 
-/// Gives the pipe back when it is clean; called once the answer is whole.
+/// Gives the connection back when it is clean; called once the answer is whole.
 void Exchange::release() {
-  if (!pipe_ || !parser_ || !parser_->is_done()) return cut();
+  if (!conn_ || !parser_ || !parser_->is_done()) return cut();
   guard_.reset();
-  if (!parser_->get().keep_alive() || pipe_->buf.size() || !pipe_->sock.is_open()) return cut();
+  if (!parser_->get().keep_alive() || conn_->buf.size() || !conn_->sock.is_open()) return cut();
   std::int64_t keep = pools_.boot().bounds.inTouch;
   string const k = headText("Keep-Alive");
   std::size_t const t = k.find("timeout=");
   if (t != string::npos) keep = 1000 * std::strtoll(k.c_str() + t + 8, nullptr, 10);
   keep = std::min(keep - keep / 4, 4 * pools_.boot().bounds.inTouch);
   if (keep <= 0) return cut();
-  pipe_->keepUntil = Clock::now() + Ms(keep);
-  pools_.give(worker_.id, std::move(pipe_));
+  conn_->keepUntil = Clock::now() + Ms(keep);
+  pools_.give(worker_.id, std::move(conn_));
 }
 
 string EventReader::feed(string_view s) {
--- a/traffic/exchange.hpp
+++ b/traffic/exchange.hpp
@@ -1,66 +1,66 @@
 #pragma once
-#include "traffic/scene.hpp"
+#include "news/fleet_view.hpp"
 #include "wire/http.hpp"
 
 namespace tealshelf {
 
 using Ask = http::request<http::string_body>;
 
-/// A pipe to a worker.
-struct WorkerPipe {
-  explicit WorkerPipe(asio::io_context& io) : sock(io) {}
+/// A connection to a worker.
+struct WorkerConnection {
+  explicit WorkerConnection(asio::io_context& io) : sock(io) {}
   tcp::socket sock;
   beast::flat_buffer buf;
   Moment keepUntil;
   std::uint64_t uses = 0;
 };
 
-/// Idle pipes to workers.
+/// Idle connections to workers.
 class Pools {
  public:
   Pools(asio::io_context& io, Boot const& boot) : io_(io), boot_(boot) {}
-  /// A clean idle pipe, or a new one not yet connected.
-  std::unique_ptr<WorkerPipe> take(Worker const& w);
-  void give(string const& id, std::unique_ptr<WorkerPipe> p);
+  /// A clean idle connection, or a new one not yet connected.
+  std::unique_ptr<WorkerConnection> take(Worker const& w);
+  void give(string const& id, std::unique_ptr<WorkerConnection> p);
   /// Closes what is idle for workers that are gone or for too long.
-  void sweep(Scene const& scene);
+  void sweep(FleetView const& view);
   asio::io_context& io() { return io_; }
   Boot const& boot() const { return boot_; }
 
  private:
   asio::io_context& io_;
   Boot const& boot_;
-  std::map<string, vector<std::unique_ptr<WorkerPipe>>> idle_;
+  std::map<string, vector<std::unique_ptr<WorkerConnection>>> idle_;
 };
 
 /// How a send to a worker ended.
 enum class Verdict {
   notSent,   ///< no byte reached the worker
-  notRun,    ///< the worker says that it did not run the visit
-  unclear,   ///< the visit may have run
+  notRun,    ///< the worker says that it did not run the request
+  unclear,   ///< the request may have run
   answered,  ///< a head came
-  timeUp     ///< the time was up; the visit may have run
+  timeUp     ///< the time was up; the request may have run
 };
 enum class Piece { some, whole, broken };
 
-/// One visit at one worker.
+/// One request at one worker.
 class Exchange {
  public:
   Exchange(Pools& pools, Worker const& w) : pools_(pools), worker_(w) {}
   ~Exchange();
-  /// Sends the visit and reads the head of the answer that carries its id.
+  /// Sends the request and reads the head of the answer that carries its id.
   Task<Verdict> start(Ask const& q, string attempt, Moment until);
   http::fields const& head() const { return parser_->get().base(); }
   int status() const { return static_cast<int>(parser_->get().result_int()); }
   string headText(string_view name) const;
   /// Running, waiting and slots as the worker told them.
-  std::optional<std::array<std::uint64_t, 3>> burden() const;
+  std::optional<std::array<std::uint64_t, 3>> load() const;
   /// Reads some of the body.
   Task<Piece> read(string& out, Moment until);
   Worker const& worker() const { return worker_; }
-  /// Ends the visit; its pipe is not used again.
+  /// Ends the request; its connection is not used again.
   void cut();
-  /// Gives the pipe back when the whole answer was read.
+  /// Gives the connection back when the whole answer was read.
   void done() { release(); }
   bool fresh() const { return fresh_; }
 
@@ -68,7 +68,7 @@
   void release();
   Pools& pools_;
   Worker worker_;
-  std::unique_ptr<WorkerPipe> pipe_;
+  std::unique_ptr<WorkerConnection> conn_;
   std::unique_ptr<Guard> guard_;
   std::optional<http::response_parser<http::buffer_body>> parser_;
   bool fresh_ = false;
--- a/wire/http.cpp
+++ b/wire/http.cpp
@@ -38,7 +38,7 @@
     error_code e;
     tcp::socket s = co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, e));
     if (e) { if (e == asio::error::operation_aborted) co_return; co_await pause(Ms(10)); continue; }
-    spawn(io_, "http pipe", serve(std::make_shared<tcp::socket>(std::move(s))));
+    spawn(io_, "http connection", serve(std::make_shared<tcp::socket>(std::move(s))));
   }
 }
 
--- a/wire/messages.hpp
+++ b/wire/messages.hpp
@@ -6,21 +6,32 @@
 
 /// A worker as the register knows it.
 struct Worker {
-  string id, service, area, version;
+  string id, service, zone, version;
   Addr at;
   std::uint64_t capacity = 1, callCount = 0;
   bool draining = false, gone = false;
   std::int64_t warmupLeft = 0;
-  MSGPACK_DEFINE(id, service, area, version, at, capacity, callCount, draining, gone, warmupLeft)
+  bool lost = false;   ///< its beats are missing, by the word of the control node that heard them
+  Identity hearer;     ///< the control node that hears its beats
+  MSGPACK_DEFINE(id, service, zone, version, at, capacity, callCount, draining, gone, warmupLeft, lost, hearer)
+};
+
+/// A data-plane node as the others know it; it may relay news.
+struct NodeRow {
+  string name, zone, role;
+  Addr at;                 ///< where it serves news
+  std::uint32_t cpu = 0;   ///< its processor share in thousandths of a core
+  bool operator==(NodeRow const&) const = default;
+  MSGPACK_DEFINE(name, zone, role, at, cpu)
 };
 
 /// A store machine that holds replicas.
 struct StoreRef {
   Identity id;
-  string name, area;
+  string name, zone;
   Addr at;
   bool operator==(StoreRef const&) const = default;
-  MSGPACK_DEFINE(id, name, area, at)
+  MSGPACK_DEFINE(id, name, zone, at)
 };
 
 struct MailMsg {
@@ -36,8 +47,12 @@
   Ping ping;
   Group group;
   vector<Worker> workers;
-  bool full = false;  ///< the whole register of workers is carried
-  MSGPACK_DEFINE(ping, group, workers, full)
+  bool full = false;             ///< the whole register of workers is carried
+  std::uint64_t digest = 0;      ///< of the register of workers, so that a gap is seen
+  std::uint64_t nodesDigest = 0; ///< of the data-plane nodes that ask at this control node
+  bool hasNodes = false;
+  vector<NodeRow> nodes;
+  MSGPACK_DEFINE(ping, group, workers, full, digest, nodesDigest, hasNodes, nodes)
 };
 struct HelloReply {
   Member self;
@@ -71,25 +86,6 @@
   MSGPACK_DEFINE(self, hops, leave)
 };
 
-/// What a data-plane node asks a control node for.
-struct NewsReply {
-  bool sound = false, full = false;
-  std::uint64_t life = 0, rev = 0;
-  std::uint64_t charterVersion = 0;
-  string charter;
-  vector<Worker> workers;
-  vector<Member> members;
-  MSGPACK_DEFINE(sound, full, life, rev, charterVersion, charter, workers, members)
-};
-struct News {
-  using Reply = NewsReply;
-  static constexpr Method method = Method::news;
-  string node, role;
-  std::uint64_t life = 0, rev = 0, charterVersion = 0;
-  std::int64_t holdMs = 0;
-  MSGPACK_DEFINE(node, role, life, rev, charterVersion, holdMs)
-};
-
 /// An answer of a resource to a worker or an operator.
 struct CallReply {
   int status = 200;
@@ -193,13 +189,13 @@
   using Reply = StoreBeatReply;
   static constexpr Method method = Method::storeBeat;
   StoreRef self;
-  std::uint64_t hold = 0, life = 0, rev = 0;
+  std::uint64_t lease = 0, life = 0, rev = 0;
   bool counts = false;
   vector<LotProgress> progress;
   vector<ReplicaMark> marks;
   vector<Complaint> complaints;
   bool leaving = false;
-  MSGPACK_DEFINE(self, hold, life, rev, counts, progress, marks, complaints, leaving)
+  MSGPACK_DEFINE(self, lease, life, rev, counts, progress, marks, complaints, leaving)
 };
 struct StoreFence {
   using Reply = Done;
--- a/wire/rpc.cpp
+++ b/wire/rpc.cpp
@@ -118,7 +118,7 @@
     waits_.erase(id);
     if (w->reply) co_return std::move(*w->reply);
     if (w->error) throw *w->error;
-    if (heard_ == heard && limit >= silence_ / 4) drop(Code::pipeBroke);
+    if (heard_ == heard && limit >= silence_ / 4) drop(Code::connectionBroke);
     throw Error(Code::timeUp, to_.text());
   }
   void cast(Method m, string const& body) { push(frame(0, static_cast<std::uint16_t>(m), Sort::cast, body), 0); }
@@ -162,7 +162,7 @@
         if (std::map<std::uint64_t, std::shared_ptr<Wait>>::iterator const w = waits_.find(id); w != waits_.end()) w->second->sent = true;
       error_code e;
       co_await asio::async_write(sock_, asio::buffer(all), asio::redirect_error(asio::use_awaitable, e));
-      if (e && life == life_) drop(Code::pipeBroke);
+      if (e && life == life_) drop(Code::connectionBroke);
     }
     busy_ = false;
   }
@@ -202,7 +202,7 @@
       w->second->timer.cancel();
       waits_.erase(w);
     }
-    if (life == life_) drop(Code::pipeBroke);
+    if (life == life_) drop(Code::connectionBroke);
   }
 
   asio::io_context& io_;
@@ -230,8 +230,8 @@
   l->cast(m, body);
 }
 
-struct RpcServer::Pipe {
-  explicit Pipe(tcp::socket s) : sock(std::move(s)) {}
+struct RpcServer::Connection {
+  explicit Connection(tcp::socket s) : sock(std::move(s)) {}
   tcp::socket sock;
   std::deque<string> out;
   bool writing = false;
@@ -252,10 +252,10 @@
     tcp::socket s = co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, e));
     if (e) { if (e == asio::error::operation_aborted) co_return; co_await pause(Ms(10)); continue; }
     tune(s, silence_);
-    spawn(io_, "rpc pipe", serve(std::make_shared<Pipe>(std::move(s))));
+    spawn(io_, "rpc connection", serve(std::make_shared<Connection>(std::move(s))));
   }
 }
-Task<void> RpcServer::serve(std::shared_ptr<Pipe> p) {
+Task<void> RpcServer::serve(std::shared_ptr<Connection> p) {
   FrameReader r;
   Head h;
   string body;
@@ -267,7 +267,7 @@
   error_code e;
   p->sock.close(e);
 }
-Task<void> RpcServer::handle(std::shared_ptr<Pipe> p, std::uint64_t id, Method m, bool cast, string body) {
+Task<void> RpcServer::handle(std::shared_ptr<Connection> p, std::uint64_t id, Method m, bool cast, string body) {
   Sort sort = Sort::reply;
   string r;
   try {
--- a/wire/rpc.hpp
+++ b/wire/rpc.hpp
@@ -38,10 +38,10 @@
   MSGPACK_DEFINE(ok)
 };
 
-/// A pipe to one other process, opened when first used and again after a breakdown.
+/// A connection to one other process, opened when first used and again after a breakdown.
 class Link;
 
-/// All pipes of this process to others.
+/// All connections of this process to others.
 class Rpc {
  public:
   Rpc(asio::io_context& io, Ms silence);
@@ -83,17 +83,17 @@
   void stop() { error_code e; acceptor_.close(e); }
 
  private:
-  struct Pipe;
+  struct Connection;
   Task<void> take();
-  Task<void> serve(std::shared_ptr<Pipe> p);
-  Task<void> handle(std::shared_ptr<Pipe> p, std::uint64_t id, Method m, bool cast, string body);
+  Task<void> serve(std::shared_ptr<Connection> p);
+  Task<void> handle(std::shared_ptr<Connection> p, std::uint64_t id, Method m, bool cast, string body);
   asio::io_context& io_;
   Ms silence_;
   tcp::acceptor acceptor_;
   std::map<Method, Handler> handlers_;
 };
 
-/// Sets the socket options that every pipe of ours has.
+/// Sets the socket options that every connection of ours has.
 void tune(tcp::socket& s, Ms silence);
 /// Waits; returns early when the timer is cancelled.
 Task<void> pause(Ms d);
