--- a/news/fleet_view.cpp
+++ b/news/fleet_view.cpp
@@ -2,15 +2,25 @@
 
 namespace tealshelf {
 
+namespace {
+vector<Addr> controlsOf(Boot const& b) {
+  vector<Addr> v;
+  for (Addr const& s : b.seeds) v.push_back(b.controlAt(s.ip));
+  return v;
+}
+}  // namespace
+
 FleetView::FleetView(asio::io_context& io, Boot const& boot, Rpc& rpc, string role, Addr at)
-    : io_(io), boot_(boot), rpc_(rpc),
-      self_{boot.nodeName, boot.zone, std::move(role), std::move(at), static_cast<std::uint32_t>(1000 * boot.cpuFraction * static_cast<double>(boot.cpuCores))},
-      hub_(io, boot, 2 * Relays::fanOut), copy_(hub_, boot.zone), sources_(Ms(boot.bounds.inTouch / 16), hashOf(boot.nodeName)) {
-  hub_.proof = [this] {
-    Moment const now = Clock::now();
-    return NewsHub::Proof{charter_ && now - copy_.fresh() < tooOld(), copy_.depth(), copy_.fresh()};
+    : io_(io), boot_(boot), rpc_(rpc), hub_(io, boot, 2 * Relays::fanOut),
+      node_(NodeRow{boot.nodeName, boot.zone, std::move(role), std::move(at), static_cast<std::uint32_t>(1000 * boot.cpuFraction * static_cast<double>(boot.cpuCores))},
+            NewsNode::Times::of(boot.bounds), controlsOf(boot), [&boot](string const& ip) { return boot.controlAt(ip); }, hub_) {
+  hub_.proof = [this] { return node_.proof(Clock::now()); };
+  node_.onRow = [this](BookRow const& b) {
+    if (b.key[0] != 'w') return;
+    ++revision_;
+    if (b.gone) workers_.erase(b.key.substr(2));
+    else workers_[b.key.substr(2)] = unpacked<Worker>(b.value);
   };
-  arrange();
 }
 
 void FleetView::start(RpcServer& server) {
@@ -18,60 +28,30 @@
   spawn(io_, "news", loop());
 }
 
-/// Works out anew whom this node asks, and whether it relays.
-void FleetView::arrange() {
-  vector<NodeRow> zone;
-  for (std::pair<string const, string> const& p : hub_.zones[boot_.zone].rows()) zone.push_back(unpacked<NodeRow>(p.second));
-  vector<NodeRow> const relays = Relays::of(zone);
-  bool control = false;
-  vector<Addr> near, far, parents;
-  for (std::pair<string const, Member> const& p : members_) {
-    Member const& m = p.second;
-    control = control || m.zone == boot_.zone;
-    (m.zone == boot_.zone ? near : far).push_back(boot_.controlAt(m.ip));
-  }
-  for (vector<Addr>* const l : {&near, &far})
-    std::sort(l->begin(), l->end(), [this](Addr const& a, Addr const& b) { return hashOf(boot_.nodeName, hashOf(a.ip)) < hashOf(boot_.nodeName, hashOf(b.ip)); });
-  near.insert(near.end(), far.begin(), far.end());
-  for (Addr const& s : boot_.seeds) {
-    Addr const a = boot_.controlAt(s.ip);
-    if (std::find(near.begin(), near.end(), a) == near.end()) near.push_back(a);
-  }
-  bool relay = false;
-  for (NodeRow const& r : relays) relay = relay || r.name == self_.name;
-  for (NodeRow const& r : Relays::parents(self_.name, relays, control)) parents.push_back(r.at);
-  if (relay != relay_) tell("news", relay ? "this node relays news to its zone" : "this node no longer relays news");
-  relay_ = relay;
-  sources_.set(std::move(parents), std::move(near));
-}
-
-Task<bool> FleetView::ask(Addr at, std::int64_t hold, bool first) {
-  NewsAsk q;
-  q.self = self_;
-  q.holdMs = hold;
-  q.first = first;
-  copy_.versions(q);
-  vector<NodeRow> const children = hub_.heard(Clock::now());
-  q.children = Relays::digest(children);
-  if (wantsList_) { q.hasList = true; q.list = children; }
-  bool const parent = sources_.isParent(at);
+Task<bool> FleetView::carryOut(NewsNode::Plan p) {
   Moment const sent = Clock::now();
   ++asks_;
-  NewsReply const r = co_await rpc_.ask(at, q, Ms(hold + boot_.bounds.inTouch / (parent ? 16 : 10)));
-  wantsList_ = r.wantChildren;
-  NewsCopy::Verdict const v = take(r, sent);
-  if (v == NewsCopy::Verdict::gap) { say(Level::debug, "news", at.text() + " gave a delta for another content"); co_return true; }
-  if (v != NewsCopy::Verdict::taken) co_return false;
-  // A relay that answers but doesn't hear from control itself is left in time.
-  if (parent && Clock::now() - copy_.fresh() > tooOld()) co_return false;
-  if (r.heldMs < hold / 2 && r.common.empty() && r.zone.empty() && r.charter.empty() && !r.wantChildren) co_await pause(Ms(boot_.bounds.inTouch / 200));
-  co_return true;
+  NewsReply const r = co_await rpc_.ask(p.at, p.ask, p.limit);
+  std::uint64_t const had = hub_.charterVersion();
+  bool const good = node_.got(p, r, sent, Clock::now());
+  if (hub_.charterVersion() > had) {
+    try {
+      charter_ = compileCharter(hub_.charter());
+    } catch (Error const& x) {
+      warn("news", x.what());
+    }
+  }
+  bool const news = hub_.charterVersion() > had || !r.common.empty() || !r.zone.empty();
+  if (good && hub_.asking() && news) hub_.changed(Ms(0));
+  if (onNews && news) onNews();
+  if (good && !news && !r.wantChildren && Ms(r.heldMs) < p.hold / 2) co_await pause(Ms(boot_.bounds.inTouch / 200));
+  co_return good;
 }
 
 Task<void> FleetView::askOne(Addr at) {
   asking_.insert(at);
   try {
-    co_await ask(at, boot_.bounds.inTouch / 8, true);
+    co_await carryOut(node_.firstPlan(at, Clock::now()));
   } catch (Error const& x) {
     say(Level::debug, "news", x.what());
   }
@@ -93,52 +73,17 @@
 Task<void> FleetView::loop() {
   co_await first();
   for (;;) {
-    Moment const now = Clock::now();
-    if (sources_.resting(now)) co_await pause(Ms(boot_.bounds.inTouch / 60));
-    Addr const at = sources_.next(now);
-    std::int64_t const hold = boot_.bounds.inTouch / (relay_ || hub_.asking() ? 32 : sources_.isParent(at) ? 16 : 8);
-    bool good = false;
+    if (node_.resting(Clock::now())) co_await pause(Ms(boot_.bounds.inTouch / 60));
+    NewsNode::Plan const p = node_.plan(Clock::now());
     try {
-      good = co_await ask(at, hold, false);
+      co_await carryOut(p);
     } catch (Error const& x) {
       say(Level::debug, "news", x.what());
+      node_.missed(p.at, Clock::now());
     }
-    if (good) sources_.worked(at);
-    else sources_.failed(at, Clock::now());
   }
 }
 
-NewsCopy::Verdict FleetView::take(NewsReply const& r, Moment sent) {
-  bool fleet = false;
-  std::uint64_t const had = hub_.charterVersion();
-  NewsCopy::Verdict const v = copy_.take(r, sent,
-      [&](BookRow const& b) {
-        string const id = b.key.substr(2);
-        if (b.key[0] == 'w') {
-          ++revision_;
-          if (b.gone) workers_.erase(id);
-          else workers_[id] = unpacked<Worker>(b.value);
-        } else if (b.key[0] == 'm') {
-          fleet = true;
-          if (b.gone) members_.erase(id);
-          else members_[id] = unpacked<Member>(b.value);
-        }
-      },
-      [&](BookRow const&) { fleet = true; });
-  if (hub_.charterVersion() > had) {
-    try {
-      charter_ = compileCharter(hub_.charter());
-    } catch (Error const& x) {
-      warn("news", x.what());
-    }
-  }
-  if (fleet) arrange();
-  bool const news = hub_.charterVersion() > had || !r.common.empty() || !r.zone.empty();
-  if (v == NewsCopy::Verdict::taken && hub_.asking() && news) hub_.changed(Ms(0));
-  if (onNews && news) onNews();
-  return v;
-}
-
 vector<Worker const*> const& FleetView::of(string const& service) const {
   if (readyAt_ != revision_) { ready_.clear(); readyAt_ = revision_; }
   std::map<string, vector<Worker const*>>::iterator i = ready_.find(service);
--- a/news/fleet_view.hpp
+++ b/news/fleet_view.hpp
@@ -1,6 +1,6 @@
 #pragma once
 #include "charter/charter.hpp"
-#include "news/sources.hpp"
+#include "news/news_node.hpp"
 
 namespace tealshelf {
 
@@ -19,14 +19,14 @@
   std::uint64_t revision() const { return revision_; }
   /// True if the node may call itself ready: it has a charter, and news not too long ago. One that
   /// is cut off goes on with what it knows, as the workers themselves refuse what is not for them.
-  bool healthy() const { return charter_ && Clock::now() - copy_.fresh() < Ms(5 * boot_.bounds.inTouch); }
+  bool healthy() const { return charter_ && Clock::now() - node_.fresh() < Ms(5 * boot_.bounds.inTouch); }
   /// True if the news is fresh.
-  bool near() const { return charter_ && Clock::now() - copy_.fresh() < Ms(boot_.bounds.inTouch / 3); }
+  bool near() const { return charter_ && Clock::now() - node_.fresh() < Ms(boot_.bounds.inTouch / 3); }
   /// Control nodes to ask, those that failed lately last.
-  vector<Addr> controls() const { return sources_.controls(Clock::now()); }
+  vector<Addr> controls() const { return node_.controls(Clock::now()); }
   /// Tells how a call at a control node went.
-  void worked(Addr const& a) { sources_.worked(a); }
-  void failed(Addr const& a) { sources_.failed(a, Clock::now()); }
+  void worked(Addr const& a) { node_.worked(a); }
+  void failed(Addr const& a) { node_.missed(a, Clock::now()); }
   std::function<void()> onNews;
   /// Counts for the log: asks sent, answers given here, bytes of them, nodes held.
   std::array<std::uint64_t, 4> counts() const { return {asks_, hub_.replies(), hub_.bytes(), hub_.asking()}; }
@@ -36,27 +36,19 @@
   /// Asks the control nodes that are known, one after the other without waiting, until the first charter is there.
   Task<void> first();
   Task<void> askOne(Addr at);
-  Task<bool> ask(Addr at, std::int64_t hold, bool first);
-  NewsCopy::Verdict take(NewsReply const& r, Moment sent);
-  void arrange();
-  /// News older than this isn't relayed, and a relay whose news is older is left.
-  Ms tooOld() const { return Ms(std::min(boot_.bounds.applyWithin, boot_.bounds.drain) / 3); }
+  Task<bool> carryOut(NewsNode::Plan p);
 
   asio::io_context& io_;
   Boot const& boot_;
   Rpc& rpc_;
-  NodeRow self_;
   NewsHub hub_;
-  NewsCopy copy_;
-  Sources sources_;
+  NewsNode node_;
   std::shared_ptr<Charter const> charter_;
   std::map<string, Worker> workers_;
   mutable std::map<string, vector<Worker const*>> ready_;
   mutable std::uint64_t readyAt_ = 0;
-  std::map<string, Member> members_;
   std::set<Addr> asking_;
   std::uint64_t revision_ = 1, asks_ = 0;
-  bool relay_ = false, wantsList_ = false;
 };
 
 }  // namespace tealshelf
--- a/news/hub.cpp
+++ b/news/hub.cpp
@@ -44,37 +44,40 @@
   return packed_[k] = packed(b.since(from));
 }
 
+std::optional<NewsReply> NewsHub::answer(NewsAsk const& q, Moment came, Moment now, bool crowded) {
+  Proof const p = proof();
+  NewsReply r;
+  r.healthy = p.healthy && !crowded;
+  r.depth = p.depth;
+  Book const& zone = zones[q.self.zone];
+  r.wantChildren = q.children && !q.hasList && askers_[q.self.name].children != q.children;
+  bool const news = version_ > q.charterVersion || common.digest() != q.common || zone.digest() != q.zone || r.wantChildren;
+  bool const late = now >= came + Ms(std::min<std::int64_t>(q.holdMs, boot_.bounds.inTouch));
+  if (!late && !(r.healthy ? news : !q.first)) return std::nullopt;
+  r.ageMs = std::clamp<std::int64_t>(std::chrono::duration_cast<Ms>(now - p.fresh).count(), 0, 1000 * 1000 * 1000);
+  r.heldMs = std::chrono::duration_cast<Ms>(now - came).count();
+  r.charterVersion = version_;
+  r.commonTo = common.digest();
+  r.zoneTo = zone.digest();
+  if (r.healthy) {
+    if (version_ > q.charterVersion) r.charter = charter_;
+    if (r.commonTo != q.common) r.common = packedDelta(common, q.common);
+    if (r.zoneTo != q.zone) r.zone = packedDelta(zone, q.zone);
+  }
+  ++replies_;
+  bytes_ += r.charter.size() + r.common.size() + r.zone.size() + 64;
+  return r;
+}
+
 Task<NewsReply> NewsHub::serve(NewsAsk q) {
   if (q.form != newsForm) throw Error(Code::badMessage, "form of news " + std::to_string(q.form));
   Moment const came = Clock::now();
   note(q, came);
-  Moment const until = came + Ms(std::min<std::int64_t>(q.holdMs, boot_.bounds.inTouch));
   bool const crowded = most_ && held_.size() >= most_;
   for (;;) {
-    Moment const now = Clock::now();
-    Proof const p = proof();
-    NewsReply r;
-    r.healthy = p.healthy && !crowded;
-    r.depth = p.depth;
-    Book const& zone = zones[q.self.zone];
-    r.wantChildren = q.children && !q.hasList && askers_[q.self.name].children != q.children;
-    bool const news = version_ > q.charterVersion || common.digest() != q.common || zone.digest() != q.zone || r.wantChildren;
-    if ((r.healthy && news) || (!r.healthy && !q.first) || now >= until) {
-      r.ageMs = std::max<std::int64_t>(0, std::chrono::duration_cast<Ms>(now - p.fresh).count());
-      r.heldMs = std::chrono::duration_cast<Ms>(now - came).count();
-      r.charterVersion = version_;
-      r.commonTo = common.digest();
-      r.zoneTo = zone.digest();
-      if (r.healthy) {
-        if (version_ > q.charterVersion) r.charter = charter_;
-        if (r.commonTo != q.common) r.common = packedDelta(common, q.common);
-        if (r.zoneTo != q.zone) r.zone = packedDelta(zone, q.zone);
-      }
-      ++replies_;
-      bytes_ += r.charter.size() + r.common.size() + r.zone.size() + 64;
-      co_return r;
-    }
-    std::shared_ptr<asio::steady_timer> const t = std::make_shared<asio::steady_timer>(io_, until);
+    std::optional<NewsReply> r = answer(q, came, Clock::now(), crowded);
+    if (r) co_return std::move(*r);
+    std::shared_ptr<asio::steady_timer> const t = std::make_shared<asio::steady_timer>(io_, came + Ms(std::min<std::int64_t>(q.holdMs, boot_.bounds.inTouch)));
     held_.insert(t);
     error_code e;
     co_await t->async_wait(asio::redirect_error(asio::use_awaitable, e));
--- a/news/hub.hpp
+++ b/news/hub.hpp
@@ -24,6 +24,10 @@
   string const& charter() const { return charter_; }
   /// Wakes held asks, after a moment in which more news may come.
   void changed(Ms gather);
+  /// Notes who asks.
+  void note(NewsAsk const& q, Moment now);
+  /// The answer to an ask if it is due now: there is news, or the time is up, or there is no health.
+  std::optional<NewsReply> answer(NewsAsk const& q, Moment came, Moment now, bool crowded);
   /// Answers an ask as soon as there is news for it.
   Task<NewsReply> serve(NewsAsk q);
   /// Nodes that asked here lately, and those that asked at them.
@@ -39,7 +43,6 @@
     std::uint64_t children = 0;
     vector<NodeRow> list;
   };
-  void note(NewsAsk const& q, Moment now);
   string const& packedDelta(Book const& b, std::uint64_t from);
   asio::io_context& io_;
   Boot const& boot_;
--- a/news/sources.cpp
+++ b/news/sources.cpp
@@ -57,7 +57,7 @@
   Moment const at = sent + Ms(r.heldMs) - Ms(r.ageMs);
   if (r.charterVersion > hub_.charterVersion() && !r.charter.empty()) hub_.setCharter(r.charterVersion, r.charter);
   bool const news = !r.common.empty() || !r.zone.empty();
-  if (news && at < fresh_) return Verdict::older;
+  if (news && at + slack_ < fresh_) return Verdict::older;
   if (!r.common.empty()) {
     bool const ok = hub_.common.apply(unpacked<BookDelta>(r.common), onCommon);
     if (!ok) { gap_ = true; return Verdict::gap; }
--- a/news/sources.hpp
+++ b/news/sources.hpp
@@ -38,9 +38,9 @@
   enum class Verdict { taken, older, gap, deep, unhealthy };
   /// A chain of relays is never longer than this.
   static constexpr int deepest = 2;
-  NewsCopy(NewsHub& hub, string zone) : hub_(hub), zone_(std::move(zone)) {}
+  NewsCopy(NewsHub& hub, string zone, Ms slack) : hub_(hub), zone_(std::move(zone)), slack_(slack) {}
   /// Takes an answer in whose ask was sent at a moment. Content of an older proof than what is
-  /// here is refused; a charter never goes back.
+  /// here, by more than a slack for the network, is refused; a charter never goes back.
   Verdict take(NewsReply const& r, Moment sent, std::function<void(BookRow const&)> const& onCommon, std::function<void(BookRow const&)> const& onZone);
   /// The versions to ask with; after a gap a whole copy is asked for.
   void versions(NewsAsk& q) const;
@@ -50,6 +50,7 @@
  private:
   NewsHub& hub_;
   string zone_;
+  Ms slack_;
   Moment fresh_;
   int depth_ = 0;
   bool gap_ = false;
--- /dev/null
+++ b/tests/news_test.cpp
@@ -0,0 +1,250 @@
+#include "tests/news_sim.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <cstdlib>
+
+using namespace tealshelf;
+
+namespace {
+std::uint64_t seeds() {
+  char const* const s = std::getenv("TEALSHELF_SEEDS");
+  return s ? std::strtoull(s, nullptr, 10) : 6;
+}
+/// A day of random troubles; says which invariant broke, if any.
+string play(std::uint64_t seed, sim::Fleet::Config c) {
+  sim::Fleet f(seed, c);
+  f.commitCharter();
+  f.run(400);
+  for (int k = 0; k < 4000 && f.broken.empty(); ++k) {
+    f.step();
+    if (f.dice(60) == 0) f.commitCharter();
+    if (f.dice(12) == 0) f.commitWorker();
+    if (f.dice(25)) continue;
+    sim::Fleet::Node& x = f.nodes()[f.dice(f.nodes().size())];
+    sim::Fleet::Control& y = f.controls()[f.dice(f.controls().size())];
+    switch (f.dice(10)) {
+      case 0: case 1: if (x.up) f.kill(x); f.touch(x); break;
+      case 2: case 3: case 4: if (!x.up) { f.start(x); f.touch(x); } else if (x.frozen) { x.frozen = false; f.touch(x); } break;
+      case 5: if (x.up) { x.frozen = true; f.touch(x); } break;
+      case 6:  // a node is cut off from all control nodes, one way; it still answers its children
+        for (sim::Fleet::Control const& m : f.controls()) f.cuts.insert({x.name, m.name});
+        f.touch(x);
+        break;
+      case 7: {
+        for (std::pair<string, string> const& p : f.cuts)
+          for (sim::Fleet::Node& n : f.nodes()) if (p.first == n.name || p.second == n.name) f.touch(n);
+        f.cuts.clear();
+        break;
+      }
+      case 8: y.healthy = !y.healthy && true; break;
+      case 9: f.loss = f.dice(2) * 0.02; f.touchAll(); break;
+      default: break;
+    }
+    // A majority of control stays healthy, and a node cut off is never in touch.
+    std::size_t ill = 0;
+    for (sim::Fleet::Control& m : f.controls()) if (!m.healthy && ++ill > 1) m.healthy = true;
+    if (f.loss > 0) f.touchAll();
+    for (std::pair<string, string> const& p : f.cuts)
+      for (sim::Fleet::Node& n : f.nodes()) if (p.first == n.name || p.second == n.name) f.touch(n);
+  }
+  f.cuts.clear();
+  f.loss = 0;
+  for (sim::Fleet::Control& m : f.controls()) m.healthy = true;
+  for (sim::Fleet::Node& n : f.nodes()) { if (!n.up) f.start(n); n.frozen = false; f.touch(n); }
+  f.run(1200);
+  if (f.broken.empty()) f.checkEqual();
+  return f.broken;
+}
+}  // namespace
+
+TEST_GROUP(news) {};
+
+TEST(news, aBookGivesDeltasFromAnyContentItHad) {
+  std::mt19937_64 g(5);
+  Book b(64);
+  vector<std::pair<std::uint64_t, std::map<string, string>>> was;
+  for (int i = 0; i < 400; ++i) {
+    was.emplace_back(b.digest(), b.rows());
+    string const k = "k" + std::to_string(g() % 60);
+    if (g() % 4) b.put(k, std::to_string(g() % 5));
+    else b.erase(k);
+  }
+  std::size_t parts = 0;
+  for (std::pair<std::uint64_t, std::map<string, string>> const& w : was) {
+    Book o(8);
+    for (std::pair<string const, string> const& r : w.second) o.put(r.first, r.second);
+    CHECK(o.digest() == w.first);
+    BookDelta const d = b.since(w.first);
+    parts += !d.full;
+    std::map<string, string> heard = w.second;
+    CHECK(o.apply(d, [&](BookRow const& r) { if (r.gone) heard.erase(r.key); else heard[r.key] = r.value; }));
+    CHECK(o.digest() == b.digest() && o.rows() == b.rows() && heard == b.rows());
+  }
+  CHECK(parts > 20);
+}
+
+TEST(news, aDeltaForAnotherContentChangesNothing) {
+  Book a, b;
+  a.put("x", "1");
+  std::uint64_t const base = a.digest();
+  a.put("y", "2");
+  b.put("x", "other");
+  std::map<string, string> const before = b.rows();
+  CHECK_FALSE(b.apply(a.since(base), [](BookRow const&) {}));
+  BookDelta forged = a.since(0);
+  forged.rows[0].value = "forged";
+  CHECK_FALSE(b.apply(forged, [](BookRow const&) {}));
+  CHECK(b.rows() == before);
+  BookDelta twice = a.since(0);
+  twice.rows.push_back(twice.rows[0]);
+  CHECK_FALSE(b.apply(twice, [](BookRow const&) {}));
+}
+
+TEST(news, relaysAreTheStrongOnesAndSmallZonesHaveNone) {
+  vector<NodeRow> z;
+  for (int i = 0; i < 8; ++i) z.push_back({"n" + std::to_string(i), "z", "edge", {"10.0.0.1", i + 1}, 40});
+  CHECK(Relays::of(z).empty());
+  for (int i = 8; i < 21; ++i) z.push_back({"n" + std::to_string(i), "z", "edge", {"10.0.0.1", i + 1}, i > 17 ? 300u : 40u});
+  vector<NodeRow> const r = Relays::of(z);
+  LONGS_EQUAL(3, r.size());
+  for (NodeRow const& n : r) LONGS_EQUAL(300, n.cpu);
+  std::reverse(z.begin(), z.end());
+  CHECK_TEXT(Relays::of(z) == r, "the order of the list must not matter");
+  CHECK(Relays::parents(r[1].name, r, true).empty());
+  CHECK(Relays::parents(r[0].name, r, false).empty());
+  LONGS_EQUAL(1, Relays::parents(r[1].name, r, false).size());
+  LONGS_EQUAL(2, Relays::parents(r[2].name, r, false).size());
+  LONGS_EQUAL(3, Relays::parents("n1", r, false).size());
+}
+
+TEST(news, aFailedSourceRestsLongerEachTime) {
+  Sources s(Ms(100), 7);
+  Addr const a{"10.0.0.1", 1}, b{"10.0.0.2", 1}, c{"10.0.0.3", 1};
+  s.set({a}, {b, c});
+  Moment const t = Moment() + std::chrono::hours(1);
+  CHECK(s.next(t) == a);
+  s.failed(a, t);
+  CHECK(s.next(t) == b);
+  CHECK(s.next(t + Ms(151)) == a);
+  s.failed(a, t + Ms(151));
+  CHECK(s.next(t + Ms(151 + 199)) == b);
+  s.failed(b, t + Ms(151));
+  s.failed(c, t + Ms(151));
+  CHECK(s.resting(t + Ms(152)));
+  s.worked(a);
+  CHECK(s.next(t + Ms(152)) == a);
+}
+
+TEST(news, olderProofsAndLongChainsAreRefused) {
+  asio::io_context io;
+  Boot boot;
+  NewsHub up(io, boot, 0), hub(io, boot, 0);
+  NewsCopy copy(hub, "z", Ms(100));
+  Moment const t = Moment() + std::chrono::hours(1);
+  up.proof = [&] { return NewsHub::Proof{true, 0, t}; };
+  up.common.put("w/a", "1");
+  up.setCharter(2, "two");
+  NewsAsk q;
+  q.self.zone = "z";
+  copy.versions(q);
+  auto const none = [](BookRow const&) {};
+  NewsReply r = *up.answer(q, t, t, false);
+  NewsReply deep = r, ill = r;
+  deep.depth = NewsCopy::deepest;
+  ill.healthy = false;
+  CHECK(copy.take(deep, t, none, none) == NewsCopy::Verdict::deep);
+  CHECK(copy.take(ill, t, none, none) == NewsCopy::Verdict::unhealthy);
+  CHECK(copy.take(r, t, none, none) == NewsCopy::Verdict::taken);
+  CHECK(copy.fresh() == t);
+  up.common.erase("w/a");
+  copy.versions(q);
+  NewsReply old = *up.answer(q, t, t, false);
+  old.ageMs = 500;
+  CHECK(copy.take(old, t, none, none) == NewsCopy::Verdict::older);
+  LONGS_EQUAL(1, hub.common.rows().size());
+  // A charter never goes back, whoever says so.
+  NewsReply back = old;
+  back.ageMs = 0;
+  back.charterVersion = 1;
+  back.charter = "one";
+  CHECK(copy.take(back, t, none, none) == NewsCopy::Verdict::taken);
+  LONGS_EQUAL(2, hub.charterVersion());
+}
+
+TEST(news, aFleetWithRelaysConverges) {
+  for (std::uint64_t s = 1; s <= seeds(); ++s) {
+    string const b = play(s, {});
+    if (!b.empty()) FAIL(("seed " + std::to_string(s) + ": " + b).c_str());
+  }
+}
+
+TEST(news, aSmallFleetHasNoTierAndConverges) {
+  for (std::uint64_t s = 1; s <= seeds(); ++s) {
+    sim::Fleet::Config const c{4, 4, 3, false, false, false, false};
+    string const b = play(100 + s, c);
+    if (!b.empty()) FAIL(("seed " + std::to_string(s) + ": " + b).c_str());
+  }
+}
+
+TEST(news, aZoneWithoutControlConverges) {
+  for (std::uint64_t s = 1; s <= seeds(); ++s) {
+    sim::Fleet::Config const c{3, 5, 20, false, false, false, false};
+    string const b = play(200 + s, c);
+    if (!b.empty()) FAIL(("seed " + std::to_string(s) + ": " + b).c_str());
+  }
+}
+
+TEST(news, fanOutAndBytesAreBounded) {
+  sim::Fleet f(9, {8, 4, 40, false, false, false, false});
+  f.commitCharter();
+  f.run(1200);
+  std::size_t relays = 0, atControl = 0;
+  for (sim::Fleet::Node const& n : f.nodes()) {
+    relays += f.relays(n);
+    CHECK(f.asksAt(n) <= 2 * Relays::fanOut);
+    if (!f.relays(n)) LONGS_EQUAL(0, f.asksAt(n));
+  }
+  for (sim::Fleet::Control const& c : f.controls()) atControl += f.asksAt(c);
+  LONGS_EQUAL(4 * 5, relays);
+  CHECK_TEXT(atControl <= relays, "only relays ask at control");
+  std::uint64_t const full = f.fullDeltas;
+  for (int k = 0; k < 100; ++k) { f.commitWorker(); f.run(20); }
+  LONGS_EQUAL(full, f.fullDeltas);
+  CHECK(f.deltas > 1000);
+  STRCMP_EQUAL("", f.broken.c_str());
+}
+
+TEST(news, allRelaysOfAZoneLostAtOnce) {
+  sim::Fleet f(10, {});
+  f.commitCharter();
+  f.run(1200);
+  for (sim::Fleet::Node& n : f.nodes())
+    if (f.relays(n) && n.row.zone == "z1") f.kill(n);
+  for (int k = 0; k < 30; ++k) { f.commitCharter(); f.run(40); }
+  STRCMP_EQUAL("", f.broken.c_str());
+  f.run(600);
+  f.checkEqual();
+  STRCMP_EQUAL("", f.broken.c_str());
+}
+
+TEST(news, aQuietLyingRelayIsCaughtByTheCheck) {
+  bool caught = false;
+  for (std::uint64_t s = 1; s <= 30 && !caught; ++s) caught = !play(s, {8, 4, 20, true, false, false, false}).empty();
+  CHECK_TEXT(caught, "the broken variant was never caught");
+}
+TEST(news, aDeltaThatLostRowsHeals) {
+  for (std::uint64_t s = 1; s <= 3; ++s) {
+    string const b = play(300 + s, {8, 4, 20, false, true, false, false});
+    if (!b.empty()) FAIL(("seed " + std::to_string(s) + ": " + b).c_str());
+  }
+}
+TEST(news, aDroppedRowIsCaughtByTheCheck) {
+  bool caught = false;
+  for (std::uint64_t s = 1; s <= 30 && !caught; ++s) caught = !play(s, {8, 4, 20, false, false, false, true}).empty();
+  CHECK_TEXT(caught, "the broken variant was never caught");
+}
+TEST(news, aCharterThatGoesBackIsCaughtByTheCheck) {
+  bool caught = false;
+  for (std::uint64_t s = 1; s <= 30 && !caught; ++s) caught = !play(s, {8, 4, 20, false, false, true, false}).empty();
+  CHECK_TEXT(caught, "the broken variant was never caught");
+}
