--- a/registry/control_node.cpp
+++ b/registry/control_node.cpp
@@ -192,6 +192,9 @@
     bool& b;
     ~Unlock() { b = false; }
   } const u{changing_};
+  // The first charter waits a while for a group that bears the losses it should.
+  Moment const until = started_ + Ms(boot_.bounds.inTouch);
+  while (!driver_.wide() && Clock::now() < until && !driver_.reg().view("charter").count("current")) co_await pause(Ms(boot_.bounds.inTouch / 60));
   if (!co_await driver_.confirm("charter", Ms(boot_.bounds.inTouch / 3))) throw Error(Code::noQuorum);
   std::map<string, string> const& v = driver_.reg().view("charter");
   std::map<string, string>::const_iterator const i = v.find("current");
--- a/registry/driver.cpp
+++ b/registry/driver.cpp
@@ -12,7 +12,7 @@
 
 Driver::Driver(asio::io_context& io, Boot const& boot, Rpc& rpc)
     : io_(io), boot_(boot), rpc_(rpc), period_(boot.bounds.inTouch / 20), id_(ownIdentity(boot, fresh_)),
-      reg_(Member{id_, boot.nodeName, boot.ip, boot.zone, false}, Registry::Times{Ms(boot.bounds.inTouch / 4), Ms(boot.bounds.inTouch / 30)}) {
+      reg_(Member{id_, boot.nodeName, boot.ip, boot.zone, false, !boot.dataFolder.empty()}, Registry::Times{Ms(boot.bounds.inTouch / 4), Ms(boot.bounds.inTouch / 30)}) {
   if (!boot.dataFolder.empty()) {
     std::size_t const turn = static_cast<std::size_t>(std::max<std::int64_t>(boot.diskMb, 8)) * (1u << 20) / 8;
     log_ = std::make_unique<DiskLog>(io, boot.dataFolder + "/registry", turn, [this] { return reg_.snapshot(); });
--- a/registry/driver.hpp
+++ b/registry/driver.hpp
@@ -1,5 +1,6 @@
 #pragma once
 #include "base/disk.hpp"
+#include "registry/membership.hpp"
 #include "wire/messages.hpp"
 
 namespace tealshelf {
@@ -19,6 +20,8 @@
   Registry& reg() { return reg_; }
   Registry const& reg() const { return reg_; }
   bool healthy() const { return reg_.inMajority(Clock::now()); }
+  /// True if the group bears the losses that it should.
+  bool wide() const { return Membership::bears(reg_.group(), boot_.surviveMachines); }
   /// Where the wanted owner of a shelf is; nothing if unknown.
   std::optional<Addr> ownerOf(string const& shelf) const;
   /// Hands everything over: this node is wanted no more.
@@ -45,6 +48,7 @@
   Task<void> tickLoop();
   Task<void> pingLoop();
   Task<void> joinLoop();
+  bool mayJoin() const;
   Task<bool> found();
   Task<bool> copyAll();
   Task<bool> joined(JoinGroup q);
@@ -56,7 +60,7 @@
   Boot const& boot_;
   Rpc& rpc_;
   Ms period_;
-  bool fresh_ = false, leaving_ = false, changing_ = false;
+  bool fresh_ = false, leaving_ = false, changing_ = false, warned_ = false;
   Identity id_;
   Registry reg_;
   std::unique_ptr<DiskLog> log_;
--- a/registry/joining.cpp
+++ b/registry/joining.cpp
@@ -33,15 +33,25 @@
 Task<bool> Driver::copyAll() {
   Group const g = reg_.group();
   std::size_t const need = g.oldSize / 2 + 1;
-  vector<CopyReply> got;
+  struct Gather {
+    explicit Gather(asio::io_context& io) : timer(io, Moment::max()) {}
+    asio::steady_timer timer;
+    vector<CopyReply> got;
+    std::size_t left = 0;
+  };
+  std::shared_ptr<Gather> const all = std::make_shared<Gather>(io_);
   for (Member const& m : g.members) {
     if (m.id == id_) continue;
-    try {
-      CopyAll const ask{g.no};
-      got.push_back(co_await rpc_.ask(at(m.ip), ask, Ms(boot_.bounds.inTouch / 2)));
-    } catch (Error const&) {
-    }
+    ++all->left;
+    asio::co_spawn(io_, rpc_.ask(at(m.ip), CopyAll{g.no}, Ms(boot_.bounds.inTouch / 2)), [all, need](std::exception_ptr x, CopyReply r) {
+      --all->left;
+      if (!x) all->got.push_back(std::move(r));
+      if (!all->left || all->got.size() >= need) all->timer.cancel();
+    });
   }
+  error_code e;
+  if (all->left) co_await all->timer.async_wait(asio::redirect_error(asio::use_awaitable, e));
+  vector<CopyReply> const got = all->got;
   if (got.size() < need || reg_.group().no != g.no) co_return false;
   for (CopyReply const& r : got) reg_.absorb(r.shelves);
   reg_.markCopied();
@@ -49,6 +59,14 @@
   co_return true;
 }
 
+/// A process without a disk is a member only where no member has one; else it forwards and keeps soft state.
+bool Driver::mayJoin() const {
+  if (!boot_.dataFolder.empty()) return true;
+  for (Member const& m : reg_.group().members)
+    if (m.disk) return false;
+  return true;
+}
+
 Task<void> Driver::joinLoop() {
   for (;;) {
     bool const in = reg_.group().find(id_) != nullptr;
@@ -56,13 +74,13 @@
       co_await found();
       pump();
       pingAll();
-    } else if (!in && !leaving_) {
+    } else if (!in && !leaving_ && mayJoin()) {
       bool ok = false;
       vector<string> ips;
       for (Member const& m : reg_.group().members) ips.push_back(m.ip);
       for (Addr const& s : boot_.seeds) ips.push_back(s.ip);
       for (string const& ip : ips) {
-        if (ok || ip == boot_.ip || (boot_.dataFolder.empty() && !fresh_)) continue;
+        if (ok || ip == boot_.ip) continue;
         try {
           JoinGroup const ask{reg_.self(), 0, false};
           ok = (co_await rpc_.ask(at(ip), ask, Ms(boot_.bounds.inTouch / 2))).ok;
@@ -74,6 +92,10 @@
       pump();
       pingAll();
     }
+    if (!warned_ && reg_.group().no.v && Clock::now() - started_ > Ms(boot_.bounds.confirmWithin)) {
+      warned_ = true;
+      if (!wide()) warn("registry", "the group of " + std::to_string(reg_.group().members.size()) + " is too small to bear the loss of " + std::to_string(boot_.surviveMachines) + " machines");
+    }
     co_await pause(Ms(boot_.bounds.inTouch / (in && reg_.copied() ? 10 : 30)));
   }
 }
@@ -101,36 +123,15 @@
 
 Task<bool> Driver::changeGroup(JoinGroup const& q) {
   Moment const now = Clock::now();
-  Group const old = reg_.group();
-  Group g = old;
-  g.no = GroupNo(old.no.v + 1);
-  g.oldSize = old.members.size();
-  vector<Member>::iterator gone = g.members.end();
-  for (vector<Member>::iterator m = g.members.begin(); m != g.members.end(); ++m) {
-    if (m->id == id_) continue;
-    bool const dead = now - reg_.lastHeard(m->id) > Ms(boot_.bounds.inTouch / 2) && now - started_ > Ms(boot_.bounds.inTouch);
-    if (m->ip == q.self.ip || (gone == g.members.end() && dead)) gone = m;
-  }
-  // Everyone who stays must hold all keys, so that no majority can miss a change.
-  for (Member const& m : old.members) {
-    if (gone != g.members.end() && m.id == gone->id) continue;
-    if (!reg_.ready(m.id, now)) co_return false;
-  }
-  if (q.leave) {
-    if (gone == g.members.end() || g.members.size() <= 3) co_return false;
-    g.members.erase(gone);
-  } else if (gone != g.members.end()) {
-    *gone = q.self;
-  } else {
-    g.members.push_back(q.self);
-  }
-  msgpack::sbuffer b;
-  msgpack::pack(b, g);
-  vector<Registry::Change> cs(1, Registry::Change{"group", string(b.data(), b.size()), false});
+  GroupNo const old = reg_.group().no;
+  Membership const rule{Ms(boot_.bounds.inTouch / 2), now - started_ > Ms(boot_.bounds.inTouch), std::max<std::size_t>(3, Membership::needed(boot_.surviveMachines))};
+  std::optional<Group> const g = rule.next(reg_, q.self, q.leave, now);
+  if (!g) co_return false;
+  vector<Registry::Change> cs(1, Registry::Change{"group", packed(*g), false});
   bool const ok = co_await propose("members", std::move(cs));
-  if (!ok || reg_.group().no != old.no) co_return false;
-  reg_.install(g, false);
-  tell("registry", "group " + std::to_string(g.no.v) + " has " + std::to_string(g.members.size()) + " disks; " + q.self.name + (q.leave ? " left" : " joined"));
+  if (!ok || reg_.group().no != old) co_return false;
+  reg_.install(*g, false);
+  tell("registry", "group " + std::to_string(g->no.v) + " has " + std::to_string(g->members.size()) + " disks; " + q.self.name + (q.leave ? " left" : " joined"));
   co_return true;
 }
 
@@ -145,7 +146,8 @@
         if (x.no > reg_.group().no) { reg_.install(x, false); pump(); pingAll(); continue; }
       }
       Moment const now = Clock::now();
-      if (reg_.group().members.size() > 3 && !changing_ && now - started_ > Ms(2 * boot_.bounds.catchUp))
+      std::size_t const least = std::max<std::size_t>(3, Membership::needed(boot_.surviveMachines));
+      if (reg_.group().members.size() > least && !changing_ && now - started_ > Ms(2 * boot_.bounds.catchUp))
         for (Member const& m : reg_.group().members)
           if (m.id != id_ && now - reg_.lastHeard(m.id) > Ms(2 * boot_.bounds.catchUp)) {
             JoinGroup const ask{m, 9, true};
--- a/registry/registry.cpp
+++ b/registry/registry.cpp
@@ -168,13 +168,14 @@
 
 Member const* Registry::wanted(string const& shelf, Moment now) const {
   Member const* best = nullptr;
-  std::uint64_t top = 0;
+  std::pair<bool, std::uint64_t> top;
   for (Member const& m : group_.members) {
     if (!alive(m.id, now)) continue;
     std::map<Identity, Peer>::const_iterator const p = peers_.find(m.id);
     if (m.id == self_.id ? !copied_ : (p == peers_.end() || !p->second.ping.copied)) continue;
-    std::uint64_t const h = hashOf(hex(m.id.v), hashOf(shelf));
-    if (!best || h > top) { best = &m; top = h; }
+    // One without a disk owns nothing while one with a disk can.
+    std::pair<bool, std::uint64_t> const rank(m.disk, hashOf(hex(m.id.v), hashOf(shelf)));
+    if (!best || rank > top) { best = &m; top = rank; }
   }
   return best;
 }
--- a/registry/registry.hpp
+++ b/registry/registry.hpp
@@ -24,8 +24,9 @@
   Identity id;
   string name, ip, zone;
   bool founder = false;  ///< of the first group: its disk never missed anything
+  bool disk = true;      ///< keeps its state on a disk
   bool operator==(Member const&) const = default;
-  MSGPACK_DEFINE(id, name, ip, zone, founder)
+  MSGPACK_DEFINE(id, name, ip, zone, founder, disk)
 };
 /// The disks that hold the control state; changed one at a time under a rising number.
 struct Group {
--- a/tests/sim.hpp
+++ b/tests/sim.hpp
@@ -1,5 +1,5 @@
 #pragma once
-#include "registry/registry.hpp"
+#include "registry/membership.hpp"
 
 #include <random>
 
@@ -17,25 +17,55 @@
     std::uint64_t life = 0;
     Moment syncAt;
     std::uint64_t seenVersion = 0;           ///< highest settled version in this life
+    bool lasting = true;                     ///< without a disk its state ends with its process
+    std::map<std::uint64_t, tealshelf::Group> changes;  ///< groups proposed by this life, by operation
+    std::set<std::size_t> copies;            ///< members copied from under the group in copyNo
+    GroupNo copyNo;
+    bool whole = false;                      ///< its disk is known to hold all keys
+    vector<vector<std::pair<string, std::pair<Epoch, Entries>>>> copied;
   };
   struct Op {
     bool write = false;
     std::uint64_t value = 0, floor = 0, node = 0, life = 0, op = 0;
   };
 
-  Group(std::uint64_t seed, std::size_t n, bool breakSync = false) : g_(seed), breakSync_(breakSync), nodes_(n) {
+  /// Some nodes found the group; the others, if any, join it.
+  Group(std::uint64_t seed, std::size_t n, bool breakSync = false, std::size_t founders = 0) : g_(seed), breakSync_(breakSync), nodes_(n), founders_(founders ? founders : n) {
+    for (std::size_t i = 0; i < n; ++i) nodes_[i].self = Member{Identity(100 + i), "n" + std::to_string(i), "10.0.0." + std::to_string(i), "z", i < founders_, true};
+    for (Node& x : nodes_) make(x);
+    if (!founders) for (std::size_t i = 0; i < n; ++i) found(i);
+  }
+  /// A founder that reaches all others installs the first group.
+  void found(std::size_t i) {
     tealshelf::Group first;
     first.no = GroupNo(1);
-    first.oldSize = n;
-    for (std::size_t i = 0; i < n; ++i) {
-      nodes_[i].self = Member{Identity(100 + i), "n" + std::to_string(i), "10.0.0." + std::to_string(i), "z", true};
-      first.members.push_back(nodes_[i].self);
-    }
-    for (Node& x : nodes_) {
-      make(x);
-      x.reg->install(first, true);
-      pump(x);
-    }
+    first.oldSize = founders_;
+    for (std::size_t k = 0; k < founders_; ++k) first.members.push_back(nodes_[k].self);
+    nodes_[i].reg->install(first, true);
+    pump(nodes_[i]);
+  }
+  bool joins = false;        ///< nodes outside the group ask to join, new members copy
+  bool copyFromFew = false;  ///< the broken variant: a new member counts without a copy
+  std::int64_t survive = 0;
+  /// The disk is lost: the node starts again empty, with a new identity.
+  void wipe(std::size_t i) {
+    Node& x = nodes_[i];
+    if (x.up) power(i);
+    x.disk.clear();
+    x.cached.clear();
+    x.self.id = Identity(1000 + ++lastIdentity_);
+    x.self.founder = false;
+    x.whole = false;
+  }
+  void noDisk(std::size_t i) {
+    nodes_[i].lasting = false;
+    nodes_[i].self.disk = false;
+    make(nodes_[i]);
+  }
+  std::size_t members() const {
+    std::size_t most = 0;
+    for (Node const& x : nodes_) if (x.up) most = std::max(most, x.reg->group().members.size());
+    return most;
   }
   std::uint64_t dice(std::uint64_t n) { return std::uniform_int_distribution<std::uint64_t>(0, n - 1)(g_); }
   Moment now() const { return now_; }
@@ -56,6 +86,7 @@
         for (std::size_t j = 0; j < nodes_.size(); ++j)
           if (j != i) deliver(i, j, x.reg->ping(now_));
       if (now_ >= x.syncAt) sync(x);
+      if (joins && turn_ % 20 == i % 20) join(i);
     }
     std::deque<std::function<void()>> due;
     while (!net_.empty() && net_.begin()->first <= now_) {
@@ -83,6 +114,12 @@
   }
   void start(std::size_t i) {
     Node& x = nodes_[i];
+    if (!x.lasting) {
+      x.disk.clear();
+      x.cached.clear();
+      x.self.id = Identity(1000 + ++lastIdentity_);
+      x.self.founder = false;
+    }
     make(x);
     if (syncAtStart) {
       for (string& r : x.cached) x.disk.push_back(std::move(r));
@@ -124,6 +161,7 @@
   void check() {
     for (Node& x : nodes_) {
       if (!x.up) continue;
+      if (x.reg->copied() && x.unsynced.empty()) x.whole = true;
       std::optional<std::map<string, string>> const v = x.reg->settled("charter");
       if (!v || !v->count("current")) continue;
       std::uint64_t const n = std::strtoull(v->at("current").c_str(), nullptr, 10);
@@ -147,6 +185,9 @@
     x.up = false;
     x.unsynced.clear();
     x.waiting.clear();
+    x.changes.clear();
+    x.copies.clear();
+    x.copied.clear();
     writing_.erase(static_cast<std::size_t>(&x - nodes_.data()));
     x.reg = std::make_unique<Registry>(x.self, Registry::Times{Ms(750), Ms(100)});
   }
@@ -193,7 +234,62 @@
     y.reg->heard(p, now_);
     pump(y);
   }
+  /// What the driver does: join, change the group, copy.
+  void join(std::size_t i) {
+    Node& x = nodes_[i];
+    tealshelf::Group const& g = x.reg->group();
+    if (g.no.v && g.find(x.self.id)) {
+      if (!x.reg->copied()) copy(x, i);
+      if (x.reg->owns("members")) {
+        std::map<string, string> const& v = x.reg->view("members");
+        std::map<string, string>::const_iterator const c = v.find("group");
+        if (c != v.end()) {
+          tealshelf::Group const y = msgpack::unpack(c->second.data(), c->second.size()).get().as<tealshelf::Group>();
+          if (y.no > g.no) { x.reg->install(y, false); pump(x); }
+        }
+      }
+      return;
+    }
+    if (!g.no.v && i < founders_ && x.self.founder) return;
+    bool anyDisk = false;
+    for (Member const& m : g.members) anyDisk = anyDisk || m.disk;
+    if (!x.lasting && (anyDisk || !g.no.v)) { if (g.no.v) return; }
+    std::size_t const j = dice(nodes_.size());
+    Node& y = nodes_[j];
+    if (j == i || !y.up || y.frozen || cuts.count({i, j}) || cuts.count({j, i}) || !y.reg->owns("members") || !y.changes.empty()) return;
+    Membership const rule{Ms(1500), true, std::max<std::size_t>(3, Membership::needed(survive))};
+    std::optional<tealshelf::Group> const n = rule.next(*y.reg, x.self, false, now_);
+    if (!n) return;
+    msgpack::sbuffer b;
+    msgpack::pack(b, *n);
+    std::uint64_t const op = y.reg->propose("members", {{"group", string(b.data(), b.size()), false}}, now_);
+    y.changes[op] = *n;
+    pump(y);
+  }
+  void copy(Node& x, std::size_t i) {
+    tealshelf::Group const g = x.reg->group();
+    if (x.copyNo != g.no) { x.copyNo = g.no; x.copies.clear(); x.copied.clear(); }
+    std::size_t const j = dice(nodes_.size());
+    Node& y = nodes_[j];
+    if (j != i && y.up && !y.frozen && !cuts.count({i, j}) && !cuts.count({j, i}) && y.reg->group().no == g.no && g.find(y.self.id) && y.reg->copied() && y.unsynced.empty() && !x.copies.count(j)) {
+      x.copies.insert(j);
+      x.copied.push_back(y.reg->dump());
+    }
+    if (x.copies.size() < (copyFromFew ? 0 : g.oldSize / 2 + 1)) return;
+    for (vector<std::pair<string, std::pair<Epoch, Entries>>> const& d : x.copied) x.reg->absorb(d);
+    x.reg->markCopied();
+    x.copies.clear();
+    x.copied.clear();
+    pump(x);
+  }
   void outcome(std::size_t node, Outcome const& o) {
+    Node& m = nodes_[node];
+    if (std::map<std::uint64_t, tealshelf::Group>::iterator const c = m.changes.find(o.op); c != m.changes.end()) {
+      tealshelf::Group const g = c->second;
+      m.changes.erase(c);
+      if (o.ok && m.reg->group().no.v + 1 == g.no.v) { m.reg->install(g, false); pump(m); }
+      return;
+    }
     for (std::deque<Op>::iterator i = ops_.begin(); i != ops_.end(); ++i) {
       if (i->node != node || i->life != nodes_[node].life || i->op != o.op) continue;
       Op const op = *i;
@@ -227,8 +323,9 @@
   std::mt19937_64 g_;
   bool breakSync_;
   vector<Node> nodes_;
+  std::size_t founders_ = 0;
   Moment now_ = Moment() + std::chrono::hours(1);
-  std::uint64_t turn_ = 0;
+  std::uint64_t turn_ = 0, lastIdentity_ = 0;
   std::multimap<Moment, std::function<void()>> net_;
   std::deque<Op> ops_;
   std::set<std::size_t> writing_;
