--- a/lots/run_items.cpp
+++ b/lots/run_items.cpp
@@ -96,7 +96,7 @@
   string const id = w->id;
   Ms const silence(boot_.bounds.inTouch);
   Moment const began = Clock::now();
-  Exchange x(pools_, *w);
+  Exchange x(pools_, *w, true);
   balance_.began(id, it.tokens / 2);
   Verdict const v = co_await x.start(q, it.id, Clock::now() + 2 * silence);
   balance_.first(id, it.tokens / 2);
@@ -106,6 +106,7 @@
     else balance_.broke(id, true);
   } else if (v != Verdict::answered) {
     balance_.broke(id, v == Verdict::notSent);
+    if (v == Verdict::notSent || x.fresh()) view_.tally(id, false);
   } else {
     if (std::optional<std::array<std::uint64_t, 3>> const b = x.load()) balance_.told(id, *b);
     int const status = x.status();
@@ -121,11 +122,13 @@
       x.done();
       if (status == 200) meanRun_ += (static_cast<double>(std::chrono::duration_cast<Ms>(Clock::now() - began).count()) - meanRun_) / 16;
       balance_.well(id);
+      view_.tally(id, status < 500);
       if (status == 200) { finish(run, n, true, *ev.data); over = true; }
       if (status == 422) { finish(run, n, false, ""); over = true; }
       if (status == 500 && ++run->fails[n] >= std::max<std::uint64_t>(1, m->tries)) { finish(run, n, false, ""); over = true; }
     } else if (p == Piece::broken) {
       balance_.broke(id, false);
+      view_.tally(id, false);
       ev.restart();
     }
   }
--- a/news/fleet_view.cpp
+++ b/news/fleet_view.cpp
@@ -31,7 +31,17 @@
 Task<bool> FleetView::carryOut(NewsNode::Plan p) {
   Moment const sent = Clock::now();
   ++asks_;
-  NewsReply const r = co_await rpc_.ask(p.at, p.ask, p.limit);
+  if (sent - tallied_ >= Ms(boot_.bounds.inTouch / 32)) {
+    p.ask.tallies = hub_.takeTallies();
+    tallied_ = sent;
+  }
+  NewsReply r;
+  try {
+    r = co_await rpc_.ask(p.at, p.ask, p.limit);
+  } catch (Error const&) {
+    hub_.addTallies(p.ask.tallies);
+    throw;
+  }
   std::uint64_t const had = hub_.charterVersion();
   bool const good = node_.got(p, r, sent, Clock::now());
   if (hub_.charterVersion() > had) {
--- a/news/fleet_view.hpp
+++ b/news/fleet_view.hpp
@@ -28,6 +28,8 @@
   void worked(Addr const& a) { node_.worked(a); }
   void failed(Addr const& a) { node_.missed(a, Clock::now()); }
   std::function<void()> onNews;
+  /// Tells how a request at a worker went; it goes up with the next ask.
+  void tally(string const& id, bool ok) { hub_.addTallies({WorkerTally{id, ok ? 1.0 : 0.0, ok ? 0.0 : 1.0}}); }
   /// Counts for the log: asks sent, answers given here, bytes of them, nodes held.
   std::array<std::uint64_t, 4> counts() const { return {asks_, hub_.replies(), hub_.bytes(), hub_.asking()}; }
 
@@ -48,6 +50,7 @@
   mutable std::map<string, vector<Worker const*>> ready_;
   mutable std::uint64_t readyAt_ = 0;
   std::set<Addr> asking_;
+  Moment tallied_;
   std::uint64_t revision_ = 1, asks_ = 0;
 };
 
--- a/news/hub.cpp
+++ b/news/hub.cpp
@@ -17,12 +17,27 @@
   Asker& a = askers_[q.self.name];
   a.self = q.self;
   a.at = now;
+  addTallies(q.tallies);
   if (q.children == 0) { a.list.clear(); a.children = 0; }
   else if (q.hasList) { a.list = q.list; a.children = q.children; }
   if (askers_.size() > 4 * Relays::fanOut && askers_.size() > held_.size() * 2)
     std::erase_if(askers_, [&](std::pair<string const, Asker> const& p) { return now - p.second.at > Ms(2 * boot_.bounds.inTouch); });
 }
 
+void NewsHub::addTallies(vector<WorkerTally> const& l) {
+  for (WorkerTally const& t : l) {
+    if (tallies_.size() >= 4096 && !tallies_.count(t.id)) continue;
+    tallies_[t.id].first += t.ok;
+    tallies_[t.id].second += t.bad;
+  }
+}
+vector<WorkerTally> NewsHub::takeTallies() {
+  vector<WorkerTally> v;
+  for (std::pair<string const, std::pair<double, double>> const& p : tallies_) v.push_back({p.first, p.second.first, p.second.second});
+  tallies_.clear();
+  return v;
+}
+
 vector<NodeRow> NewsHub::heard(Moment now) const {
   vector<NodeRow> v;
   std::set<string> seen;
--- a/news/hub.hpp
+++ b/news/hub.hpp
@@ -32,6 +32,10 @@
   Task<NewsReply> serve(NewsAsk q);
   /// Nodes that asked here lately, and those that asked at them.
   vector<NodeRow> heard(Moment now) const;
+  /// How requests at workers went, as told by the askers since the last call.
+  vector<WorkerTally> takeTallies();
+  /// Puts back what couldn't be passed on.
+  void addTallies(vector<WorkerTally> const& l);
   std::size_t asking() const { return held_.size(); }
   std::uint64_t replies() const { return replies_; }
   std::uint64_t bytes() const { return bytes_; }
@@ -52,6 +56,7 @@
   bool gathering_ = false;
   std::set<std::shared_ptr<asio::steady_timer>> held_;
   std::map<string, Asker> askers_;
+  std::map<string, std::pair<double, double>> tallies_;
   std::map<std::pair<std::uint64_t, std::uint64_t>, string> packed_;  ///< deltas are packed once for all askers
 };
 
--- a/news/messages.hpp
+++ b/news/messages.hpp
@@ -32,7 +32,8 @@
   std::uint64_t children = 0;  ///< digest of the nodes that ask at the asker
   bool hasList = false;
   vector<NodeRow> list;
-  MSGPACK_DEFINE(form, self, holdMs, first, charterVersion, common, zone, children, hasList, list)
+  vector<WorkerTally> tallies; ///< how requests at workers went since the last ask, here and at the children
+  MSGPACK_DEFINE(form, self, holdMs, first, charterVersion, common, zone, children, hasList, list, tallies)
 };
 
 }  // namespace tealshelf
--- a/registry/control_node.cpp
+++ b/registry/control_node.cpp
@@ -5,7 +5,7 @@
 ControlNode::ControlNode(asio::io_context& io, Boot const& boot)
     : io_(io), boot_(boot), rpc_(io, Ms(boot.bounds.inTouch / 2)), driver_(io, boot, rpc_), keeper_(io, boot, rpc_, driver_),
       table_(Ms(3 * boot.reportEvery), driver_.reg().self().id), server_(io, boot.controlAt(boot.ip), Ms(boot.bounds.inTouch / 2)),
-      http_(io, boot.control, [this](Call c) { return handle(std::move(c)); }, 16u << 20, Ms(5 * boot.bounds.inTouch)), hub_(io, boot, 0) {
+      http_(io, boot.control, [this](Call c) { return handle(std::move(c)); }, 16u << 20, Ms(5 * boot.bounds.inTouch)), hub_(io, boot, 0), health_(Ms(boot.bounds.inTouch / 4), WorkerHealth::Rule()) {
   if (!boot.dataFolder.empty()) {
     log_ = std::make_unique<DiskLog>(io, boot.dataFolder + "/workers", static_cast<std::size_t>(std::max<std::int64_t>(boot.diskMb, 8)) * (1u << 20) / 32, [this] {
       vector<string> v;
@@ -84,6 +84,7 @@
     x.callCount = 0;
     x.warmupLeft = 0;
     x.hearer = Identity();
+    x.turn = 0;
     hub_.common.put("w/" + w.id, packed(x));
   }
   booked_ = table_.rev();
@@ -111,6 +112,7 @@
     co_await pause(Ms(boot_.reportEvery / 4));
     if (driver_.healthy() && table_.sweep(Clock::now())) changed();
     listNodes();
+    if (driver_.healthy()) judge();
   }
 }
 
--- a/registry/control_node.hpp
+++ b/registry/control_node.hpp
@@ -2,6 +2,7 @@
 #include "charter/charter.hpp"
 #include "lots/keeper.hpp"
 #include "news/hub.hpp"
+#include "registry/health.hpp"
 #include "registry/workers.hpp"
 #include "wire/http.hpp"
 
@@ -29,6 +30,8 @@
   void listNodes();
   bool onPing(PingMsg const& m);
   void fillPing(PingMsg& m, bool full);
+  /// Has workers rest that fail more than their like.
+  void judge();
   /// Where the next beats of a worker should go: a control node of its zone if there is one.
   std::optional<Addr> hearerOf(Worker const& w) const;
   /// Notes changed rows of the register on the disk, without waiting.
@@ -53,6 +56,7 @@
     Moment at;
   };
   NewsHub hub_;
+  WorkerHealth health_;
   std::map<Identity, Part> parts_;  ///< which nodes ask at which other control node
   std::uint64_t booked_ = 0, noted_ = 0, nodesDigest_ = 0;
   GroupNo groupNo_;
--- a/registry/news_duty.cpp
+++ b/registry/news_duty.cpp
@@ -12,6 +12,7 @@
   else
     for (Worker const& w : m.workers) news = table_.merge(w, now) || news;
   if ((m.full || m.digest == hub_.common.digest()) && tables_.insert(from).second) news = true;
+  health_.heard(from, m.tallies, now);
   Part& p = parts_[from];
   p.at = now;
   if (m.hasNodes) { p.nodes = m.nodes; p.digest = m.nodesDigest; }
@@ -24,6 +25,8 @@
   m.full = full && (table_.size() || tableWhole());
   if (m.full) m.workers = table_.all();
   else if (!full) m.workers = table_.fresh();
+  health_.note(hub_.takeTallies(), Clock::now());
+  m.tallies = health_.report(Clock::now());
   m.digest = hub_.common.digest();
   vector<NodeRow> const here = hub_.heard(Clock::now());
   m.nodesDigest = Relays::digest(here);
@@ -34,6 +37,16 @@
   if (m.hasNodes) m.nodes = here;
 }
 
+void ControlNode::judge() {
+  health_.note(hub_.takeTallies(), Clock::now());
+  vector<std::pair<string, bool>> const l = health_.judge(table_.all(), driver_.reg().self().id, Clock::now());
+  for (std::pair<string, bool> const& p : l) {
+    table_.rest(p.first, p.second);
+    tell("workers", p.first + (p.second ? " fails more than its like and rests" : " is tried again"));
+  }
+  if (!l.empty()) changed();
+}
+
 void ControlNode::listNodes() {
   Moment const now = Clock::now();
   std::map<string, NodeRow> all;
--- a/registry/workers.cpp
+++ b/registry/workers.cpp
@@ -26,15 +26,20 @@
     return true;
   }
   if (r.w.gone && !w.gone) return false;
-  if (!w.gone && w.callCount <= r.w.callCount) return false;
+  // A beat that the worker sent carries no turn; what its hearer judged stays.
+  std::uint64_t const turn = std::max(w.turn, r.w.turn);
+  bool const resting = w.turn >= r.w.turn && w.turn ? w.resting : r.w.resting;
+  if (!w.gone && w.callCount <= r.w.callCount && turn == r.w.turn) return false;
   if (w.gone && r.w.gone) return false;
   bool const draining = r.w.draining || w.draining;
-  bool const news = r.lost || w.gone != r.w.gone || draining != r.w.draining || w.at != r.w.at || w.service != r.w.service || w.capacity != r.w.capacity;
+  bool const news = r.lost || w.gone != r.w.gone || draining != r.w.draining || w.at != r.w.at || w.service != r.w.service || w.capacity != r.w.capacity || resting != r.w.resting;
   bool const moved = w.hearer != r.w.hearer;
   std::uint64_t const count = std::max(w.callCount, r.w.callCount);
   r.w = w;
   r.w.callCount = count;
   r.w.draining = draining;
+  r.w.turn = turn;
+  r.w.resting = resting;
   r.at = now;
   r.lost = false;
   if (news) r.rev = ++rev_;
@@ -59,6 +64,15 @@
   return news;
 }
 
+void WorkerTable::rest(string const& id, bool resting) {
+  std::map<string, Row>::iterator const i = rows_.find(id);
+  if (i == rows_.end() || i->second.w.resting == resting) return;
+  i->second.w.resting = resting;
+  ++i->second.w.turn;
+  i->second.rev = ++rev_;
+  fresh_.push_back(i->second.w);
+}
+
 void WorkerTable::alive(Identity hearer, Moment now) {
   for (std::pair<string const, Row>& p : rows_)
     if (p.second.w.hearer == hearer) p.second.at = now;
--- a/registry/workers.hpp
+++ b/registry/workers.hpp
@@ -13,6 +13,8 @@
   bool merge(Worker const& w, Moment now);
   /// Takes the whole register of another control node in: what it should hear but doesn't name is lost.
   bool mergeAll(vector<Worker> const& ws, Identity from, Moment now);
+  /// A worker heard here begins or ends a rest.
+  void rest(string const& id, bool resting);
   /// Another control node lives, and so do the workers that it hears.
   void alive(Identity hearer, Moment now);
   /// True if the beat is late: a newer one of this life was taken.
--- /dev/null
+++ b/tests/health_test.cpp
@@ -0,0 +1,123 @@
+#include "registry/health.hpp"
+#include "registry/workers.hpp"
+#include "traffic/exchange.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <random>
+
+using namespace tealshelf;
+
+TEST_GROUP(health) {
+  Moment now = Moment() + std::chrono::hours(1);
+  std::mt19937_64 g{3};
+  static vector<Worker> fleet(int n) {
+    vector<Worker> v;
+    for (int i = 0; i < n; ++i) {
+      Worker w;
+      w.id = "i-" + std::to_string(i);
+      w.service = "s";
+      w.hearer = Identity(static_cast<std::uint64_t>(i % 2 + 1));
+      v.push_back(w);
+    }
+    return v;
+  }
+  /// One tick of 200 ms in which each worker gets some requests, split over two control nodes.
+  void tick(vector<Worker> & all, WorkerHealth & a, WorkerHealth & b, std::function<double(int)> fails, vector<string> & rested, double perTick = 2) {
+    vector<WorkerTally> x, y;
+    for (int i = 0; i < static_cast<int>(all.size()); ++i) {
+      int const n = std::poisson_distribution<int>(perTick)(g);
+      for (int k = 0; k < n; ++k) {
+        bool const bad = std::uniform_real_distribution<>(0, 1)(g) < fails(i);
+        (k % 2 ? x : y).push_back({all[static_cast<std::size_t>(i)].id, bad ? 0.0 : 1.0, bad ? 1.0 : 0.0});
+      }
+    }
+    a.note(x, now);
+    b.note(y, now);
+    a.heard(Identity(2), b.report(now), now);
+    b.heard(Identity(1), a.report(now), now);
+    for (std::uint64_t n : {1, 2})
+      for (std::pair<string, bool> const& p : (n == 1 ? a : b).judge(all, Identity(n), now))
+        for (Worker& w : all)
+          if (w.id == p.first) { w.resting = p.second; if (p.second) rested.push_back(w.id); }
+    now += Ms(200);
+  }
+};
+
+TEST(health, greyWorkersRestWithinTwoSeconds) {
+  vector<Worker> all = fleet(60);
+  WorkerHealth a(Ms(1000), {}), b(Ms(1000), {});
+  vector<string> rested;
+  for (int k = 0; k < 25; ++k) tick(all, a, b, [](int) { return 0.01; }, rested);
+  CHECK_TEXT(rested.empty(), "usual failures make nobody rest");
+  for (int k = 0; k < 10; ++k) tick(all, a, b, [](int i) { return i < 8 ? 0.45 : 0.01; }, rested);
+  std::set<string> const out(rested.begin(), rested.end());
+  CHECK(out.size() >= 7);
+  for (int i = 8; i < 60; ++i) CHECK(!out.count("i-" + std::to_string(i)));
+}
+TEST(health, whenAllFailNobodyIsBlamed) {
+  vector<Worker> all = fleet(30);
+  WorkerHealth a(Ms(1000), {}), b(Ms(1000), {});
+  vector<string> rested;
+  for (int k = 0; k < 30; ++k) tick(all, a, b, [](int) { return 0.3; }, rested);
+  CHECK(rested.size() <= 1);
+}
+TEST(health, neverMoreThanAThirdRests) {
+  vector<Worker> all = fleet(12);
+  WorkerHealth a(Ms(1000), {}), b(Ms(1000), {});
+  vector<string> rested;
+  std::size_t most = 0;
+  for (int k = 0; k < 60; ++k) {
+    tick(all, a, b, [](int i) { return i < 6 ? 0.9 : 0.0; }, rested);
+    std::size_t n = 0;
+    for (Worker const& w : all) n += w.resting;
+    most = std::max(most, n);
+  }
+  LONGS_EQUAL(4, most);
+}
+TEST(health, aWellWorkerComesBackAndAFlappingOneRestsLonger) {
+  vector<Worker> all = fleet(20);
+  WorkerHealth a(Ms(1000), {}), b(Ms(1000), {});
+  vector<string> rested;
+  int resting = 0, ticks = 0;
+  for (int k = 0; k < 15; ++k) tick(all, a, b, [](int i) { return i == 3 ? 0.6 : 0.0; }, rested);
+  CHECK(all[3].resting);
+  for (int k = 0; k < 30; ++k) tick(all, a, b, [](int) { return 0.0; }, rested);
+  CHECK_FALSE(all[3].resting);
+  for (int k = 0; k < 150; ++k) { tick(all, a, b, [](int i) { return i == 3 ? 0.8 : 0.0; }, rested); resting += all[3].resting; ++ticks; }
+  CHECK_TEXT(resting > ticks * 3 / 4, "who fails again and again rests most of the time");
+}
+TEST(health, fewRequestsAndBadNumbersProveNothing) {
+  vector<Worker> all = fleet(4);
+  WorkerHealth a(Ms(1000), {});
+  a.note({{"i-0", 0, 3}, {"i-2", -1, 50}, {"i-2", 0, 1e9}, {"i-2", std::nan(""), 9}}, now);
+  for (Worker& w : all) w.hearer = Identity(1);
+  CHECK(a.judge(all, Identity(1), now).empty());
+}
+TEST(health, aRestIsTheHearersWordAndOutlivesBeats) {
+  WorkerTable a{Ms(3600), Identity(1)}, b{Ms(3600), Identity(2)};
+  Worker w = fleet(1)[0];
+  w.callCount = 1;
+  a.merge(w, now);
+  for (Worker const& x : a.fresh()) b.merge(x, now);
+  a.rest("i-0", true);
+  for (Worker const& x : a.fresh()) CHECK(b.merge(x, now));
+  CHECK(b.find("i-0")->resting);
+  w.callCount = 2;
+  a.merge(w, now);
+  CHECK(a.find("i-0")->resting);
+  a.rest("i-0", false);
+  for (Worker const& x : a.fresh()) b.merge(x, now);
+  CHECK_FALSE(b.find("i-0")->resting);
+}
+TEST(health, theAgeOfIdleConnectionsIsLearnt) {
+  IdleAge t(Ms(16000), Ms(25));
+  LONGS_EQUAL(16000, t.trusted().count());
+  t.reset(Ms(1500));
+  LONGS_EQUAL(750, t.trusted().count());
+  t.reset(Ms(4000));
+  LONGS_EQUAL_TEXT(750, t.trusted().count(), "an older one that was reset tells nothing new");
+  t.reset(Ms(10));
+  LONGS_EQUAL(25, t.trusted().count());
+  for (int k = 0; k < 200; ++k) t.worked(Ms(3000));
+  CHECK(t.trusted() > Ms(2900));
+}
--- /dev/null
+++ b/tools/scale/hollow.cpp
@@ -0,0 +1,111 @@
+// Hollow nodes and workers for the scale run: many to a process, they speak the real wire and keep
+// the real control state, but carry no traffic. Built with the tests only.
+#include "news/fleet_view.hpp"
+#include "wire/http.hpp"
+
+#include <CLI/CLI.hpp>
+#include <iostream>
+
+using namespace tealshelf;
+
+namespace {
+struct Hollow {
+  Hollow(asio::io_context& io, Boot b) : boot(std::move(b)), rpc(io, Ms(boot.bounds.inTouch / 2)), server(io, boot.relayAt(boot.ip), Ms(boot.bounds.inTouch / 2)), view(io, boot, rpc, "edge", boot.relayAt(boot.ip)) {}
+  Boot boot;
+  Rpc rpc;
+  RpcServer server;
+  FleetView view;
+  std::uint64_t version = 0;
+};
+
+/// A worker that beats at a control node, and at the one that the answer names.
+Task<void> beats(asio::io_context& io, Boot boot, string id, string zone, int n, std::uint64_t& sent, std::uint64_t& failed) {
+  Addr to = boot.seeds[static_cast<std::size_t>(n) % boot.seeds.size()];
+  co_await pause(Ms((n * 37) % boot.reportEvery));
+  for (std::uint64_t count = 1;; ++count) {
+    bool ok = false;
+    tcp::socket s(io);
+    Guard g(io, s);
+    g.until(Clock::now() + Ms(1000));
+    error_code e;
+    co_await s.async_connect({asio::ip::make_address(to.ip), static_cast<std::uint16_t>(to.port)}, asio::redirect_error(asio::use_awaitable, e));
+    http::request<http::string_body> q(http::verb::put, "/servers/" + id, 11);
+    q.set(http::field::host, to.text());
+    q.set(http::field::connection, "close");
+    q.body() = "{\"service\":\"app\",\"address\":\"127.100.0.1:9\",\"zone\":\"" + zone + "\",\"version\":\"v1\",\"capacity\":16,\"state\":\"ready\",\"warmupLeftMs\":0,\"callCount\":" + std::to_string(count) + "}";
+    q.prepare_payload();
+    if (!e) co_await http::async_write(s, q, asio::redirect_error(asio::use_awaitable, e));
+    beast::flat_buffer b;
+    http::response<http::string_body> r;
+    if (!e) co_await http::async_read(s, b, r, asio::redirect_error(asio::use_awaitable, e));
+    ok = !e && r.result_int() / 100 == 2;
+    ++(ok ? sent : failed);
+    if (ok) {
+      std::size_t const p = r.body().find("\"reportTo\":\"");
+      Addr a;
+      if (p != string::npos && readAddr(string_view(r.body()).substr(p + 12, r.body().find('"', p + 12) - p - 12), a)) to = a;
+    } else {
+      to = boot.seeds[randomId() % boot.seeds.size()];
+    }
+    co_await pause(Ms(boot.reportEvery));
+  }
+}
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app("Hollow nodes and workers for the scale run; ends by itself.", "tealshelf-hollow");
+  string bootPath;
+  int nodes = 0, workers = 0, first = 0, seconds = 10;
+  app.add_option("--boot", bootPath, "boot file of one node; names and addresses follow from it")->required();
+  app.add_option("--nodes", nodes, "hollow data-plane nodes")->check(CLI::Range(0, 1000));
+  app.add_option("--workers", workers, "hollow workers")->check(CLI::Range(0, 2000));
+  app.add_option("--first", first, "number of the first node and worker")->check(CLI::Range(0, 100000));
+  app.add_option("--seconds", seconds, "how long")->check(CLI::Range(1, 600));
+  CLI11_PARSE(app, argc, argv);
+  startLog(Level::warning);
+  try {
+    Boot const boot = loadBoot(bootPath);
+    asio::io_context io(1);
+    vector<string> zones;
+    for (std::pair<string const, string> const& z : boot.zones) zones.push_back(z.first);
+    vector<std::unique_ptr<Hollow>> all;
+    for (int i = 0; i < nodes; ++i) {
+      Boot b = boot;
+      int const n = first + i;
+      b.nodeName = "hollow-" + std::to_string(n);
+      b.ip = "127.20." + std::to_string(n / 200) + "." + std::to_string(n % 200 + 1);
+      b.zone = zones[static_cast<std::size_t>(n) % zones.size()];
+      b.cpuFraction = n / static_cast<int>(zones.size()) % 10 == 0 ? 0.3 : 0.04;
+      all.push_back(std::make_unique<Hollow>(io, std::move(b)));
+      Hollow& h = *all.back();
+      h.view.onNews = [&h] {
+        if (!h.view.charter() || h.view.charter()->version == h.version) return;
+        h.version = h.view.charter()->version;
+        std::cout << "charter " << h.version << " " << h.boot.nodeName << " " << wallMs() << "\n";
+      };
+      h.view.start(h.server);
+      h.server.start();
+    }
+    std::uint64_t sent = 0, failed = 0;
+    for (int i = 0; i < workers; ++i)
+      spawn(io, "worker", beats(io, boot, "w-" + std::to_string(first + i), zones[static_cast<std::size_t>(first + i) % zones.size()], first + i, sent, failed));
+    asio::steady_timer end(io, std::chrono::seconds(seconds));
+    end.async_wait([&](error_code) { io.stop(); });
+    io.run();
+    std::uint64_t asks = 0, replies = 0, bytes = 0, held = 0, known = 0, ready = 0;
+    for (std::unique_ptr<Hollow> const& h : all) {
+      std::array<std::uint64_t, 4> const c = h->view.counts();
+      asks += c[0];
+      replies += c[1];
+      bytes += c[2];
+      held = std::max(held, c[3]);
+      known += h->view.workers().size();
+      ready += h->view.near();
+    }
+    std::cout << "hollow nodes " << nodes << " fresh " << ready << " asks " << asks << " relayed " << replies << " relayedBytes " << bytes << " mostHeld " << held << " workersKnown " << (nodes ? known / static_cast<std::uint64_t>(nodes) : 0) << " beats " << sent << " beatsFailed " << failed << std::endl;
+    std::_Exit(0);
+  } catch (std::exception const& x) {
+    std::cerr << "hollow: " << x.what() << "\n";
+    return 2;
+  }
+}
--- a/traffic/balance.cpp
+++ b/traffic/balance.cpp
@@ -70,7 +70,7 @@
   auto const rank = [&](Candidate const& c) {
     Row const& r = *c.row;
     if (!tried.empty() && tried.count(c.worker->id)) return 0;
-    bool const out = now < r.outUntil || now < r.fullUntil;
+    bool const out = now < r.outUntil || now < r.fullUntil || c.worker->resting;
     if (want.behind && (out || r.unreadRequests > 0 || load(r, *c.worker, now) > 1 - want.leave)) return 0;
     return out ? 1 : 2;
   };
--- a/traffic/carry_out.cpp
+++ b/traffic/carry_out.cpp
@@ -31,7 +31,7 @@
     string const id = w->id;
     tried.insert(id);
     Ask const ask = forWorker(q, l, *w, ev);
-    Exchange x(pools_, *w);
+    Exchange x(pools_, *w, l.mayRepeat);
     std::uint64_t const unread = l.want.tokens - l.want.sharedTokens;
     balance_.began(id, unread);
     Verdict const v = co_await x.start(ask, l.attempt, l.deadline);
@@ -41,22 +41,30 @@
     switch (v) {
       case Verdict::notSent:
         balance_.broke(id, true);
+        view_.tally(id, false);
         why = Code::noWorker;
         break;
       case Verdict::notRun:
         ++sends;
-        if (x.status() == 503 || x.status() == 429) balance_.full(id);
+        if (x.status() == 503 || x.status() == 429) {
+          balance_.full(id);
+          // One that sheds while it has free slots is ill, whatever it says of its health.
+          std::optional<std::array<std::uint64_t, 3>> const b = x.load();
+          if (b && (*b)[0] < (*b)[2] / 2) view_.tally(id, false);
+        }
         else balance_.broke(id, true);
         why = Code::workersFull;
         break;
       case Verdict::unclear:
         ++sends;
         balance_.broke(id, x.fresh());
+        if (x.fresh()) view_.tally(id, false);
         mayHaveRun = true;
         why = Code::workerBroke;
         over = !l.mayRepeat;
         break;
       case Verdict::timeUp:
+        if (l.deadline - l.came > Ms(4 * l.route->aim)) view_.tally(id, false);
         mayHaveRun = true;
         why = Code::deadlineBroken;
         over = true;
@@ -65,6 +73,7 @@
         ++sends;
         if (std::optional<std::array<std::uint64_t, 3>> const b = x.load()) balance_.told(id, *b);
         int const s = x.status();
+        if (s >= 500) view_.tally(id, false);
         bool const promise = s == 408 || s == 421 || s == 429 || s == 503;
         if (promise || (l.mayRepeat && s >= 500 && sends < l.tries)) {
           mayHaveRun = true;
@@ -73,12 +82,12 @@
           x.cut();
         } else if (l.streams && s == 200) {
           over = co_await relay(p, l, x, ev, l.deadline);
-          if (!over) { balance_.broke(id, false); mayHaveRun = true; why = Code::workerBroke; over = !l.mayRepeat; }
+          if (!over) { balance_.broke(id, false); view_.tally(id, false); mayHaveRun = true; why = Code::workerBroke; over = !l.mayRepeat; }
         } else {
           over = co_await passWhole(p, l, x);
-          if (!over) { balance_.broke(id, false); mayHaveRun = true; why = Code::workerBroke; over = !l.mayRepeat; }
+          if (!over) { balance_.broke(id, false); view_.tally(id, false); mayHaveRun = true; why = Code::workerBroke; over = !l.mayRepeat; }
         }
-        if (over && p->headSent) { balance_.ended(id); if (p->keep) balance_.well(id); co_return; }
+        if (over && p->headSent) { balance_.ended(id); if (p->keep && s < 500) { balance_.well(id); view_.tally(id, true); } co_return; }
         break;
       }
     }
--- a/traffic/exchange.cpp
+++ b/traffic/exchange.cpp
@@ -4,19 +4,25 @@
 
 namespace tealshelf {
 
-std::unique_ptr<WorkerConnection> Pools::take(Worker const& w) {
+std::unique_ptr<WorkerConnection> Pools::take(Worker const& w, bool mayRepeat) {
   vector<std::unique_ptr<WorkerConnection>>& v = idle_[w.id];
   while (!v.empty()) {
     std::unique_ptr<WorkerConnection> p = std::move(v.back());
     v.pop_back();
-    if (Clock::now() >= p->keepUntil) continue;
+    Moment const now = Clock::now();
+    if (now >= p->keepUntil) continue;
+    // The one given back last lies on top; below it are only older ones, which others may use.
+    if (!mayRepeat && now - p->idleSince > age_.trusted()) { v.push_back(std::move(p)); break; }
     char c = 0;
     ssize_t const n = ::recv(p->sock.native_handle(), &c, 1, MSG_PEEK | MSG_DONTWAIT);
     if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) return p;
   }
   return std::make_unique<WorkerConnection>(io_);
 }
-void Pools::give(string const& id, std::unique_ptr<WorkerConnection> p) { idle_[id].push_back(std::move(p)); }
+void Pools::give(string const& id, std::unique_ptr<WorkerConnection> p) {
+  p->idleSince = Clock::now();
+  idle_[id].push_back(std::move(p));
+}
 
 void Pools::sweep(FleetView const& view) {
   Moment const now = Clock::now();
@@ -52,8 +58,9 @@
 }
 
 Task<Verdict> Exchange::start(Ask const& q, string attempt, Moment until) {
-  conn_ = pools_.take(worker_);
+  conn_ = pools_.take(worker_, mayRepeat_);
   fresh_ = !conn_->sock.is_open();
+  if (!fresh_) idle_ = std::chrono::duration_cast<Ms>(Clock::now() - conn_->idleSince);
   guard_ = std::make_unique<Guard>(pools_.io(), conn_->sock);
   error_code e;
   if (fresh_) {
@@ -65,13 +72,24 @@
   guard_->until(until);
   ++conn_->uses;
   co_await http::async_write(conn_->sock, q, asio::redirect_error(asio::use_awaitable, e));
-  if (e) { bool const f = guard_->fired(); cut(); co_return f ? Verdict::timeUp : Verdict::unclear; }
+  if (e) {
+    bool const f = guard_->fired();
+    if (!fresh_ && !f) pools_.age().reset(idle_);
+    cut();
+    co_return f ? Verdict::timeUp : Verdict::unclear;
+  }
   for (int i = 0; i < 4; ++i) {
     parser_.emplace();
     parser_->body_limit(std::uint64_t{1} << 40);
     parser_->header_limit(64u << 10);
     co_await http::async_read_header(conn_->sock, conn_->buf, *parser_, asio::redirect_error(asio::use_awaitable, e));
-    if (e) { bool const f = guard_->fired(); cut(); co_return f ? Verdict::timeUp : Verdict::unclear; }
+    if (e) {
+      bool const f = guard_->fired();
+      if (!fresh_ && !f && i == 0) pools_.age().reset(idle_);
+      cut();
+      co_return f ? Verdict::timeUp : Verdict::unclear;
+    }
+    if (!fresh_ && i == 0) pools_.age().worked(idle_);
     string const id = headText("Attempt-Id");
     if (id.empty() || id == attempt || headText("Not-Run") == "1") break;
     string junk;
--- a/traffic/exchange.hpp
+++ b/traffic/exchange.hpp
@@ -11,16 +11,33 @@
   explicit WorkerConnection(asio::io_context& io) : sock(io) {}
   tcp::socket sock;
   beast::flat_buffer buf;
-  Moment keepUntil;
+  Moment keepUntil, idleSince;
   std::uint64_t uses = 0;
 };
 
+/// How long a connection may have been idle before it isn't trusted with a request that must not
+/// be sent twice: learnt from those that were reset when they were used again. Pure, for tests.
+class IdleAge {
+ public:
+  IdleAge(Ms most, Ms least) : most_(most), least_(least), age_(most) {}
+  /// A connection idle for so long was reset when a request was sent on it.
+  void reset(Ms idle) { age_ = std::max(least_, std::min(age_, idle / 2)); }
+  /// One idle for so long still worked: what was learnt fades.
+  void worked(Ms idle) { if (idle > age_) age_ = std::min(most_, age_ + (idle - age_) / 4); else age_ = std::min(most_, age_ + Ms(1)); }
+  Ms trusted() const { return age_; }
+
+ private:
+  Ms most_, least_, age_;
+};
+
 /// Idle connections to workers.
 class Pools {
  public:
-  Pools(asio::io_context& io, Boot const& boot) : io_(io), boot_(boot) {}
-  /// A clean idle connection, or a new one not yet connected.
-  std::unique_ptr<WorkerConnection> take(Worker const& w);
+  Pools(asio::io_context& io, Boot const& boot) : io_(io), boot_(boot), age_(Ms(4 * boot.bounds.inTouch), Ms(boot.bounds.step / 8)) {}
+  /// A clean idle connection, or a new one not yet connected. A request that must not be sent twice
+  /// gets none that was idle for longer than is trusted.
+  std::unique_ptr<WorkerConnection> take(Worker const& w, bool mayRepeat);
+  IdleAge& age() { return age_; }
   void give(string const& id, std::unique_ptr<WorkerConnection> p);
   /// Closes what is idle for workers that are gone or for too long.
   void sweep(FleetView const& view);
@@ -30,6 +47,7 @@
  private:
   asio::io_context& io_;
   Boot const& boot_;
+  IdleAge age_;
   std::map<string, vector<std::unique_ptr<WorkerConnection>>> idle_;
 };
 
@@ -46,7 +64,7 @@
 /// One request at one worker.
 class Exchange {
  public:
-  Exchange(Pools& pools, Worker const& w) : pools_(pools), worker_(w) {}
+  Exchange(Pools& pools, Worker const& w, bool mayRepeat) : pools_(pools), worker_(w), mayRepeat_(mayRepeat) {}
   ~Exchange();
   /// Sends the request and reads the head of the answer that carries its id.
   Task<Verdict> start(Ask const& q, string attempt, Moment until);
@@ -71,7 +89,8 @@
   std::unique_ptr<WorkerConnection> conn_;
   std::unique_ptr<Guard> guard_;
   std::optional<http::response_parser<http::buffer_body>> parser_;
-  bool fresh_ = false;
+  bool mayRepeat_ = false, fresh_ = false;
+  Ms idle_{0};
 };
 
 /// Takes the events out of a stream's bytes.
--- a/wire/messages.hpp
+++ b/wire/messages.hpp
@@ -13,7 +13,16 @@
   std::int64_t warmupLeft = 0;
   bool lost = false;   ///< its beats are missing, by the word of the control node that heard them
   Identity hearer;     ///< the control node that hears its beats
-  MSGPACK_DEFINE(id, service, zone, version, at, capacity, callCount, draining, gone, warmupLeft, lost, hearer)
+  bool resting = false;    ///< it fails more than its like, whatever its health answers: used last
+  std::uint64_t turn = 0;  ///< rises with each change of that
+  MSGPACK_DEFINE(id, service, zone, version, at, capacity, callCount, draining, gone, warmupLeft, lost, hearer, resting, turn)
+};
+
+/// How requests at a worker went, as seen by those who sent them.
+struct WorkerTally {
+  string id;
+  double ok = 0, bad = 0;
+  MSGPACK_DEFINE(id, ok, bad)
 };
 
 /// A data-plane node as the others know it; it may relay news.
@@ -52,7 +61,8 @@
   std::uint64_t nodesDigest = 0; ///< of the data-plane nodes that ask at this control node
   bool hasNodes = false;
   vector<NodeRow> nodes;
-  MSGPACK_DEFINE(ping, group, workers, full, digest, nodesDigest, hasNodes, nodes)
+  vector<WorkerTally> tallies;   ///< of workers that failed requests lately, by who asks at this control node
+  MSGPACK_DEFINE(ping, group, workers, full, digest, nodesDigest, hasNodes, nodes, tallies)
 };
 struct HelloReply {
   Member self;
