--- a/wire/rpc.cpp
+++ b/wire/rpc.cpp
@@ -7,6 +7,7 @@
 namespace {
 constexpr std::size_t headBytes = 4 + 8 + 2 + 1;
 constexpr std::size_t mostBytes = 64u << 20;
+constexpr std::size_t mostUnread = 8u << 20;  ///< answers that wait for a peer that doesn't read
 enum class Sort : std::uint8_t { call = 0, reply = 1, error = 2, cast = 3 };
 
 struct Head {
@@ -234,6 +235,7 @@
   explicit Connection(tcp::socket s) : sock(std::move(s)) {}
   tcp::socket sock;
   std::deque<string> out;
+  std::size_t queued = 0;
   bool writing = false;
 };
 
@@ -279,13 +281,22 @@
     r = packed(std::make_pair(static_cast<int>(x.code()), string(x.what())));
   }
   if (cast || !p->sock.is_open()) co_return;
+  // One answer always fits; a peer that asks on without reading is cut off.
+  if (!p->out.empty() && p->queued + r.size() > mostUnread) {
+    error_code e;
+    p->sock.close(e);
+    p->out.clear();
+    co_return;
+  }
   p->out.push_back(frame(id, static_cast<std::uint16_t>(m), sort, r));
+  p->queued += p->out.back().size();
   if (p->writing) co_return;
   p->writing = true;
   while (!p->out.empty() && p->sock.is_open()) {
     string all = std::move(p->out.front());
     p->out.pop_front();
     while (!p->out.empty() && all.size() < (1u << 18)) { all += p->out.front(); p->out.pop_front(); }
+    p->queued -= std::min(p->queued, all.size());
     error_code e;
     co_await asio::async_write(p->sock, asio::buffer(all), asio::redirect_error(asio::use_awaitable, e));
     if (e) p->sock.close(e);
