lots: the log tells why a recovery fails and since when a lot waits

Change: a recovery ends with a RecoveryOutcome; a lot that waits is named with the reason, its tries and its time whenever the reason changes, and so are the stamps that record and replicas carry. No change of logic.

--- a/lots/lot_coordinator.hpp
+++ b/lots/lot_coordinator.hpp
@@ -33,6 +33,21 @@
     TimePoint heardAt;
     bool leaving = false, diskFailing = false;
   };
+  /// How a try to recover a lot ended; everything but `recovered` leaves the record as it was.
+  enum class RecoveryOutcome {
+    none,              ///< not tried yet
+    recovered,         ///< the record names the replicas under the fresh stamp
+    notOwner,          ///< another control node owns the keyspace by now
+    busy,              ///< another change of the record took too long
+    noLiveHolder,      ///< no holder was heard lately
+    primaryNotFenced,  ///< the lease of the former primary may still count
+    noIntactReplica,   ///< no live holder has a replica at or above the recorded stamp
+    tooFewStores,      ///< too few live stores for the copies that are needed
+    notSettled,        ///< no survivor took the fresh stamp
+    copiesRefused,     ///< the copies that are needed were refused
+    recordNotWritten   ///< no majority acknowledged the record in time
+  };
+  static char const* nameOf(RecoveryOutcome outcome);
   /// What this process knows of a lot beside its record; it may be lost.
   struct LotStatus {
     std::uint64_t revision = 0;  ///< of the last change of the record
@@ -42,7 +57,10 @@
     TimePoint openedAt;
     bool recovering = false;
     TimePoint recoveryStartedAt, lastRecoveryAt;
-    std::optional<AsyncMutex> mutex;  ///< for changes of the record
+    RecoveryOutcome lastOutcome = RecoveryOutcome::none;
+    std::size_t failedRecoveries = 0;  ///< in a row
+    TimePoint failingSince;            ///< when the first of them ended
+    std::optional<AsyncMutex> mutex;   ///< for changes of the record
   };
   /// A lot whose first record is being written.
   struct OpeningLot {
@@ -101,7 +119,9 @@
   bool needsRecovery(LotRecord const& lot, LotStatus const& status, TimePoint now) const;
   void startRecoveries(vector<LotRecord> lots);
   Task<void> recover(LotKey key);
-  Task<void> recoverLocked(LotRecord lot);
+  Task<RecoveryOutcome> recoverLocked(LotRecord lot);
+  /// Notes how a recovery ended and tells of lots that wait for theirs.
+  void noteOutcome(LotKey const& key, RecoveryOutcome outcome);
   /// Fences a store at a majority of the control nodes; false if its lease may still count.
   Task<bool> fenceEverywhere(NodeId store);
   struct Survivors {
--- a/lots/lot_recovery.cpp
+++ b/lots/lot_recovery.cpp
@@ -76,18 +76,63 @@
   }
 }
 
+char const* LotCoordinator::nameOf(RecoveryOutcome outcome) {
+  switch (outcome) {
+    case RecoveryOutcome::none:
+      return "not tried";
+    case RecoveryOutcome::recovered:
+      return "recovered";
+    case RecoveryOutcome::notOwner:
+      return "not the owner";
+    case RecoveryOutcome::busy:
+      return "another change took too long";
+    case RecoveryOutcome::noLiveHolder:
+      return "no live holder";
+    case RecoveryOutcome::primaryNotFenced:
+      return "the former primary isn't fenced";
+    case RecoveryOutcome::noIntactReplica:
+      return "no intact replica at a live holder";
+    case RecoveryOutcome::tooFewStores:
+      return "too few stores for the copies";
+    case RecoveryOutcome::notSettled:
+      return "no survivor took the fresh stamp";
+    case RecoveryOutcome::copiesRefused:
+      return "copies were refused";
+    case RecoveryOutcome::recordNotWritten:
+      return "the record was not written";
+  }
+  return "unknown";
+}
+
 Task<void> LotCoordinator::recover(LotKey key) {
+  RecoveryOutcome outcome = RecoveryOutcome::notOwner;
   try {
     AsyncMutex::Lock const held = co_await lock(key);
     std::optional<LotRecord> const lot = load(key);
-    if (lot && driver_.consensus().owns(keyspaceOf(key.host))) co_await recoverLocked(*lot);
+    if (lot && driver_.consensus().owns(keyspaceOf(key.host))) outcome = co_await recoverLocked(*lot);
   } catch (std::exception const& error) {
     logDebug("lots", "recovery of " + key.id + ": " + error.what());
+    outcome = RecoveryOutcome::busy;
   }
+  noteOutcome(key, outcome);
+  --recoveries_;
+}
+
+void LotCoordinator::noteOutcome(LotKey const& key, RecoveryOutcome outcome) {
+  TimePoint const now = Clock::now();
   LotStatus& status = lots_[key];
   status.recovering = false;
-  status.lastRecoveryAt = Clock::now();
-  --recoveries_;
+  status.lastRecoveryAt = now;
+  bool const changed = outcome != std::exchange(status.lastOutcome, outcome);
+  if (outcome == RecoveryOutcome::recovered) {
+    status.failedRecoveries = 0;
+    return;
+  }
+  if (++status.failedRecoveries == 1) status.failingSince = now;
+  if (!changed) return;
+  std::int64_t const waitsMs = std::chrono::duration_cast<Ms>(now - status.failingSince).count();
+  logWarning("lots", key.id + " waits for its recovery: " + nameOf(outcome) + "; tries " +
+                         std::to_string(status.failedRecoveries) + ", waits for " + std::to_string(waitsMs) + " ms");
 }
 
 Task<bool> LotCoordinator::fenceEverywhere(NodeId store) {
@@ -144,7 +189,7 @@
 
 /// The paper's recovery: stamps are collected, those at or above the recorded one kept, the shortest length settled
 /// under a fresh stamp, and only then the record is written.
-Task<void> LotCoordinator::recoverLocked(LotRecord lot) {
+Task<LotCoordinator::RecoveryOutcome> LotCoordinator::recoverLocked(LotRecord lot) {
   TimePoint const now = Clock::now();
   string const keyspace = keyspaceOf(lot.host);
   Epoch const epoch = driver_.consensus().epochOf(keyspace);
@@ -156,11 +201,11 @@
     if (!isDead(holder.id, now) && !isDiskFailing(holder.id) && !failed.contains(holder.id)) live.push_back(holder);
   if (live.empty()) {
     status.failedHolders.clear();
-    co_return;
+    co_return RecoveryOutcome::noLiveHolder;
   }
   if (live[0].id != lot.holders[0].id) {
     bool const fenced = co_await fenceEverywhere(lot.holders[0].id);
-    if (!fenced) co_return;
+    if (!fenced) co_return RecoveryOutcome::primaryNotFenced;
   }
   Survivors const survivors = co_await inspectHolders(lot, live);
   // The record never names fewer than survive a loss, unless it did: the stores that are away may come back with the
@@ -172,12 +217,14 @@
     };
     return storesForRecovery(without, failed, minHolders);
   };
-  if (survivors.stores.empty() || choosing(survivors.stores, neededCopies()).size() < minHolders) co_return;
+  if (survivors.stores.empty()) co_return RecoveryOutcome::noIntactReplica;
+  if (choosing(survivors.stores, neededCopies()).size() < minHolders) co_return RecoveryOutcome::tooFewStores;
   // Only a node that still owns the keyspace, under the epoch it began with, may give a stamp.
-  if (!driver_.consensus().owns(keyspace) || driver_.consensus().epochOf(keyspace) != epoch) co_return;
+  if (!driver_.consensus().owns(keyspace) || driver_.consensus().epochOf(keyspace) != epoch)
+    co_return RecoveryOutcome::notOwner;
   GenerationStamp const stamp = freshStamp(lot.host);
   vector<StoreRef> settled = co_await settleHolders(lot, survivors.stores, stamp, survivors.shortest);
-  if (settled.empty()) co_return;
+  if (settled.empty()) co_return RecoveryOutcome::notSettled;
   LotRecord recovered = lot;
   recovered.stamp = stamp;
   // Stores that stay come first, so that one of them is the primary.
@@ -193,20 +240,26 @@
       CopyReplica const request{recovered, settled[0].address};
       co_await rpc_.call(chosen[i].address, request, settings_.bounds.inTouch / 2);
       staying.push_back(chosen[i]);
-    } catch (Error const&) {
+    } catch (Error const& error) {
       // The lot does without this copy.
+      logInfo("lots", lot.id + ": " + chosen[i].name + " refused a copy: " + error.what());
     }
   }
   recovered.holders = holdersAfterRecovery(settled, staying, neededCopies());
-  if (recovered.holders.size() < minHolders) co_return;
+  if (recovered.holders.size() < minHolders) {
+    logWarning("lots", lot.id + " is left at stamp " + hex(lot.stamp.value) + " in its record; " +
+                           std::to_string(settled.size()) + " intact replicas carry " + hex(stamp.value));
+    co_return RecoveryOutcome::copiesRefused;
+  }
   bool const saved = co_await save(recovered);
-  if (!saved) co_return;
+  if (!saved) co_return RecoveryOutcome::recordNotWritten;
   status.failedHolders.clear();
   status.primaryNeedsSettlement = false;
   string names;
   for (StoreRef const& holder : recovered.holders) names += " " + holder.name;
   logInfo("lots", lot.id + " is recovered under stamp " + hex(stamp.value) + " with " +
                       std::to_string(survivors.shortest) + " results at" + names);
+  co_return RecoveryOutcome::recovered;
 }
 
 }  // namespace tealshelf
