--- /dev/null
+++ b/tests/lots/store_fleet.hpp
@@ -0,0 +1,142 @@
+#pragma once
+#include "control/control_node.hpp"
+#include "lots/store_node.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <filesystem>
+
+/// A control node and several stores with small disks, all real, on loopback.
+namespace tealshelf {
+
+/// Each store has an event loop of its own, so that one can be halted as by a loss of power. There are no workers: the
+/// items of lots stay unfinished.
+class StoreFleet {
+ public:
+  StoreFleet(string folder, std::size_t stores, std::int64_t survive, int firstPort)
+      : folder_(std::move(folder)), firstPort_(firstPort), survive_(survive) {
+    std::filesystem::remove_all(folder_);
+    controlSettings_ = settingsOf("control", 0);
+    control_ = std::make_unique<ControlNode>(io_, controlSettings_);
+    control_->start();
+    for (std::size_t index = 0; index < stores; ++index) {
+      stores_.push_back(std::make_unique<Store>());
+      stores_.back()->settings = settingsOf("store-" + std::to_string(index), index + 1);
+      stores_.back()->node = std::make_unique<StoreNode>(stores_.back()->io, stores_.back()->settings);
+      stores_.back()->node->start();
+    }
+  }
+
+  static string host() { return "shop.example"; }
+
+  /// Hands a lot with one item of a size in as an edge does; the number of the error, or 0 once it is accepted.
+  int submit(string const& id, std::size_t bytes) {
+    string const items = serialize(vector<ItemRecord>{{"item-" + id, "/night/x", string(bytes, 'b'), {}, 10}});
+    OpenLot open;
+    open.lot.id = id;
+    open.lot.host = host();
+    open.lot.route = "night";
+    open.lot.itemCount = 1;
+    open.lot.tokens = 10;
+    open.lot.keepForMs = 60000;
+    open.lot.dueInMs = 30000;
+    std::pair<int, OpenLotReply> const opened = ask(controlAddress(), open);
+    if (opened.first) return opened.first;
+    LotRecord const& record = opened.second.lot;
+    int const created = ask(record.holders.at(0).address, CreateReplica{record, items, {}, true}).first;
+    if (created) return created;
+    return ask(controlAddress(), AcceptLot{host(), id, record.stamp, 0}).first;
+  }
+  /// The record of a lot as the coordinator answers; none if it isn't known.
+  std::optional<LotRecord> find(string const& id) {
+    std::pair<int, FindLotReply> const reply = ask(controlAddress(), FindLot{host(), id, 0});
+    if (reply.first || !reply.second.known) return std::nullopt;
+    return reply.second.lot;
+  }
+  /// True if the store that the record names first answers a read.
+  bool isReadable(string const& id) {
+    std::optional<LotRecord> const lot = find(id);
+    if (!lot || lot->holders.empty()) return false;
+    ReadResults const read{host(), id, lot->stamp, 0, 1u << 20, 0};
+    return ask(lot->holders[0].address, read).first == 0;
+  }
+
+  void halt(std::size_t store) { stores_[store]->halted = true; }
+  Address controlAddress() const { return controlSettings_.controlAddress(controlSettings_.ip); }
+  StoreNode& store(std::size_t index) { return *stores_[index]->node; }
+
+  /// Runs all event loops until something holds; false if it doesn't within a time.
+  bool runUntil(std::function<bool()> const& holds, Ms limit) {
+    TimePoint const end = Clock::now() + limit;
+    while (!holds()) {
+      if (Clock::now() > end) return false;
+      runOnce();
+    }
+    return true;
+  }
+  /// The answer to a call, or the number of the error.
+  template <class Request>
+  std::pair<int, typename Request::Reply> ask(Address const& to, Request const& request) {
+    using Answer = std::pair<int, typename Request::Reply>;
+    std::shared_ptr<Answer> const answer = std::make_shared<Answer>(-1, typename Request::Reply());
+    asio::co_spawn(io_, rpc_.call(to, request, controlSettings_.bounds.inTouch / 2),
+                   [answer](std::exception_ptr failure, typename Request::Reply reply) {
+                     answer->second = std::move(reply);
+                     answer->first = 0;
+                     try {
+                       if (failure) std::rethrow_exception(failure);
+                     } catch (Error const& error) {
+                       answer->first = static_cast<int>(error.code());
+                     }
+                   });
+    runUntil([answer] { return answer->first >= 0; }, 4 * controlSettings_.bounds.inTouch);
+    return *answer;
+  }
+
+ private:
+  struct Store {
+    asio::io_context io{1};
+    Settings settings;
+    std::unique_ptr<StoreNode> node;
+    bool halted = false;
+  };
+
+  Settings settingsOf(string const& name, std::size_t number) const {
+    Settings settings;
+    settings.nodeName = name;
+    settings.ip = "127.0.0." + std::to_string(60 + number);
+    settings.zone = "zone-" + std::to_string(number % 3);
+    settings.firstInternalPort = firstPort_;
+    settings.control = {settings.ip, firstPort_ + 8};
+    settings.seeds = {{"127.0.0.60", firstPort_ + 8}};
+    settings.firstBoot = true;
+    settings.reportEvery = Ms(20000);
+    settings.bounds.inTouch = Ms(2400);
+    settings.bounds.step = Ms(40);
+    settings.surviveMachines = survive_;
+    settings.diskMb = 8;
+    settings.dataFolder = folder_ + "/" + name;
+    std::filesystem::create_directories(settings.dataFolder);
+    return settings;
+  }
+  void runOnce() {
+    io_.restart();
+    io_.run_one_for(Ms(1));
+    io_.poll();
+    for (std::unique_ptr<Store> const& store : stores_) {
+      if (store->halted) continue;
+      store->io.restart();
+      store->io.poll();
+    }
+  }
+
+  string folder_;
+  int firstPort_;
+  std::int64_t survive_;
+  asio::io_context io_{1};
+  Settings controlSettings_;
+  std::unique_ptr<ControlNode> control_;
+  vector<std::unique_ptr<Store>> stores_;
+  RpcClient rpc_{io_, Ms(1200)};
+};
+
+}  // namespace tealshelf
