base: invariants that are checked while the system runs, counted and logged

Change: `checkInvariant(Invariant, holds, detail)` counts violations by name, logs `E invariant NAME: detail` at the first, second, fourth, eighth ... violation and never ends the process. `InvariantPlugin` of the test program fails each test in which one is violated, unless the test takes them as provoked (`ProvokedViolations`).

--- /dev/null
+++ b/base/invariant.cpp
@@ -0,0 +1,57 @@
+#include "base/invariant.hpp"
+
+#include "base/logging.hpp"
+
+#include <array>
+#include <atomic>
+#include <bit>
+#include <mutex>
+
+namespace tealshelf {
+
+namespace {
+constexpr std::size_t invariantCount = static_cast<std::size_t>(Invariant::count);
+
+/// In the order of the enumerators.
+constexpr std::array<std::string_view, invariantCount> names = {
+    "acceptedRecordStays", "acceptedRecordIsKept", "recordStampRises",       "freshStampIsNew",   "recordNamesHolders",
+    "epochHasOneOwner",    "epochNeverFalls",      "committedNeverGoesBack", "committedIsStored", "membershipOverlaps"};
+static_assert(!names.back().empty(), "each invariant has a name");
+
+std::array<std::atomic<std::uint64_t>, invariantCount> violations;
+std::mutex lastMutex;  ///< guards the next one
+std::string last;
+}  // namespace
+
+std::string_view nameOf(Invariant invariant) {
+  return names.at(static_cast<std::size_t>(invariant));
+}
+
+void reportViolation(Invariant invariant, std::string const& detail) {
+  std::uint64_t const times = ++violations.at(static_cast<std::size_t>(invariant));
+  std::string const name(nameOf(invariant));
+  {
+    std::lock_guard<std::mutex> const guard(lastMutex);
+    last = name + ": " + detail;
+  }
+  if (!std::has_single_bit(times)) return;
+  std::string const repeated = times > 1 ? " (" + std::to_string(times) + " times so far)" : "";
+  logError("invariant " + name, detail + repeated);
+}
+
+std::uint64_t violationsOf(Invariant invariant) {
+  return violations.at(static_cast<std::size_t>(invariant));
+}
+
+std::uint64_t allViolations() {
+  std::uint64_t sum = 0;
+  for (std::atomic<std::uint64_t> const& count : violations) sum += count;
+  return sum;
+}
+
+std::string lastViolation() {
+  std::lock_guard<std::mutex> const guard(lastMutex);
+  return last;
+}
+
+}  // namespace tealshelf
--- a/tests/main.cpp
+++ b/tests/main.cpp
@@ -1,4 +1,5 @@
 #include "base/tealshelf.hpp"
+#include "tests/invariant_plugin.hpp"
 
 #include <CppUTest/CommandLineTestRunner.h>
 #include <CppUTest/TestRegistry.h>
@@ -6,5 +7,7 @@
 int main(int argc, char** argv) {
   tealshelf::initLogging(tealshelf::LogLevel::error);
   MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
+  tealshelf::InvariantPlugin invariants;
+  TestRegistry::getCurrentRegistry()->installPlugin(&invariants);
   return CommandLineTestRunner::RunAllTests(argc, argv);
 }
