metrics: each role serves GET /metrics; first figures of logs, stores, control and edges

Change: `base/metrics.hpp` wraps the core of prometheus-cpp (counters, gauges, samplers that set gauges before a rendering); no other header includes the library. `MetricsServer` serves the text over our own HTTP server at `--metrics-port`; a port that is taken is a warning. Figures: state, records, budget, disk and failures of each DurableLog; replicas, damaged and unusable ones, bytes and lease of a store; members, majority, keyspaces, lots by state and below the needed copies, recoveries of a control node; requests and cut-off answers of an edge. `runDaemon` takes `DaemonOptions`.

--- a/apps/daemon.cpp
+++ b/apps/daemon.cpp
@@ -1,5 +1,6 @@
 #include "apps/daemon.hpp"
 
+#include "wire/metrics_server.hpp"
 #include "wire/tasks.hpp"
 
 #include <csignal>
@@ -9,6 +10,7 @@
 
 namespace {
 constexpr int exitBadArguments = 2, exitFailure = 3;
+constexpr int maxPort = 65535;
 
 /// Lets the daemon finish what is under way, for nine tenths of the grace at the most.
 Task<void> shutDown(asio::io_context& io, Settings const& settings, Daemon& daemon) {
@@ -51,21 +53,31 @@
 }
 }  // namespace
 
-int runDaemon(string const& settingsPath, string const& logLevel,
-              std::function<void(asio::io_context&, Settings const&, Daemon&)> start) {
+void addOptions(CLI::App& app, DaemonOptions& options) {
+  app.add_option("--settings", options.settingsPath,
+                 "the settings file (else TEALSHELF_BOOT, else /etc/tealshelf/boot.conf)");
+  app.add_option("--log-level", options.logLevel, "debug, info, warning or error");
+  app.add_option("--metrics-port", options.metricsPort, "serve GET /metrics at this port of the machine's address")
+      ->check(CLI::Range(1, maxPort));
+}
+
+int runDaemon(DaemonOptions const& options, std::function<void(asio::io_context&, Settings const&, Daemon&)> start) {
   std::signal(SIGPIPE, SIG_IGN);
   LogLevel level = LogLevel::info;
-  if (!parseLogLevel(logLevel, level)) {
-    std::cerr << Error(ErrorCode::badArguments, "log level " + logLevel).what() << "\n";
+  if (!parseLogLevel(options.logLevel, level)) {
+    std::cerr << Error(ErrorCode::badArguments, "log level " + options.logLevel).what() << "\n";
     return exitBadArguments;
   }
   initLogging(level);
   try {
-    Settings const settings = loadSettings(settingsPath);
+    Settings const settings = loadSettings(options.settingsPath);
     for (string const& field : settings.unknownFields) logInfo("settings", "unknown field " + field + " is ignored");
     asio::io_context io(1);
     Daemon daemon;
     start(io, settings, daemon);
+    std::optional<MetricsServer> metricsServer;
+    if (options.metricsPort)
+      metricsServer.emplace(io, Address{settings.ip, options.metricsPort}, 5 * settings.bounds.inTouch, metrics());
     asio::signal_set endSignals(io, SIGTERM, SIGINT), hangUpSignals(io, SIGHUP);
     endSignals.async_wait([&](error_code error, int) {
       if (error) return;
--- a/apps/daemon.hpp
+++ b/apps/daemon.hpp
@@ -1,6 +1,8 @@
 #pragma once
 #include "base/tealshelf.hpp"
 
+#include <CLI/CLI.hpp>
+
 namespace tealshelf {
 
 constexpr string_view versionText = "tealshelf 0.1.0";
@@ -12,9 +14,17 @@
   Ms minStopTime{0};             ///< waits at least so long
 };
 
+/// What the command line of a daemon tells.
+struct DaemonOptions {
+  string settingsPath;
+  string logLevel = "info";
+  int metricsPort = 0;  ///< 0: metrics aren't served
+};
+/// Adds the options of every daemon to a command line.
+void addOptions(CLI::App& app, DaemonOptions& options);
+
 /// Reads the settings file, runs a daemon until SIGTERM or SIGINT, and gives its exit status. `start` starts the daemon
 /// and fills in how it ends.
-int runDaemon(string const& settingsPath, string const& logLevel,
-              std::function<void(asio::io_context&, Settings const&, Daemon&)> start);
+int runDaemon(DaemonOptions const& options, std::function<void(asio::io_context&, Settings const&, Daemon&)> start);
 
 }  // namespace tealshelf
--- a/apps/data_plane.cpp
+++ b/apps/data_plane.cpp
@@ -2,8 +2,6 @@
 #include "edge/edge_node.hpp"
 #include "lots/store_node.hpp"
 
-#include <CLI/CLI.hpp>
-
 namespace {
 using namespace tealshelf;
 
@@ -27,12 +25,11 @@
 int main(int argc, char** argv) {
   CLI::App app("The data plane of tealshelf: takes requests in, or keeps lots.", "tealshelf-data-plane");
   app.set_version_flag("--version", string(versionText));
-  string settingsPath, logLevel = "info";
-  app.add_option("--settings", settingsPath, "the settings file (else TEALSHELF_BOOT, else /etc/tealshelf/boot.conf)");
-  app.add_option("--log-level", logLevel, "debug, info, warning or error");
+  DaemonOptions options;
+  addOptions(app, options);
   CLI::App* const edge = app.add_subcommand("edge", "serve clients on an edge machine");
   app.add_subcommand("store", "keep lots on a storage machine");
   app.require_subcommand(1);
   CLI11_PARSE(app, argc, argv);
-  return runDaemon(settingsPath, logLevel, edge->parsed() ? startEdge : startStore);
+  return runDaemon(options, edge->parsed() ? startEdge : startStore);
 }
--- a/base/durable_log.cpp
+++ b/base/durable_log.cpp
@@ -19,7 +19,9 @@
       snapshot_(std::move(snapshot)),
       files_(files),
       retryTimer_(io),
-      stallTimer_(io) {
+      stallTimer_(io),
+      metrics_(directory_),
+      sampler_(metrics().sample([this] { sampleMetrics(); })) {
   recovered_ = retryUntilDiskWorks(directory_, limits_.maxRetryPause, [this] { return readLog(files_, directory_); });
   writer_ = std::make_unique<LogWriter>(files_, directory_, recovered_.lastNumber);
   stateSize_ = recovered_.totalBytes;
@@ -93,6 +95,7 @@
     logSize_ += encodeBatch("").size() + job.encodedRecords.size();
     return job;
   }
+  metrics_.snapshots.increment();
   string().swap(job.encodedRecords);
   job.snapshotRecords = snapshot_();
   stateSize_ = 0;
@@ -147,6 +150,7 @@
 /// Nothing of the job counts as synced. Its callbacks wait for the snapshot that comes next.
 void DurableLog::failJob(Job& job, int error) {
   lastError_ = error;
+  metrics_.failures.increment();
   mustRenew_ = true;
   gathered_.encodedRecords.clear();
   gathered_.callbacks.insert(gathered_.callbacks.begin(), std::make_move_iterator(job.callbacks.begin()),
@@ -181,6 +185,15 @@
   });
 }
 
+void DurableLog::sampleMetrics() {
+  metrics_.stateBytes.setCount(stateSize_);
+  metrics_.logBytes.setCount(logSize_);
+  metrics_.budgetBytes.setCount(limits_.budget);
+  metrics_.overBudget.setCount(overBudget());
+  metrics_.diskState.setCount(static_cast<int>(state_));
+  metrics_.syncSeconds.set(std::chrono::duration<double>(lastSyncTook_).count());
+}
+
 void DurableLog::setState(DiskState state) {
   bool const wasHealthy = healthy();
   state_ = state;
--- a/base/durable_log.hpp
+++ b/base/durable_log.hpp
@@ -1,4 +1,5 @@
 #pragma once
+#include "base/log_metrics.hpp"
 #include "base/log_reader.hpp"
 #include "base/log_writer.hpp"
 
@@ -103,6 +104,7 @@
   void setState(DiskState state);
   void watchForStall();
   void retryLater();
+  void sampleMetrics();
 
   asio::io_context& io_;
   string directory_;
@@ -122,6 +124,8 @@
   Ms retryPause_{0};
   Ms lastSyncTook_{0};
   asio::steady_timer retryTimer_, stallTimer_;
+  LogMetrics metrics_;
+  SamplerRegistration sampler_;
   std::shared_ptr<bool> const alive_ = std::make_shared<bool>(true);  ///< what is posted checks it
 
   std::mutex mutex_;  ///< guards the next two
--- /dev/null
+++ b/control/control_metrics.hpp
@@ -0,0 +1,27 @@
+#pragma once
+#include "base/metrics.hpp"
+#include "consensus/consensus_driver.hpp"
+#include "lots/lot_coordinator.hpp"
+
+namespace tealshelf {
+
+/// What a control node tells about itself. Lots are counted by the owners of their keyspaces only, so that the sum over
+/// the nodes counts each once.
+class ControlMetrics {
+ public:
+  ControlMetrics();
+  void sample(ConsensusDriver const& driver, LotCoordinator const& lots, std::size_t neededCopies);
+
+ private:
+  struct LotCounts {
+    std::size_t opening = 0, accepted = 0, ended = 0;
+    std::size_t belowCopies = 0;  ///< accepted or ended, and recorded with fewer holders than needed
+    void add(LotRecord const& lot, std::size_t neededCopies);
+  };
+  void show(LotCounts const& counts);
+
+  Gauge members_, hasMajority_, keyspacesOwned_, recoveries_;
+  Gauge lotsOpening_, lotsAccepted_, lotsEnded_, lotsBelowCopies_;
+};
+
+}  // namespace tealshelf
--- a/control/control_node.cpp
+++ b/control/control_node.cpp
@@ -39,6 +39,8 @@
   };
   driver_.onChange = [this] { onControlStateChange(); };
   lots_.retiringStores = [this] { return RetirementHandler::retiringStores(driver_.consensus()); };
+  std::size_t const neededCopies = static_cast<std::size_t>(settings.surviveMachines) + 1;
+  sampler_ = metrics().sample([this, neededCopies] { metrics_.sample(driver_, lots_, neededCopies); });
 }
 
 void ControlNode::start() {
--- a/control/control_node.hpp
+++ b/control/control_node.hpp
@@ -1,5 +1,6 @@
 #pragma once
 #include "control/configuration_handler.hpp"
+#include "control/control_metrics.hpp"
 #include "control/node_directory.hpp"
 #include "control/retirement_handler.hpp"
 #include "control/worker_directory.hpp"
@@ -44,6 +45,8 @@
   MembershipNumber publishedMembership_;
   bool wasHealthy_ = false;
   bool stopping_ = false;
+  ControlMetrics metrics_;
+  SamplerRegistration sampler_;
 };
 
 }  // namespace tealshelf
--- /dev/null
+++ b/edge/edge_metrics.hpp
@@ -0,0 +1,19 @@
+#pragma once
+#include "base/metrics.hpp"
+
+namespace tealshelf {
+
+/// What an edge tells about itself.
+struct EdgeMetrics {
+  Counter requests = metrics().counter("tealshelf_edge_requests_total", "Requests that were read whole.");
+  Gauge activeRequests = metrics().gauge("tealshelf_edge_active_requests", "Requests that are under way.");
+  Gauge hasConfiguration = metrics().gauge("tealshelf_edge_has_configuration", "1 once the configuration is known.");
+};
+
+/// What the forwarder of an edge tells about the requests that it couldn't bring to a good end.
+struct ForwardMetrics {
+  Counter cutOff = metrics().counter("tealshelf_edge_cut_off_total", "Connections closed inside an answer.");
+  Counter failed = metrics().counter("tealshelf_edge_failed_total", "Requests that no worker answered.");
+};
+
+}  // namespace tealshelf
--- a/edge/edge_node.cpp
+++ b/edge/edge_node.cpp
@@ -23,7 +23,8 @@
             answer.status = call.path != "/readiness" ? 404 : ready ? 200 : 503;
             co_return answer;
           },
-          maxReadinessBytes, 5 * settings.bounds.inTouch) {}
+          maxReadinessBytes, 5 * settings.bounds.inTouch),
+      sampler_(metrics().sample([this] { sampleMetrics(); })) {}
 
 void EdgeNode::start() {
   view_.start(rpcServer_);
@@ -57,6 +58,11 @@
   }
 }
 
+void EdgeNode::sampleMetrics() {
+  metrics_.activeRequests.setCount(activeRequests_);
+  metrics_.hasConfiguration.setCount(view_.configuration() != nullptr);
+}
+
 Task<EdgeNode::ReadResult> EdgeNode::readRequest(ClientConnection& client, RequestParser& parser,
                                                  ClientLimits const& limits) {
   parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
@@ -136,6 +142,7 @@
 }
 
 Task<void> EdgeNode::handle(ClientConnection& client, HttpRequest request) {
+  metrics_.requests.increment();
   TimePoint const now = Clock::now();
   if (isEndingSoon()) {
     // The platform still sends requests here where too few nodes of the zone are ready.
--- a/edge/edge_node.hpp
+++ b/edge/edge_node.hpp
@@ -1,4 +1,5 @@
 #pragma once
+#include "edge/edge_metrics.hpp"
 #include "edge/request_forwarder.hpp"
 #include "lots/lot_api.hpp"
 #include "wire/listener.hpp"
@@ -30,6 +31,7 @@
   /// True once this process ends so soon that a request taken now might be cut off.
   bool isEndingSoon() const;
   Task<void> sweepLoop();
+  void sampleMetrics();
 
   asio::io_context& io_;
   Settings const& settings_;
@@ -44,6 +46,8 @@
   std::optional<Listener> clients_;
   std::size_t activeRequests_ = 0;
   std::set<ClientConnection*> idle_;
+  EdgeMetrics metrics_;
+  SamplerRegistration sampler_;
 };
 
 }  // namespace tealshelf
--- a/edge/request_forwarder.cpp
+++ b/edge/request_forwarder.cpp
@@ -268,14 +268,18 @@
   events.dropPartialEvent();
   exchange.abort();
   if (Clock::now() < plan.deadline) co_return false;
-  client.close();
+  cutOff(client);
   co_return true;
 }
 
+void RequestForwarder::cutOff(ClientConnection& client) {
+  metrics_.cutOff.increment();
+  client.close();
+}
+
 Task<void> RequestForwarder::failRequest(ClientConnection& client, RequestPlan const& plan, RetryState const& retries) {
   if (client.headSent) {
-    // The answer is under way and can't be ended well: it must not look complete.
-    client.close();
+    cutOff(client);
     co_return;
   }
   bool const late = Clock::now() >= plan.deadline;
@@ -289,6 +293,7 @@
     code = ErrorCode::deadlinePassed;
   }
   HttpReply answer = errorReply(Error(code));
+  metrics_.failed.increment();
   if (!retries.mayHaveRun) answer.headers.emplace_back("Retry-After", retryAfterSeconds(plan));
   client.keepAlive = client.keepAlive && !stopping_;
   co_await client.reply(io_, std::move(answer), 5 * settings_.bounds.inTouch);
--- a/edge/request_forwarder.hpp
+++ b/edge/request_forwarder.hpp
@@ -1,5 +1,6 @@
 #pragma once
 #include "edge/client_connection.hpp"
+#include "edge/edge_metrics.hpp"
 #include "edge/request_plan.hpp"
 #include "traffic/event_stream.hpp"
 #include "traffic/exchange.hpp"
@@ -46,6 +47,8 @@
   Task<bool> relayEvents(ClientConnection& client, RequestPlan const& plan, Exchange& exchange,
                          EventStreamReader& events);
   Task<error_code> sendStreamHead(ClientConnection& client, Exchange const& exchange);
+  /// Closes the connection in the middle of an answer, which must not look complete.
+  void cutOff(ClientConnection& client);
   /// Ends a request that no worker answered.
   Task<void> failRequest(ClientConnection& client, RequestPlan const& plan, RetryState const& retries);
   string retryAfterSeconds(RequestPlan const& plan) const;
@@ -56,6 +59,7 @@
   bool const& stopping_;
   ConnectionPool pool_;
   LoadBalancer balancer_;
+  ForwardMetrics metrics_;
 };
 
 }  // namespace tealshelf
--- a/lots/lot_coordinator.hpp
+++ b/lots/lot_coordinator.hpp
@@ -25,6 +25,8 @@
   /// How many lots of all keyspaces rely on a store; throws if that can't be told.
   Task<std::uint64_t> countLotsRelyingOn(string store);
   static string keyspaceOf(string const& host);
+  static bool isLotKeyspace(string const& keyspace) { return keyspace.starts_with(keyspaceOf("")); }
+  std::size_t recoveriesUnderWay() const { return recoveries_; }
 
  private:
   /// A store as it was heard last.
--- /dev/null
+++ b/lots/store_metrics.hpp
@@ -0,0 +1,17 @@
+#pragma once
+#include "base/metrics.hpp"
+#include "segments/replica_table.hpp"
+
+namespace tealshelf {
+
+/// What a store tells about itself.
+class StoreMetrics {
+ public:
+  StoreMetrics();
+  void sample(ReplicaTable const& replicas, std::size_t unusable, bool hasLease);
+
+ private:
+  Gauge replicas_, damaged_, replicaBytes_, unusable_, hasLease_;
+};
+
+}  // namespace tealshelf
--- a/lots/store_node.hpp
+++ b/lots/store_node.hpp
@@ -1,5 +1,6 @@
 #pragma once
 #include "lots/lot_runner.hpp"
+#include "lots/store_metrics.hpp"
 #include "updates/fleet_view.hpp"
 
 namespace tealshelf {
@@ -56,6 +57,8 @@
   std::map<LotKey, LotRecord> lots_;  ///< as their coordinators want them
   std::map<LotKey, UnusableReplica> unusable_;
   bool stopping_ = false;
+  StoreMetrics metrics_;
+  SamplerRegistration sampler_;
 };
 
 }  // namespace tealshelf
--- a/segments/replica_table.hpp
+++ b/segments/replica_table.hpp
@@ -52,6 +52,10 @@
   bool holds(LotKey const& key, GenerationStamp atLeast) const;
   vector<ReplicaVersion> versions() const;
   std::size_t size() const { return replicas_.size(); }
+  template <class Visitor>
+  void forEach(Visitor visit) const {
+    for (auto const& [key, replica] : replicas_) visit(replica);
+  }
 
  private:
   std::map<LotKey, Replica> replicas_;
--- a/tools/loopback.sh
+++ b/tools/loopback.sh
@@ -44,11 +44,11 @@
   boot edge-$i control edge control 127.0.1.$i $a "$dir/control$i"
   boot edge-$i edge edge edge 127.0.1.$i $a ""
   boot store-$i store storage storage 127.0.2.$i $a "$dir/store$i"
-  TEALSHELF_BOOT="$dir/edge-$i-control.conf" "$build/tealshelf-control-plane" serve > "$dir/control$i.log" 2>&1 &
+  TEALSHELF_BOOT="$dir/edge-$i-control.conf" "$build/tealshelf-control-plane" --metrics-port 7663 serve > "$dir/control$i.log" 2>&1 &
   echo $! >> "$dir/pids"
-  TEALSHELF_BOOT="$dir/edge-$i-edge.conf" "$build/tealshelf-data-plane" edge > "$dir/edge$i.log" 2>&1 &
+  TEALSHELF_BOOT="$dir/edge-$i-edge.conf" "$build/tealshelf-data-plane" --metrics-port 7665 edge > "$dir/edge$i.log" 2>&1 &
   echo $! >> "$dir/pids"
-  TEALSHELF_BOOT="$dir/store-$i-store.conf" "$build/tealshelf-data-plane" store > "$dir/store$i.log" 2>&1 &
+  TEALSHELF_BOOT="$dir/store-$i-store.conf" "$build/tealshelf-data-plane" --metrics-port 7664 store > "$dir/store$i.log" 2>&1 &
   echo $! >> "$dir/pids"
 done
 for _ in $(seq 50); do
--- /dev/null
+++ b/wire/metrics_server.cpp
@@ -0,0 +1,29 @@
+#include "wire/metrics_server.hpp"
+
+namespace tealshelf {
+
+namespace {
+constexpr std::uint64_t maxCallBytes = 1u << 16;
+constexpr char const* textFormat = "text/plain; version=0.0.4; charset=utf-8";
+}  // namespace
+
+MetricsServer::MetricsServer(asio::io_context& io, Address const& address, Ms idleLimit, Metrics& metrics) {
+  HttpHandler const handler = [&metrics](HttpCall call) -> Task<HttpReply> { co_return answer(call, metrics); };
+  try {
+    server_.emplace(io, address, handler, maxCallBytes, idleLimit);
+  } catch (boost::system::system_error const& error) {
+    logWarning("metrics", address.text() + " can't be served: " + error.what());
+    return;
+  }
+  server_->start();
+}
+
+HttpReply MetricsServer::answer(HttpCall const& call, Metrics& metrics) {
+  if (call.verb != "GET" || call.path != metricsPath) throw Error(ErrorCode::unknownPath, call.path);
+  HttpReply reply;
+  reply.body = metrics.text();
+  reply.contentType = textFormat;
+  return reply;
+}
+
+}  // namespace tealshelf
--- /dev/null
+++ b/wire/metrics_server.hpp
@@ -0,0 +1,25 @@
+#pragma once
+#include "base/metrics.hpp"
+#include "wire/http.hpp"
+
+namespace tealshelf {
+
+/// Where a process serves its metrics.
+constexpr string_view metricsPath = "/metrics";
+
+/// Serves the metrics of a process, for whoever looks at an incident.
+///
+/// Runs on the io thread. The metrics and the io_context must outlive it.
+class MetricsServer {
+ public:
+  /// A port that can't be bound is logged as a warning: figures are worth no process.
+  MetricsServer(asio::io_context& io, Address const& address, Ms idleLimit, Metrics& metrics);
+  bool isServing() const { return server_.has_value(); }
+  /// The answer to a call: the text at metricsPath; throws ErrorCode::unknownPath elsewhere.
+  static HttpReply answer(HttpCall const& call, Metrics& metrics);
+
+ private:
+  std::optional<HttpServer> server_;
+};
+
+}  // namespace tealshelf
