--- a/base/durable_log.hpp
+++ b/base/durable_log.hpp
@@ -19,7 +19,7 @@
   Ms maxRetryPause;
 
   /// Size of a log file that is always allowed before a snapshot replaces it.
-  std::size_t minLogSize() const { return budget / 5; }
+  std::size_t minLogSize() const { return budget / 10; }
   /// Size of a log file at which a snapshot replaces it, after a state of a size. The old snapshot, the log and a new
   /// snapshot that has grown by all that is in the log must fit. Each snapshot holds the state in memory twice for a
   /// while, so they are as rare as the space allows.
@@ -28,8 +28,8 @@
     return std::clamp(fits, minLogSize(), budget / 3);
   }
   /// While a snapshot is written the old one, the log and the new one stand side by side, and the new one may have
-  /// grown by what is in the log: 3 + 2 + 3 + 2 tenths.
-  std::size_t maxStateSize() const { return budget * 3 / 10; }
+  /// grown by what is in the log: 4 + 1 + 4 + 1 tenths.
+  std::size_t maxStateSize() const { return budget * 4 / 10; }
 };
 
 /// The limits of a log that may use a share of the disk.
@@ -76,7 +76,9 @@
   bool healthy() const { return state_ == DiskState::healthy; }
   /// The errno of the last failure.
   int lastError() const { return lastError_; }
-  /// True if the state has outgrown its part of the budget: nothing new should be taken in.
+  DiskLimits const& limits() const { return limits_; }
+  /// True if the state had outgrown its part of the budget when it was last written whole. It lags behind by what is in
+  /// the log: who takes new state in must count it himself.
   bool overBudget() const { return stateSize_ > limits_.maxStateSize(); }
   /// How long the last write and sync took.
   Ms lastSyncTook() const { return lastSyncTook_; }
--- a/base/errors.cpp
+++ b/base/errors.cpp
@@ -41,6 +41,8 @@
     {ErrorCode::noStores, ErrorKind::rejected, "too few stores for safe copies"},
     {ErrorCode::staleStamp, ErrorKind::preconditionFailed, "the stamp doesn't match"},
     {ErrorCode::lotEnded, ErrorKind::conflict, "the lot was ended"},
+    {ErrorCode::storeFull, ErrorKind::rejected, "the store has no room for another replica"},
+    {ErrorCode::storesFull, ErrorKind::rejected, "the stores have no room for another lot and the losses to survive"},
     {ErrorCode::noOwner, ErrorKind::rejected, "the keyspace has no owner just now"},
     {ErrorCode::noQuorum, ErrorKind::undetermined, "no majority answered in time"},
     {ErrorCode::notMember, ErrorKind::rejected, "the node is not in the membership"},
--- a/base/errors.hpp
+++ b/base/errors.hpp
@@ -62,6 +62,8 @@
   noStores = 308,
   staleStamp = 309,
   lotEnded = 310,
+  storeFull = 311,
+  storesFull = 312,
   noOwner = 400,
   noQuorum = 401,
   notMember = 402,
--- a/base/invariant.hpp
+++ b/base/invariant.hpp
@@ -24,6 +24,8 @@
   committedNeverGoesBack,  ///< the committed values of a keyspace stand at a position that never falls
   committedIsStored,       ///< no committed write lies above what is stored without a gap
   membershipOverlaps,      ///< two memberships that follow each other differ by one member at the most
+  sealedRecordStays,       ///< a sealed lot's record stays sealed, with the same results
+  freshStampAfterCopies,   ///< survivors take a fresh stamp only once a record may name them
   count                    ///< number of invariants; not one itself
 };
 
--- a/lots/lot_api.cpp
+++ b/lots/lot_api.cpp
@@ -28,7 +28,8 @@
 /// Nobody else would answer better.
 bool isFinal(Error const& error) {
   return error.kind() == ErrorKind::notFound || error.kind() == ErrorKind::overQuota ||
-         error.code() == ErrorCode::staleStamp || error.code() == ErrorCode::noStores;
+         error.code() == ErrorCode::staleStamp || error.code() == ErrorCode::noStores ||
+         error.code() == ErrorCode::storesFull;
 }
 
 bool isConnectionFailure(Error const& error) {
@@ -132,12 +133,13 @@
   for (ItemRecord const& item : items) request.lot.tokens += item.tokens;
   request.maxQueuedTokens = route.maxQueuedTokens;
   string serializedItems = serialize(items);
+  request.itemBytes = serializedItems.size();
   items.clear();
   try {
     co_await place(std::move(request), std::move(serializedItems));
   } catch (Error const& error) {
     // Only a refusal that came before anything was recorded is a promise.
-    if (error.code() == ErrorCode::lotOverQuota) {
+    if (error.code() == ErrorCode::lotOverQuota || error.code() == ErrorCode::storesFull) {
       HttpReply answer = errorReply(error);
       answer.headers.emplace_back("Retry-After", "0.5");
       co_return answer;
@@ -195,20 +197,40 @@
   co_return HttpReply{200, "{}", "application/json", {}};
 }
 
+/// Asks who may answer a read: the primary, or of a sealed lot any holder, those in this zone first. Nothing if none
+/// does.
+Task<std::optional<ReadResultsReply>> LotApi::readFromHolders(LotRecord lot, std::uint64_t from, TimePoint until) {
+  vector<StoreRef> holders = lot.holders;
+  if (lot.isSealed())
+    std::stable_partition(holders.begin(), holders.end(),
+                          [this](StoreRef const& store) { return store.zone == settings_.zone; });
+  else
+    holders.resize(std::min<std::size_t>(holders.size(), 1));
+  for (StoreRef const& holder : holders) {
+    Ms const left(remainingMs(until));
+    ReadResults request{lot.host, lot.id, lot.lowestReplicaStamp(), from, maxAnswerBytes, left.count()};
+    request.sealed = lot.isSealed();
+    request.sealedResults = lot.sealedResults;
+    Ms const limit = lot.isSealed() ? settings_.bounds.settleWithin / 2 : left + settings_.bounds.settleWithin / 2;
+    try {
+      co_return co_await rpc_.call(holder.address, request, limit);
+    } catch (Error const& error) {
+      logDebug("lots", lot.id + ": " + holder.name + " doesn't answer a read: " + error.what());
+    }
+  }
+  co_return std::nullopt;
+}
+
 Task<HttpReply> LotApi::listResults(LotKey key, std::uint64_t from, Ms hold) {
   TimePoint const until = Clock::now() + std::max(hold, settings_.bounds.settleWithin);
   std::optional<ReadResultsReply> page;
   for (int turn = 0; !page; ++turn) {
     LotRecord const lot = co_await findLot(key, turn > 0);
     if (lot.holders.empty()) throw Error(ErrorCode::lotStateUnknown);
-    try {
-      Ms const left = std::min(hold, Ms(remainingMs(until)));
-      ReadResults const request{key.host, key.id, lot.stamp, from, maxAnswerBytes, left.count()};
-      page = co_await rpc_.call(lot.holders[0].address, request, left + settings_.bounds.settleWithin / 2);
-    } catch (Error const& error) {
-      if (Clock::now() + settings_.bounds.step > until) throw Error(ErrorCode::lotStateUnknown);
-    }
-    if (!page) co_await sleepFor(settings_.bounds.step / 2);
+    page = co_await readFromHolders(lot, from, std::min(until, Clock::now() + hold));
+    if (page) break;
+    if (Clock::now() + settings_.bounds.step > until) throw Error(ErrorCode::lotStateUnknown);
+    co_await sleepFor(settings_.bounds.step / 2);
   }
   co_return HttpReply{200, resultsAsJson(*page, from), "application/json", {}};
 }
@@ -218,6 +240,8 @@
   for (int turn = 0;; ++turn) {
     LotRecord const lot = co_await findLot(key, turn > 0);
     if (lot.holders.empty()) throw Error(ErrorCode::lotStateUnknown);
+    // All items of a sealed lot are listed, or the lot was ended: their bodies are gone.
+    if (lot.isSealed()) throw Error(ErrorCode::itemUnknown);
     try {
       ReadItem const request{key.host, key.id, item, lot.stamp};
       ReadItemReply reply = co_await rpc_.call(lot.holders[0].address, request, settings_.bounds.settleWithin / 2);
--- a/lots/lot_coordinator.cpp
+++ b/lots/lot_coordinator.cpp
@@ -61,7 +61,19 @@
   return deserialize<LotRecord>(record->second);
 }
 
+/// What must hold between two records of a lot that follow each other.
+void LotCoordinator::checkChange(LotRecord const& next) const {
+  std::optional<LotRecord> const last = load(next.key());
+  if (!last) return;
+  checkInvariant(Invariant::recordStampRises, next.stamp >= last->stamp, [&] { return next.id; });
+  checkInvariant(Invariant::acceptedRecordStays, next.state >= last->state, [&] { return next.id; });
+  bool const staysSealed =
+      !last->isSealed() || (next.sealedStamp == last->sealedStamp && next.sealedResults == last->sealedResults);
+  checkInvariant(Invariant::sealedRecordStays, staysSealed, [&] { return next.id; });
+}
+
 Task<bool> LotCoordinator::save(LotRecord lot) {
+  checkChange(lot);
   vector<KeyChange> changes(1, KeyChange{lot.id, serialize(lot), false});
   // An unknown end is reported like none: the callers answer with a status that promises nothing.
   OperationResult const result = co_await driver_.propose(keyspaceOf(lot.host), std::move(changes));
@@ -88,7 +100,8 @@
 }
 
 bool LotCoordinator::countsTowardsQuota(LotRecord const& lot, LotRecord const& incoming) const {
-  if (lot.id == incoming.id || lot.route != incoming.route || lot.state == LotState::ended) return false;
+  bool const finished = lot.state == LotState::ended || lot.isSealed();
+  if (lot.id == incoming.id || lot.route != incoming.route || finished) return false;
   // A lot that was never accepted stops counting only when it can't be accepted any more.
   if (lot.state == LotState::opening && !mayBeAccepted(lot.key(), settings_.bounds.inTouch)) return false;
   return !opening_.contains(lot.key());
@@ -123,8 +136,7 @@
   lot.sentAtMs = known ? known->sentAtMs : wallClockMs();
   checkQuota(lot, request.maxQueuedTokens);
   std::set<NodeId> const excluded(request.excluded.begin(), request.excluded.end());
-  lot.holders = choose(lot.id, excluded, {}, neededCopies() + 1, Clock::now());
-  if (lot.holders.size() < neededCopies()) throw Error(ErrorCode::noStores);
+  lot.holders = chooseForNewLot(lot, excluded, static_cast<double>(request.itemBytes));
   lot.state = LotState::opening;
   lot.stamp = freshStamp(lot.host);
   lots_[key].openedAt = Clock::now();
@@ -135,6 +147,21 @@
   co_return OpenLotReply{false, lot};
 }
 
+vector<StoreRef> LotCoordinator::chooseForNewLot(LotRecord const& lot, std::set<NodeId> const& excluded,
+                                                 double itemBytes) {
+  TimePoint const now = Clock::now();
+  double const bytes = itemBytes + expectedResultBytes(lot);
+  if (!admits(fleetLoad(now), bytes)) {
+    refusedForRoom_.increment();
+    throw Error(ErrorCode::storesFull);
+  }
+  vector<StoreRef> holders = chooseWithSpare({lot.id, CopyPurpose::admission, bytes}, excluded, {}, now);
+  if (holders.size() < neededCopies()) throw Error(ErrorCode::noStores);
+  // Until their next heartbeats tell, the holders count as having the lot.
+  for (StoreRef const& holder : holders) stores_.at(holder.id).load.growth += static_cast<std::uint64_t>(bytes);
+  return holders;
+}
+
 Task<Acknowledgement> LotCoordinator::accept(AcceptLot request) {
   std::optional<Acknowledgement> const forwarded = co_await forward(request.host, request);
   if (forwarded) co_return *forwarded;
--- a/lots/lot_coordinator.hpp
+++ b/lots/lot_coordinator.hpp
@@ -1,10 +1,14 @@
 #pragma once
 #include "base/async_mutex.hpp"
+#include "base/invariant.hpp"
+#include "base/metrics.hpp"
 #include "consensus/consensus_driver.hpp"
 #include "lots/lease_grants.hpp"
 #include "lots/lot_ages.hpp"
 #include "lots/messages.hpp"
+#include "lots/recovery_need.hpp"
 #include "lots/replica_rules.hpp"
+#include "lots/store_placement.hpp"
 
 namespace tealshelf {
 
@@ -34,26 +38,13 @@
     StoreRef ref;
     TimePoint heardAt;
     bool leaving = false, diskFailing = false;
+    StoreLoad load;
   };
-  /// How a try to recover a lot ended; everything but `recovered` leaves the record as it was.
-  enum class RecoveryOutcome {
-    none,              ///< not tried yet
-    recovered,         ///< the record names the replicas under the fresh stamp
-    notOwner,          ///< another control node owns the keyspace by now
-    busy,              ///< another change of the record took too long
-    noLiveHolder,      ///< no holder was heard lately
-    primaryNotFenced,  ///< the lease of the former primary may still count
-    noIntactReplica,   ///< no live holder has a replica at or above the recorded stamp
-    tooFewStores,      ///< too few live stores for the copies that are needed
-    notSettled,        ///< no survivor took the fresh stamp
-    copiesRefused,     ///< the copies that are needed were refused
-    recordNotWritten   ///< no majority acknowledged the record in time
-  };
-  static char const* nameOf(RecoveryOutcome outcome);
   /// What this process knows of a lot beside its record; it may be lost.
   struct LotStatus {
     std::uint64_t revision = 0;  ///< of the last change of the record
     std::uint64_t finishedTokens = 0, listedResults = 0;
+    GenerationStamp finalStamp;  ///< under which its primary said that nothing more will be listed
     std::set<NodeId> failedHolders;
     bool primaryNeedsSettlement = false;
     TimePoint openedAt;
@@ -78,6 +69,8 @@
   Task<FindLotReply> end(EndLot request);
   /// Throws ErrorCode::lotOverQuota if a lot doesn't fit the tokens that may wait on its route.
   void checkQuota(LotRecord const& lot, std::uint64_t maxQueuedTokens) const;
+  /// The first holders of a lot; throws storesFull or noStores.
+  vector<StoreRef> chooseForNewLot(LotRecord const& lot, std::set<NodeId> const& excluded, double itemBytes);
   bool countsTowardsQuota(LotRecord const& lot, LotRecord const& incoming) const;
   /// True while a lot that was opened here may still be accepted.
   bool mayBeAccepted(LotKey const& key, Ms within) const;
@@ -89,6 +82,7 @@
   /// Throws ErrorCode::noQuorum unless a majority says that this node owns the keyspace of a host.
   Task<void> confirmOwnership(string host);
   std::optional<LotRecord> load(LotKey const& key) const;
+  void checkChange(LotRecord const& next) const;
   /// False if the record isn't known to be committed.
   Task<bool> save(LotRecord lot);
   /// Lets one change of a lot's record at a time begin; throws ErrorCode::busy if that takes too long.
@@ -107,33 +101,75 @@
   Task<Acknowledgement> fence(FenceStore request);
   bool isDead(NodeId store, TimePoint now) const;
   bool isDiskFailing(NodeId store) const;
-  /// Adds stores to those that a lot has, in other zones first, in rendezvous order.
-  vector<StoreRef> choose(string const& lot, std::set<NodeId> const& excluded, vector<StoreRef> holders,
+  /// What a copy is wanted for, and how large it will be as far as that is known.
+  struct Placement {
+    string lot;
+    CopyPurpose purpose;
+    double bytes = 0;
+  };
+  /// Adds stores with room to those that a lot has, in other zones first, in rendezvous order.
+  vector<StoreRef> choose(Placement const& placement, std::set<NodeId> const& excluded, vector<StoreRef> holders,
                           std::size_t count, TimePoint now) const;
+  /// Chooses the needed holders, and a spare one where there is plenty of room.
+  vector<StoreRef> chooseWithSpare(Placement placement, std::set<NodeId> const& excluded,
+                                   vector<StoreRef> const& holders, TimePoint now) const;
+  /// True while the stores have room for copies beyond the needed ones.
+  bool hasRoomForSpares(TimePoint now) const;
+  FleetLoad fleetLoad(TimePoint now) const;
+  /// True if the disk of a holder is known to be gone: its machine was heard with another one since.
+  bool isDiskGone(StoreRef const& holder) const;
   /// Copies that a lot must have to survive what the deployment may lose.
   std::size_t neededCopies() const { return static_cast<std::size_t>(settings_.surviveMachines) + 1; }
 
-  // Upkeep: lot_recovery.cpp.
+  // Upkeep: lot_upkeep.cpp.
   Task<void> upkeepLoop();
   /// Deletes records of lots that nobody asks for any more, and starts recoveries.
   Task<void> maintain(string keyspace);
   bool isForgettable(LotRecord const& lot, LotStatus const& status, TimePoint now) const;
-  bool needsRecovery(LotRecord const& lot, LotStatus const& status, TimePoint now) const;
-  void startRecoveries(vector<LotRecord> lots);
-  Task<void> recover(LotKey key);
-  Task<RecoveryOutcome> recoverLocked(LotRecord lot);
+  RecoveryNeed needOf(LotRecord const& lot, LotStatus const& status, TimePoint now) const;
+  RecoveryNeed needOfSealed(LotRecord const& lot, LotStatus const& status, TimePoint now) const;
+  /// The pause before a recovery is tried again; it grows with failures.
+  Ms retryPause(LotStatus const& status, RecoveryNeed need) const;
+  struct PendingRecovery {
+    LotRecord lot;
+    RecoveryNeed need;
+  };
+  void startRecoveries(vector<PendingRecovery> pending);
+  Task<void> recover(LotKey key, RecoveryNeed need);
+  Task<RecoveryOutcome> recoverAs(RecoveryNeed need, LotRecord lot);
   /// Notes how a recovery ended and tells of lots that wait for theirs.
-  void noteOutcome(LotKey const& key, RecoveryOutcome outcome);
+  void noteOutcome(LotKey const& key, RecoveryNeed need, RecoveryOutcome outcome);
+
+  // Recovery of lots that go on: lot_recovery.cpp.
+  Task<RecoveryOutcome> recoverOpen(LotRecord lot);
   /// Fences a store at a majority of the control nodes; false if its lease may still count.
   Task<bool> fenceEverywhere(NodeId store);
   struct Survivors {
     vector<StoreRef> stores;
     std::uint64_t shortest = ~0ull;  ///< results that all of them have
+    std::size_t withoutReplica = 0;  ///< holders that have no intact replica for certain
   };
   Task<Survivors> inspectHolders(LotRecord lot, vector<StoreRef> holders);
   Task<vector<StoreRef>> settleHolders(LotRecord lot, vector<StoreRef> holders, GenerationStamp stamp,
                                        std::uint64_t length);
 
+  /// Has a lot copied to stores that don't hold it; gives those that synced their copy.
+  Task<vector<StoreRef>> copyTo(vector<StoreRef> targets, CopyReplica request, vector<StoreRef> sources);
+
+  // Sealed lots: sealed_lots.cpp.
+  /// Records that nothing is listed beyond what all holders have.
+  Task<RecoveryOutcome> seal(LotRecord lot);
+  /// Brings the holders of a sealed lot to what they should be. Its replicas never change, so that each intact one
+  /// serves reads all the while.
+  Task<RecoveryOutcome> replicateSealed(LotRecord lot);
+  struct HolderAnswers {
+    vector<StoreRef> confirmed;  ///< hold it intact and synced
+    vector<StoreRef> silent;     ///< may hold it
+  };
+  Task<HolderAnswers> askHolders(LotRecord lot);
+  /// Leaves the fullest stores out, as far as the zones allow.
+  vector<StoreRef> trim(vector<StoreRef> holders, std::size_t count) const;
+
   // Retirement of stores: relying_lots.cpp.
   Task<std::uint64_t> countRelying(string host, string store);
   Task<ConfirmedReplicas> confirmHeldReplicas(string host);
@@ -152,6 +188,9 @@
   std::map<LotKey, OpeningLot> opening_;
   std::map<string, Epoch> knownEpochs_;  ///< of owned keyspaces
   std::size_t recoveries_ = 0;
+  Counter refusedForRoom_ =
+      metrics().counter("tealshelf_lots_refused_for_room_total", "Lots refused as the stores are full.");
+  double neededCopyShare_ = 1;  ///< part of the copies that the records name that can't be given up
   LotAges ages_;
   std::map<string, TimePoint> closedStores_;  ///< stores asked about before they go, since when they get nothing new
 };
--- a/lots/lot_run.hpp
+++ b/lots/lot_run.hpp
@@ -30,6 +30,15 @@
   std::set<std::shared_ptr<asio::steady_timer>> readers;  ///< reads that are held; cancelled when there is news
 
   bool ended() const { return lot.state == LotState::ended; }
+  /// True once nothing more will be listed under this stamp: all is listed, or the lot was ended and nothing of it is
+  /// under way.
+  bool isFinal() const {
+    if (listedResults >= items.size()) return true;
+    bool const underWay = !unlisted.empty() || std::any_of(items.begin(), items.end(), [](Item const& item) {
+      return item.state == ItemState::running;
+    });
+    return ended() && !underWay;
+  }
   void wakeReaders() const {
     for (std::shared_ptr<asio::steady_timer> const& reader : readers) reader->cancel();
   }
--- a/lots/lot_runner.cpp
+++ b/lots/lot_runner.cpp
@@ -104,7 +104,8 @@
   for (auto const& [key, run] : runs_) {
     LotRecord const& lot = run->lot;
     if (!run->abandoned)
-      heartbeat.progress.push_back({key.host, key.id, lot.stamp, run->finishedTokens, run->listedResults});
+      heartbeat.progress.push_back(
+          {key.host, key.id, lot.stamp, run->finishedTokens, run->listedResults, run->isFinal()});
     for (NodeId const holder : run->failedHolders) heartbeat.failures.push_back({key.host, key.id, lot.stamp, holder});
     if (run->needsSettlement) heartbeat.failures.push_back({key.host, key.id, lot.stamp, replicas_.id()});
   }
--- a/lots/lot_runner.hpp
+++ b/lots/lot_runner.hpp
@@ -78,6 +78,7 @@
   Task<bool> appendEverywhere(vector<ResultBatch>& batches);
   void listBatch(ResultBatch& batch, bool ownDiskFailed);
   Task<ReadResultsReply> readResults(ReadResults request);
+  ReadResultsReply readSealed(ReadResults const& request) const;
   ReadResultsReply resultsFrom(LotRun const& run, Replica const& replica, ReadResults const& request) const;
   Task<ReadItemReply> readItem(ReadItem request);
   /// The run of a lot under a stamp; throws ErrorCode::staleStamp if this store may not answer for it.
--- a/lots/messages.hpp
+++ b/lots/messages.hpp
@@ -19,7 +19,8 @@
   std::uint64_t maxQueuedTokens = 0;
   int hops = 0;
   vector<NodeId> excluded;  ///< stores that failed an earlier try
-  MSGPACK_DEFINE(lot, maxQueuedTokens, hops, excluded)
+  std::uint64_t itemBytes = 0;
+  MSGPACK_DEFINE(lot, maxQueuedTokens, hops, excluded, itemBytes)
 };
 
 /// Accepts a lot that its holders have synced under a stamp.
@@ -62,8 +63,18 @@
   string host, lot;
   GenerationStamp stamp;
   std::uint64_t finishedTokens = 0, listedResults = 0;
+  bool final = false;  ///< nothing will be listed beyond these results
   LotKey key() const { return {host, lot}; }
-  MSGPACK_DEFINE(host, lot, stamp, finishedTokens, listedResults)
+  MSGPACK_DEFINE(host, lot, stamp, finishedTokens, listedResults, final)
+};
+
+/// How full a store is, in bytes of replicas. All are 0 for a store that doesn't tell.
+struct StoreLoad {
+  std::uint64_t used = 0;    ///< by the replicas that it has
+  std::uint64_t growth = 0;  ///< what the results still to come will likely take
+  std::uint64_t limit = 0;   ///< what it takes at the most
+  bool tells() const { return limit != 0; }
+  MSGPACK_DEFINE(used, growth, limit)
 };
 
 /// A store's report that a holder fails a lot, or, about itself, that its own replica must be settled anew.
@@ -101,7 +112,8 @@
   vector<HolderFailure> failures;
   bool leaving = false;
   bool diskFailing = false;  ///< its disk takes no writes: it can be read, but holds nothing new
-  MSGPACK_DEFINE(self, lease, process, revision, countsAsLoss, progress, replicas, failures, leaving, diskFailing)
+  StoreLoad load;
+  MSGPACK_DEFINE(self, lease, process, revision, countsAsLoss, progress, replicas, failures, leaving, diskFailing, load)
 };
 
 /// Asks a control node never to grant the present lease of a store again.
--- a/lots/relying_lots.cpp
+++ b/lots/relying_lots.cpp
@@ -10,7 +10,7 @@
   for (auto const& [id, record] : driver_.consensus().committedValues(keyspaceOf(host))) {
     LotRecord const lot = deserialize<LotRecord>(record);
     for (StoreRef const& holder : lot.holders) {
-      questions[holder.id].replicas.push_back({lot.host, lot.id, lot.stamp});
+      questions[holder.id].replicas.push_back({lot.host, lot.id, lot.lowestReplicaStamp()});
       addresses[holder.id] = holder.address;
     }
   }
--- a/lots/replica_rules.hpp
+++ b/lots/replica_rules.hpp
@@ -13,7 +13,9 @@
     for (std::size_t i = 0; i < question.replicas.size() && i < answer.held.size(); ++i)
       if (answer.held[i]) held_.insert({asked, question.replicas[i]});
   }
-  bool has(NodeId store, LotRecord const& lot) const { return held_.contains({store, {lot.host, lot.id, lot.stamp}}); }
+  bool has(NodeId store, LotRecord const& lot) const {
+    return held_.contains({store, {lot.host, lot.id, lot.lowestReplicaStamp()}});
+  }
 
  private:
   struct Held {
--- a/lots/replica_store.cpp
+++ b/lots/replica_store.cpp
@@ -1,12 +1,15 @@
 #include "lots/replica_store.hpp"
 
 #include "base/node_id.hpp"
+#include "lots/store_placement.hpp"
 
 namespace tealshelf {
 
 namespace {
 /// The part of the disk's space that the log of segments may use.
 constexpr double logShare = 0.9;
+/// The part of the process's memory that replicas may take. While a snapshot is written they are there twice.
+constexpr double memoryShare = 0.3;
 }  // namespace
 
 ReplicaStore::ReplicaStore(asio::io_context& io, Settings const& settings, RpcClient& rpc)
@@ -48,14 +51,32 @@
   if (!log_.healthy()) throw Error(ErrorCode::diskUnavailable, std::strerror(log_.lastError()));
 }
 
-void ReplicaStore::requireRoom(LotRecord const& lot) const {
+std::size_t ReplicaStore::maxReplicaBytes() const {
+  double const memory = static_cast<double>(settings_.memoryMb << 20) * memoryShare;
+  return std::min(log_.limits().maxStateSize(), static_cast<std::size_t>(memory));
+}
+
+void ReplicaStore::requireRoom(LotRecord const& lot, std::size_t bytes) const {
   requireDisk();
-  if (log_.overBudget() && !table_.find(lot.key()))
-    throw Error(ErrorCode::diskUnavailable, "the replicas fill its part");
+  if (table_.find(lot.key())) return;
+  if (table_.bytes() + bytes <= maxReplicaBytes()) return;
+  throw Error(ErrorCode::storeFull, std::to_string(table_.bytes() >> 20) + " MB");
+}
+
+StoreLoad ReplicaStore::load() const {
+  double growth = 0;
+  table_.forEach([&growth](Replica const& replica) {
+    LotRecord const& lot = replica.lot;
+    bool const grows = !replica.sealed && lot.state != LotState::ended && replica.results.size() < lot.itemCount;
+    if (!grows) return;
+    double const open = static_cast<double>(lot.itemCount - replica.results.size());
+    growth += open / static_cast<double>(lot.itemCount) * expectedResultBytes(lot);
+  });
+  return {table_.bytes(), static_cast<std::uint64_t>(growth), maxReplicaBytes()};
 }
 
 Task<Acknowledgement> ReplicaStore::create(CreateReplica request) {
-  requireRoom(request.lot);
+  requireRoom(request.lot, request.items.size());
   bool const passOn = std::exchange(request.passOn, false);
   string const forOthers = passOn ? serialize(request) : "";
   vector<StoreRef> const holders = request.lot.holders;
@@ -130,16 +151,22 @@
 }
 
 Task<Acknowledgement> ReplicaStore::copy(CopyReplica request) {
-  requireRoom(request.lot);
-  FetchReplica const fetch{request.lot.host, request.lot.id, request.lot.stamp};
+  requireRoom(request.lot, 0);
+  FetchReplica const fetch{request.lot.host, request.lot.id, request.sourceStamp, true};
   CreateReplica replica = co_await rpc_.call(request.source, fetch, settings_.bounds.inTouch / 3);
+  if (replica.results.size() < request.results) throw Error(ErrorCode::staleStamp, request.lot.id);
+  replica.results.resize(request.results);
+  std::size_t bytes = replica.items.size();
+  for (string const& result : replica.results) bytes += result.size();
+  requireRoom(request.lot, bytes);
   table_.create(request.lot, std::move(replica.items), std::move(replica.results));
   co_await persistAndSync();
   co_return Acknowledgement{};
 }
 
 Task<CreateReplica> ReplicaStore::fetch(FetchReplica request) {
-  Replica const& replica = table_.read(request.key(), request.stamp);
+  Replica const& replica =
+      request.orNewer ? table_.readAtLeast(request.key(), request.stamp, 0) : table_.read(request.key(), request.stamp);
   co_return CreateReplica{replica.lot, replica.items, replica.results, false};
 }
 
--- a/lots/replica_store.hpp
+++ b/lots/replica_store.hpp
@@ -1,5 +1,6 @@
 #pragma once
 #include "base/durable_log.hpp"
+#include "lots/messages.hpp"
 #include "segments/replica_table.hpp"
 
 namespace tealshelf {
@@ -16,6 +17,8 @@
   ReplicaTable& table() { return table_; }
   ReplicaTable const& table() const { return table_; }
   bool diskHealthy() const { return log_.healthy(); }
+  /// How full this store is.
+  StoreLoad load() const;
   /// Queues the table's records for the disk.
   void persist();
   /// Writes what is queued, without waiting.
@@ -44,8 +47,11 @@
   Task<ConfirmReplicasReply> confirm(ConfirmReplicas request);
   /// Throws diskUnavailable while the disk takes nothing.
   void requireDisk() const;
-  /// Throws diskUnavailable while the disk takes nothing, or no new replica.
-  void requireRoom(LotRecord const& lot) const;
+  /// Throws diskUnavailable while the disk takes nothing, and storeFull if a replica of a lot that isn't here yet would
+  /// not fit.
+  void requireRoom(LotRecord const& lot, std::size_t bytes) const;
+  /// Bytes of replicas that this store takes at the most: its state must fit its disk and its memory.
+  std::size_t maxReplicaBytes() const;
   std::size_t neededCopies() const { return static_cast<std::size_t>(settings_.surviveMachines) + 1; }
 
   asio::io_context& io_;
--- a/lots/result_listing.cpp
+++ b/lots/result_listing.cpp
@@ -6,6 +6,28 @@
 namespace {
 /// Added to the text of a result when the size of an answer is bounded.
 constexpr std::size_t resultOverhead = 128;
+
+struct ListedLot {
+  std::uint64_t total = 0;   ///< its items
+  std::uint64_t listed = 0;  ///< its results that may be read
+};
+
+/// Listed results from a position on, up to the size that is asked for.
+template <class ItemId>
+ReadResultsReply pageOf(Replica const& replica, ReadResults const& request, ListedLot const& lot, ItemId itemId) {
+  ReadResultsReply reply;
+  reply.total = lot.total;
+  std::size_t bytes = 0;
+  std::uint64_t const end = std::min<std::uint64_t>(lot.listed, replica.results.size());
+  for (std::uint64_t position = request.from; position < end; ++position) {
+    ResultRecord result = deserialize<ResultRecord>(replica.results[position]);
+    bytes += result.text.size() + resultOverhead;
+    if (bytes > request.maxBytes && !reply.results.empty()) break;
+    reply.itemIds.push_back(itemId(result.item));
+    reply.results.push_back(std::move(result));
+  }
+  return reply;
+}
 }  // namespace
 
 Task<void> LotRunner::listLoop() {
@@ -118,7 +140,16 @@
   return run->second;
 }
 
+/// The results of a sealed lot: any intact replica has them, and no lease is needed as they never change.
+ReadResultsReply LotRunner::readSealed(ReadResults const& request) const {
+  Replica const& replica = replicas_.table().readAtLeast(request.key(), request.stamp, request.sealedResults);
+  vector<ItemRecord> const items = deserialize<vector<ItemRecord>>(replica.items);
+  return pageOf(replica, request, {items.size(), request.sealedResults},
+                [&items](std::uint32_t item) { return items.at(item).id; });
+}
+
 Task<ReadResultsReply> LotRunner::readResults(ReadResults request) {
+  if (request.sealed) co_return readSealed(request);
   Ms const hold = std::min(Ms(request.holdMs), settings_.bounds.inTouch);
   TimePoint const until = Clock::now() + hold;
   for (;;) {
@@ -136,18 +167,8 @@
 }
 
 ReadResultsReply LotRunner::resultsFrom(LotRun const& run, Replica const& replica, ReadResults const& request) const {
-  ReadResultsReply reply;
-  reply.total = run.lot.itemCount;
-  std::size_t bytes = 0;
-  std::uint64_t const end = std::min<std::uint64_t>(run.listedResults, replica.results.size());
-  for (std::uint64_t position = request.from; position < end; ++position) {
-    ResultRecord result = deserialize<ResultRecord>(replica.results[position]);
-    bytes += result.text.size() + resultOverhead;
-    if (bytes > request.maxBytes && !reply.results.empty()) break;
-    reply.itemIds.push_back(run.items.at(result.item).record.id);
-    reply.results.push_back(std::move(result));
-  }
-  return reply;
+  return pageOf(replica, request, {run.lot.itemCount, run.listedResults},
+                [&run](std::uint32_t item) { return run.items.at(item).record.id; });
 }
 
 Task<ReadItemReply> LotRunner::readItem(ReadItem request) {
--- /dev/null
+++ b/lots/sealed_lots.cpp
@@ -0,0 +1,104 @@
+// Sealed lots: their record says that nothing is listed any more, and their replicas never change again.
+#include "lots/lot_coordinator.hpp"
+
+namespace tealshelf {
+
+namespace {
+bool contains(vector<StoreRef> const& stores, StoreRef const& store) {
+  return std::any_of(stores.begin(), stores.end(), [&store](StoreRef const& other) { return other.id == store.id; });
+}
+}  // namespace
+
+/// The primary said under the recorded stamp that all it will ever list is listed, so each holder has synced it.
+Task<RecoveryOutcome> LotCoordinator::seal(LotRecord lot) {
+  LotStatus& status = lots_[lot.key()];
+  bool const stands = status.finalStamp == lot.stamp && lot.holders.size() >= neededCopies();
+  if (!stands) co_return RecoveryOutcome::overtaken;
+  lot.sealedStamp = lot.stamp;
+  lot.sealedResults = status.listedResults;
+  lot.stamp = freshStamp(lot.host);
+  bool const saved = co_await save(lot);
+  co_return saved ? RecoveryOutcome::done : RecoveryOutcome::recordNotWritten;
+}
+
+Task<LotCoordinator::HolderAnswers> LotCoordinator::askHolders(LotRecord lot) {
+  HolderAnswers answers;
+  ConfirmReplicas const question{{{lot.host, lot.id, lot.sealedStamp}}};
+  for (StoreRef const& holder : lot.holders) {
+    if (isDiskGone(holder)) continue;
+    if (isDead(holder.id, Clock::now())) {
+      answers.silent.push_back(holder);
+      continue;
+    }
+    try {
+      ConfirmReplicasReply const answer = co_await rpc_.call(holder.address, question, settings_.bounds.inTouch / 4);
+      bool const sameDisk = answer.self == holder.id;
+      if (sameDisk && !answer.held.empty() && answer.held[0]) answers.confirmed.push_back(holder);
+    } catch (Error const& error) {
+      logDebug("lots", lot.id + ": " + holder.name + " doesn't confirm: " + error.what());
+      answers.silent.push_back(holder);
+    }
+  }
+  co_return answers;
+}
+
+vector<StoreRef> LotCoordinator::trim(vector<StoreRef> holders, std::size_t count) const {
+  auto const used = [this](StoreRef const& store) {
+    auto const status = stores_.find(store.id);
+    return status == stores_.end() ? 0 : status->second.load.used;
+  };
+  while (holders.size() > count) {
+    auto const sharesZone = [&holders](StoreRef const& store) {
+      return std::count_if(holders.begin(), holders.end(),
+                           [&store](StoreRef const& other) { return other.zone == store.zone; }) > 1;
+    };
+    auto const fullest = std::max_element(holders.begin(), holders.end(), [&](auto const& left, auto const& right) {
+      return std::pair(sharesZone(left), used(left)) < std::pair(sharesZone(right), used(right));
+    });
+    holders.erase(fullest);
+  }
+  return holders;
+}
+
+Task<RecoveryOutcome> LotCoordinator::replicateSealed(LotRecord lot) {
+  LotStatus& status = lots_[lot.key()];
+  std::set<string> const retiring = retiringStores ? retiringStores() : std::set<string>();
+  HolderAnswers const answers = co_await askHolders(lot);
+  if (answers.confirmed.empty()) co_return RecoveryOutcome::noIntactReplica;
+  vector<StoreRef> staying, leaving;
+  for (StoreRef const& holder : answers.confirmed) {
+    bool const goes = retiring.contains(holder.name) || isDiskFailing(holder.id);
+    (goes ? leaving : staying).push_back(holder);
+  }
+  TimePoint const now = Clock::now();
+  if (!hasRoomForSpares(now)) staying = trim(std::move(staying), neededCopies());
+  vector<StoreRef> const chosen = chooseWithSpare({lot.id, CopyPurpose::recovery}, {}, staying, now);
+  vector<StoreRef> const targets(chosen.begin() + static_cast<std::ptrdiff_t>(staying.size()), chosen.end());
+  LotRecord next = lot;
+  next.stamp = freshStamp(lot.host);
+  next.holders = chosen;
+  CopyReplica const copy{next, {}, lot.sealedStamp, lot.sealedResults};
+  vector<StoreRef> const copied = co_await copyTo(targets, copy, answers.confirmed);
+  next.holders = staying;
+  next.holders.insert(next.holders.end(), copied.begin(), copied.end());
+  bool const enough = next.holders.size() >= neededCopies();
+  // While too few have it for certain, every store that has or may have it stays named, and serves reads when it can.
+  if (!enough) {
+    vector<StoreRef> others = leaving;
+    others.insert(others.end(), answers.silent.begin(), answers.silent.end());
+    for (StoreRef const& store : others)
+      if (!contains(next.holders, store)) next.holders.push_back(store);
+  }
+  bool const unchanged = next.holders.size() == lot.holders.size() &&
+                         std::all_of(next.holders.begin(), next.holders.end(),
+                                     [&lot](StoreRef const& store) { return contains(lot.holders, store); });
+  if (!unchanged) {
+    bool const saved = co_await save(next);
+    if (!saved) co_return RecoveryOutcome::recordNotWritten;
+  }
+  status.failedHolders.clear();
+  if (enough) co_return RecoveryOutcome::done;
+  co_return targets.empty() ? RecoveryOutcome::tooFewStores : RecoveryOutcome::copiesRefused;
+}
+
+}  // namespace tealshelf
--- a/lots/store_node.cpp
+++ b/lots/store_node.cpp
@@ -73,6 +73,7 @@
   heartbeat.leaving = stopping_;
   heartbeat.diskFailing = !replicas_.diskHealthy();
   if (withReplicas) heartbeat.replicas = replicas_.table().versions();
+  heartbeat.load = replicas_.load();
   runner_.report(heartbeat);
   TimePoint const now = Clock::now();
   for (auto const& [key, replica] : unusable_)
@@ -125,6 +126,7 @@
 void StoreNode::learn(LotRecord const& lot) {
   runner_.ages().learn(lot.key(), Clock::now());
   LotRecord& known = lots_[lot.key()];
+  // The stamp of a record rises with each change but for that of its state.
   bool const outdated = lot.stamp < known.stamp || (lot.stamp == known.stamp && lot.state < known.state);
   if (known.stamp.value && outdated) return;
   known = lot;
@@ -144,6 +146,10 @@
   TimePoint const now = Clock::now();
   for (auto const& [key, lot] : lots_) {
     if (lot.state == LotState::opening) continue;
+    if (lot.isSealed()) {
+      reconcileSealed(lot, now);
+      continue;
+    }
     bool const primary = !lot.holders.empty() && lot.holders[0].id == replicas_.id();
     if (primary)
       reconcileAsPrimary(lot, now);
@@ -154,15 +160,32 @@
 
 void StoreNode::reconcileAsHolder(LotRecord const& lot, TimePoint now) {
   LotKey const key = lot.key();
-  UnusableReplica& unusable = unusable_[key];
   if (!lot.isHeldBy(replicas_.id()) || replicas_.table().holds(key, lot.stamp))
     unusable_.erase(key);
-  else if (unusable.stamp != lot.stamp)
-    // A copy may still be on its way here; then nothing is amiss.
-    unusable = {lot.stamp, now + settings_.bounds.inTouch / 4};
+  else
+    noteMissing(lot, now);
   runner_.abandon(key);
 }
 
+void StoreNode::noteMissing(LotRecord const& lot, TimePoint now) {
+  UnusableReplica& unusable = unusable_[lot.key()];
+  // A copy may still be on its way here; then nothing is amiss.
+  if (unusable.stamp != lot.stamp) unusable = {lot.stamp, now + settings_.bounds.inTouch / 4};
+}
+
+void StoreNode::reconcileSealed(LotRecord const& lot, TimePoint now) {
+  LotKey const key = lot.key();
+  runner_.abandon(key);
+  Replica const* const replica = replicas_.table().find(key);
+  bool const whole = replica && replica->intact && replica->lot.stamp >= lot.sealedStamp &&
+                     replica->results.size() >= lot.sealedResults;
+  if (whole && !replica->sealed) replicas_.table().seal(key, lot.sealedStamp, lot.sealedResults);
+  if (whole || !lot.isHeldBy(replicas_.id()))
+    unusable_.erase(key);
+  else
+    noteMissing(lot, now);
+}
+
 void StoreNode::reconcileAsPrimary(LotRecord const& lot, TimePoint now) {
   LotKey const key = lot.key();
   Replica const* const replica = replicas_.table().find(key);
--- a/lots/store_node.hpp
+++ b/lots/store_node.hpp
@@ -42,6 +42,9 @@
   void reconcile();
   void reconcileAsPrimary(LotRecord const& lot, TimePoint now);
   void reconcileAsHolder(LotRecord const& lot, TimePoint now);
+  void reconcileSealed(LotRecord const& lot, TimePoint now);
+  /// Notes that a replica that this store should hold isn't there; it is reported after a grace time.
+  void noteMissing(LotRecord const& lot, TimePoint now);
 
   asio::io_context& io_;
   Settings const& settings_;
--- /dev/null
+++ b/lots/store_placement.cpp
@@ -0,0 +1,55 @@
+#include "lots/store_placement.hpp"
+
+#include <numeric>
+
+namespace tealshelf {
+
+namespace {
+/// Bytes of result that a token is taken for.
+constexpr double bytesPerToken = 4;
+/// Parts of a store's limit up to which it takes copies of a purpose.
+constexpr double admissionShare = 0.9, recoveryShare = 1, spareShare = 0.5;
+/// Part of the stores' room that admission counts on: copies don't spread evenly.
+constexpr double evenShare = 0.85;
+
+double shareFor(CopyPurpose purpose) {
+  switch (purpose) {
+    case CopyPurpose::admission:
+      return admissionShare;
+    case CopyPurpose::recovery:
+      return recoveryShare;
+    case CopyPurpose::spare:
+      return spareShare;
+  }
+  return 0;
+}
+}  // namespace
+
+double expectedResultBytes(LotRecord const& lot) {
+  return static_cast<double>(lot.tokens) * bytesPerToken;
+}
+
+bool hasRoom(StoreLoad const& load, CopyPurpose purpose, double bytes) {
+  if (!load.tells()) return true;
+  // What open lots still grow by is kept free, but not at the cost of a copy that must be restored.
+  double const growth = purpose == CopyPurpose::recovery ? 0 : static_cast<double>(load.growth);
+  double const taken = static_cast<double>(load.used) + growth + bytes;
+  return taken <= shareFor(purpose) * static_cast<double>(load.limit);
+}
+
+bool admits(FleetLoad const& fleet, double lotBytes) {
+  vector<double> limits;
+  double taken = 0;
+  for (StoreLoad const& store : fleet.stores) {
+    if (!store.tells()) return true;
+    limits.push_back(static_cast<double>(store.limit));
+    taken += static_cast<double>(store.used + store.growth);
+  }
+  // The largest stores may be the ones that are lost.
+  std::sort(limits.begin(), limits.end());
+  limits.resize(limits.size() - std::min(limits.size(), fleet.lossesToCome));
+  double const room = std::accumulate(limits.begin(), limits.end(), 0.0) * evenShare;
+  return taken * fleet.neededShare + lotBytes * static_cast<double>(fleet.neededCopies) <= room;
+}
+
+}  // namespace tealshelf
--- a/lots/store_supervision.cpp
+++ b/lots/store_supervision.cpp
@@ -3,6 +3,11 @@
 
 namespace tealshelf {
 
+namespace {
+/// Spare copies are made and kept while the stores are not fuller than this part of their limits.
+constexpr double maxLoadForSpares = 0.5;
+}  // namespace
+
 bool LotCoordinator::isDead(NodeId store, TimePoint now) const {
   auto const status = stores_.find(store);
   // One that was never heard gets a while after this process's start.
@@ -30,12 +35,22 @@
                      [&name](auto const& item) { return item.second.ref.name == name; });
 }
 
-vector<StoreRef> LotCoordinator::choose(string const& lot, std::set<NodeId> const& excluded, vector<StoreRef> holders,
-                                        std::size_t count, TimePoint now) const {
+bool LotCoordinator::isDiskGone(StoreRef const& holder) const {
+  auto const heard = stores_.find(holder.id);
+  TimePoint const lastHeard = heard == stores_.end() ? TimePoint() : heard->second.heardAt;
+  return std::any_of(stores_.begin(), stores_.end(), [&](auto const& item) {
+    StoreStatus const& other = item.second;
+    return other.ref.name == holder.name && other.ref.id != holder.id && other.heardAt > lastHeard;
+  });
+}
+
+vector<StoreRef> LotCoordinator::choose(Placement const& placement, std::set<NodeId> const& excluded,
+                                        vector<StoreRef> holders, std::size_t count, TimePoint now) const {
   std::set<string> const retiring = retiringStores ? retiringStores() : std::set<string>();
   vector<StoreRef> live = liveStores(now);
-  std::sort(live.begin(), live.end(), [&lot](StoreRef const& left, StoreRef const& right) {
-    return hash64(left.name, hash64(lot)) > hash64(right.name, hash64(lot));
+  std::sort(live.begin(), live.end(), [&placement](StoreRef const& left, StoreRef const& right) {
+    std::uint64_t const seed = hash64(placement.lot);
+    return hash64(left.name, seed) > hash64(right.name, seed);
   });
   for (bool const otherZonesOnly : {true, false})
     for (StoreRef const& store : live) {
@@ -45,12 +60,50 @@
         used = used || holder.id == store.id || holder.name == store.name;
         zoneUsed = zoneUsed || holder.zone == store.zone;
       }
-      bool const fits = !used && !(otherZonesOnly && zoneUsed);
+      bool const fits = !used && !(otherZonesOnly && zoneUsed) &&
+                        hasRoom(stores_.at(store.id).load, placement.purpose, placement.bytes);
       if (fits && holders.size() < count) holders.push_back(store);
     }
   return holders;
 }
 
+vector<StoreRef> LotCoordinator::chooseWithSpare(Placement placement, std::set<NodeId> const& excluded,
+                                                 vector<StoreRef> const& holders, TimePoint now) const {
+  vector<StoreRef> const needed = choose(placement, excluded, holders, neededCopies(), now);
+  if (needed.size() < neededCopies() || !hasRoomForSpares(now)) return needed;
+  placement.purpose = CopyPurpose::spare;
+  return choose(placement, excluded, needed, neededCopies() + 1, now);
+}
+
+FleetLoad LotCoordinator::fleetLoad(TimePoint now) const {
+  FleetLoad fleet;
+  std::set<string> names;
+  for (StoreRef const& store : liveStores(now)) {
+    fleet.stores.push_back(stores_.at(store.id).load);
+    names.insert(store.name);
+  }
+  // What was lost lately is one of the losses to survive; what is long gone has no part in them.
+  std::set<string> lost;
+  for (auto const& [id, status] : stores_)
+    if (!names.contains(status.ref.name) && now - status.heardAt < settings_.bounds.catchUp)
+      lost.insert(status.ref.name);
+  std::size_t const survive = static_cast<std::size_t>(settings_.surviveMachines);
+  fleet.lossesToCome = survive - std::min(survive, lost.size());
+  fleet.neededCopies = neededCopies();
+  fleet.neededShare = neededCopyShare_;
+  return fleet;
+}
+
+bool LotCoordinator::hasRoomForSpares(TimePoint now) const {
+  std::uint64_t taken = 0, limits = 0;
+  for (StoreLoad const& store : fleetLoad(now).stores) {
+    if (!store.tells()) return true;
+    taken += store.used + store.growth;
+    limits += store.limit;
+  }
+  return static_cast<double>(taken) <= maxLoadForSpares * static_cast<double>(limits);
+}
+
 Task<Acknowledgement> LotCoordinator::fence(FenceStore request) {
   co_return Acknowledgement{leases_.fence(request.store, Clock::now())};
 }
@@ -61,17 +114,19 @@
   store.heardAt = now;
   store.leaving = heartbeat.leaving;
   store.diskFailing = heartbeat.diskFailing;
+  store.load = heartbeat.load;
   for (LotProgress const& progress : heartbeat.progress) {
     LotStatus& lot = lots_[progress.key()];
     lot.finishedTokens = std::max(lot.finishedTokens, progress.finishedTokens);
     lot.listedResults = std::max(lot.listedResults, progress.listedResults);
+    if (progress.final) lot.finalStamp = std::max(lot.finalStamp, progress.stamp);
   }
   for (HolderFailure const& failure : heartbeat.failures) {
     if (!driver_.consensus().owns(keyspaceOf(failure.host))) continue;
     std::optional<LotRecord> const lot = load(failure.key());
     if (!lot || lot->stamp != failure.stamp) continue;
     LotStatus& status = lots_[failure.key()];
-    if (failure.holder == heartbeat.self.id)
+    if (failure.holder == heartbeat.self.id && !lot->isSealed())
       status.primaryNeedsSettlement = true;
     else
       status.failedHolders.insert(failure.holder);
@@ -98,7 +153,9 @@
   for (ReplicaVersion const& replica : heartbeat.replicas) {
     if (keyspaceOf(replica.host) != keyspace) continue;
     std::optional<LotRecord> const lot = load(replica.key());
-    bool const stale = !lot || (!lot->isHeldBy(heartbeat.self.id) && replica.stamp < lot->stamp);
+    // Nothing is deleted while the record names fewer copies than a loss needs.
+    bool const replaced = lot && lot->holders.size() >= neededCopies() && !lot->isHeldBy(heartbeat.self.id);
+    bool const stale = !lot || (replaced && replica.stamp < lot->stamp);
     if (stale) reply.staleReplicas.push_back({replica.host, replica.lot, lot ? lot->stamp : replica.stamp});
   }
 }
--- a/segments/messages.hpp
+++ b/segments/messages.hpp
@@ -26,10 +26,17 @@
   LotState state = LotState::opening;
   GenerationStamp stamp;
   vector<StoreRef> holders;  ///< the first is the primary
+  /// Stamp under which the last result was listed; 0 until the lot is sealed. A sealed lot never changes: every intact
+  /// replica at or above this stamp holds all its results, and any holder answers reads.
+  GenerationStamp sealedStamp;
+  std::uint64_t sealedResults = 0;  ///< results that a sealed lot lists
   LotKey key() const { return {host, id}; }
   bool isHeldBy(NodeId store) const;
+  bool isSealed() const { return sealedStamp.value != 0; }
+  /// The lowest stamp of a replica that the record counts.
+  GenerationStamp lowestReplicaStamp() const { return isSealed() ? sealedStamp : stamp; }
   MSGPACK_DEFINE(id, host, route, service, tokens, itemCount, tries, sentAtMs, keepForMs, dueInMs, state, stamp,
-                 holders)
+                 holders, sealedStamp, sealedResults)
 };
 
 /// A replica of a lot under one stamp.
@@ -121,13 +128,15 @@
   MSGPACK_DEFINE(host, lot, oldStamp, newStamp, length)
 };
 
-/// Asks a store to copy a lot from another under a stamp.
+/// Asks a store to copy a lot from another. The copy bears the stamp of the record, the source an older one.
 struct CopyReplica {
   using Reply = Acknowledgement;
   static constexpr RpcMethod method = RpcMethod::copyReplica;
   LotRecord lot;
   Address source;
-  MSGPACK_DEFINE(lot, source)
+  GenerationStamp sourceStamp;  ///< the lowest stamp that the source may have
+  std::uint64_t results = 0;    ///< how many results the copy has; a source with fewer is refused
+  MSGPACK_DEFINE(lot, source, sourceStamp, results)
 };
 
 /// Reads a whole replica, for a copy.
@@ -136,8 +145,9 @@
   static constexpr RpcMethod method = RpcMethod::fetchReplica;
   string host, lot;
   GenerationStamp stamp;
+  bool orNewer = false;  ///< a replica above the stamp does too
   LotKey key() const { return {host, lot}; }
-  MSGPACK_DEFINE(host, lot, stamp)
+  MSGPACK_DEFINE(host, lot, stamp, orNewer)
 };
 
 struct ConfirmReplicasReply {
@@ -162,7 +172,8 @@
   MSGPACK_DEFINE(total, results, itemIds)
 };
 
-/// Reads listed results from the primary; held until there is one, but no longer than asked.
+/// Reads listed results from the primary, of a sealed lot from any holder; held until there is one, but no longer than
+/// asked.
 struct ReadResults {
   using Reply = ReadResultsReply;
   static constexpr RpcMethod method = RpcMethod::readResults;
@@ -170,8 +181,10 @@
   GenerationStamp stamp;
   std::uint64_t from = 0, maxBytes = 0;
   std::int64_t holdMs = 0;
+  bool sealed = false;              ///< the lot is sealed under this stamp, so that any replica at or above it answers
+  std::uint64_t sealedResults = 0;  ///< how many results it lists then
   LotKey key() const { return {host, lot}; }
-  MSGPACK_DEFINE(host, lot, stamp, from, maxBytes, holdMs)
+  MSGPACK_DEFINE(host, lot, stamp, from, maxBytes, holdMs, sealed, sealedResults)
 };
 
 struct ReadItemReply {
--- a/segments/replica_table.cpp
+++ b/segments/replica_table.cpp
@@ -21,35 +21,73 @@
   record.items = replica.items;
   record.results = replica.results;
   record.intact = replica.intact;
+  record.sealed = replica.sealed;
   return record;
 }
+
+/// The items of a sealed lot: which result belongs to which item is all that is asked of them.
+string withoutBodies(string const& items) {
+  vector<ItemRecord> records = deserialize<vector<ItemRecord>>(items);
+  for (ItemRecord& item : records) item = ItemRecord{std::move(item.id), "", "", {}, item.tokens};
+  return serialize(records);
+}
+
+/// Applies the record of a change of a replica that is there.
+void replayChange(Replica& replica, SegmentRecord const& record) {
+  vector<string>& results = replica.results;
+  if (results.size() < record.position) replica.intact = false;
+  switch (record.kind) {
+    case SegmentRecordKind::append:
+      if (results.size() < record.position) break;
+      results.resize(record.position);
+      results.insert(results.end(), record.results.begin(), record.results.end());
+      break;
+    case SegmentRecordKind::settle:
+      replica.lot.stamp = record.stamp;
+      results.resize(std::min<std::size_t>(results.size(), record.position));
+      break;
+    case SegmentRecordKind::seal:
+      results.resize(std::min<std::size_t>(results.size(), record.position));
+      replica.items = withoutBodies(replica.items);
+      replica.sealed = true;
+      break;
+    case SegmentRecordKind::create:
+    case SegmentRecordKind::remove:
+      break;
+  }
+}
 }  // namespace
 
+std::size_t Replica::bytes() const {
+  std::size_t sum = items.size();
+  for (string const& result : results) sum += result.size();
+  return sum;
+}
+
+void ReplicaTable::erase(std::map<LotKey, Replica>::iterator replica) {
+  bytes_ -= replica->second.bytes();
+  replicas_.erase(replica);
+}
+
 void ReplicaTable::replay(string const& bytes) {
   SegmentRecord record = deserialize<SegmentRecord>(bytes);
   if (record.kind == SegmentRecordKind::remove) {
-    replicas_.erase(record.key());
+    auto const gone = replicas_.find(record.key());
+    if (gone != replicas_.end()) erase(gone);
     return;
   }
   if (record.kind == SegmentRecordKind::create) {
-    replicas_[record.key()] =
-        Replica{record.lot, std::move(record.items), std::move(record.results), false, record.intact, false};
+    Replica& replica = replicas_[record.key()];
+    change(replica, [&] {
+      replica = Replica{record.lot,   std::move(record.items), std::move(record.results), false, record.intact, false,
+                        record.sealed};
+    });
     return;
   }
   // A change of a replica that isn't there, or that lacks what came before: a record is lost.
   auto const found = replicas_.find(record.key());
   if (found == replicas_.end()) return;
-  Replica& replica = found->second;
-  vector<string>& results = replica.results;
-  if (results.size() < record.position) replica.intact = false;
-  if (record.kind == SegmentRecordKind::append && results.size() >= record.position) {
-    results.resize(record.position);
-    for (string& result : record.results) results.push_back(std::move(result));
-  }
-  if (record.kind == SegmentRecordKind::settle) {
-    replica.lot.stamp = record.stamp;
-    if (results.size() > record.position) results.resize(record.position);
-  }
+  change(found->second, [&] { replayChange(found->second, record); });
 }
 
 vector<string> ReplicaTable::snapshot() const {
@@ -69,8 +107,10 @@
       throw Error(ErrorCode::staleStamp, lot.id);
     }
   }
+  bool const sealed = lot.isSealed();
+  if (sealed) items = withoutBodies(items);
   Replica& replica = replicas_[lot.key()];
-  replica = Replica{lot, std::move(items), std::move(results), true, true, false};
+  change(replica, [&] { replica = Replica{lot, std::move(items), std::move(results), true, true, false, sealed}; });
   records_.push_back(serialize(creationOf(replica)));
 }
 
@@ -78,7 +118,7 @@
   auto const found = replicas_.find(key);
   if (found == replicas_.end()) throw Error(ErrorCode::staleStamp, key.id);
   Replica& replica = found->second;
-  bool const open = replica.settledSinceStart && replica.intact && !replica.underRecovery;
+  bool const open = replica.settledSinceStart && replica.intact && !replica.underRecovery && !replica.sealed;
   if (replica.lot.stamp != stamp || !open) throw Error(ErrorCode::staleStamp, key.id);
   vector<string>& results = replica.results;
   if (from > results.size()) throw Error(ErrorCode::staleStamp, key.id + " has a gap");
@@ -87,7 +127,7 @@
   SegmentRecord record = recordOf(SegmentRecordKind::append, key, stamp, results.size());
   record.results.assign(records.begin() + static_cast<std::ptrdiff_t>(known), records.end());
   records_.push_back(serialize(record));
-  results.insert(results.end(), record.results.begin(), record.results.end());
+  change(replica, [&] { results.insert(results.end(), record.results.begin(), record.results.end()); });
 }
 
 InspectReplicaReply ReplicaTable::inspect(LotKey const& key) {
@@ -103,14 +143,26 @@
   if (found == replicas_.end() || !found->second.intact) throw Error(ErrorCode::lotUnknown, key.id);
   Replica& replica = found->second;
   bool const inRange = replica.lot.stamp >= oldStamp && replica.lot.stamp < newStamp;
-  if (!inRange || length > replica.results.size()) throw Error(ErrorCode::staleStamp, key.id);
+  if (!inRange || replica.sealed || length > replica.results.size()) throw Error(ErrorCode::staleStamp, key.id);
   replica.lot.stamp = newStamp;
-  replica.results.resize(length);
+  change(replica, [&] { replica.results.resize(length); });
   replica.settledSinceStart = true;
   replica.underRecovery = false;
   records_.push_back(serialize(recordOf(SegmentRecordKind::settle, key, newStamp, length)));
 }
 
+void ReplicaTable::seal(LotKey const& key, GenerationStamp atLeast, std::uint64_t results) {
+  auto const found = replicas_.find(key);
+  if (found == replicas_.end() || !found->second.intact) throw Error(ErrorCode::lotUnknown, key.id);
+  Replica& replica = found->second;
+  if (replica.lot.stamp < atLeast || replica.results.size() < results) throw Error(ErrorCode::staleStamp, key.id);
+  if (replica.sealed) return;
+  SegmentRecord const record = recordOf(SegmentRecordKind::seal, key, replica.lot.stamp, results);
+  change(replica, [&] { replayChange(replica, record); });
+  replica.underRecovery = false;
+  records_.push_back(serialize(record));
+}
+
 void ReplicaTable::requireSettlement(LotKey const& key) {
   auto const found = replicas_.find(key);
   if (found != replicas_.end()) found->second.settledSinceStart = false;
@@ -123,7 +175,7 @@
 bool ReplicaTable::remove(LotKey const& key, GenerationStamp upTo) {
   auto const found = replicas_.find(key);
   if (found == replicas_.end() || found->second.lot.stamp > upTo) return false;
-  replicas_.erase(found);
+  erase(found);
   records_.push_back(serialize(recordOf(SegmentRecordKind::remove, key, upTo)));
   return true;
 }
@@ -134,6 +186,13 @@
   return *replica;
 }
 
+Replica const& ReplicaTable::readAtLeast(LotKey const& key, GenerationStamp atLeast, std::uint64_t results) const {
+  Replica const* const replica = find(key);
+  bool const whole = replica && replica->intact && replica->lot.stamp >= atLeast && replica->results.size() >= results;
+  if (!whole) throw Error(ErrorCode::staleStamp, key.id);
+  return *replica;
+}
+
 Replica const* ReplicaTable::find(LotKey const& key) const {
   auto const found = replicas_.find(key);
   return found == replicas_.end() ? nullptr : &found->second;
--- a/segments/replica_table.hpp
+++ b/segments/replica_table.hpp
@@ -14,6 +14,10 @@
   bool intact = true;
   /// Its length was told to a recovery; only a fresh stamp opens it again.
   bool underRecovery = false;
+  /// Its lot is sealed: it never changes again, and its items are without bodies.
+  bool sealed = false;
+
+  std::size_t bytes() const;
 };
 
 /// The replicas that one store holds, each with its generation stamp; no input or output of its own.
@@ -38,6 +42,9 @@
   /// Gives a replica a fresh stamp and cuts its results to a length. Throws lotUnknown if there is no intact replica,
   /// and staleStamp unless its stamp lies in [oldStamp, newStamp).
   void settle(LotKey const& key, GenerationStamp oldStamp, GenerationStamp newStamp, std::uint64_t length);
+  /// Closes a replica for good, with a number of results, and lets the bodies of its items go. Throws lotUnknown if
+  /// there is no intact replica, and staleStamp if it is below the stamp or has fewer results.
+  void seal(LotKey const& key, GenerationStamp atLeast, std::uint64_t results);
   /// Lets a replica go on only under a fresh stamp, as after a restart.
   void requireSettlement(LotKey const& key);
   /// Records that had been synced are lost, and nothing tells which: no replica counts as held until it is made anew.
@@ -47,18 +54,33 @@
 
   /// The replica, if it is intact and its stamp is the one asked for; throws staleStamp.
   Replica const& read(LotKey const& key, GenerationStamp stamp) const;
+  /// The replica, if it is intact, at or above a stamp and has so many results; throws staleStamp. Only what is settled
+  /// for good may be read so: the results of a sealed lot, or those that a recovery found.
+  Replica const& readAtLeast(LotKey const& key, GenerationStamp atLeast, std::uint64_t results) const;
   Replica const* find(LotKey const& key) const;
   /// True if a replica is held intact under a stamp or a newer one.
   bool holds(LotKey const& key, GenerationStamp atLeast) const;
   vector<ReplicaVersion> versions() const;
   std::size_t size() const { return replicas_.size(); }
+  /// Bytes of all replicas, as a snapshot holds them but for a little a record.
+  std::size_t bytes() const { return bytes_; }
   template <class Visitor>
   void forEach(Visitor visit) const {
     for (auto const& [key, replica] : replicas_) visit(replica);
   }
 
  private:
+  /// Changes a replica and keeps the sum of bytes true.
+  template <class Change>
+  void change(Replica& replica, Change apply) {
+    bytes_ -= replica.bytes();
+    apply();
+    bytes_ += replica.bytes();
+  }
+  void erase(std::map<LotKey, Replica>::iterator replica);
+
   std::map<LotKey, Replica> replicas_;
+  std::size_t bytes_ = 0;
   vector<string> records_;
 };
 
--- a/segments/segment_records.hpp
+++ b/segments/segment_records.hpp
@@ -4,7 +4,7 @@
 /// Records of the segment log on disk. The format: docs/formats.md.
 namespace tealshelf {
 
-enum class SegmentRecordKind : int { create = 1, append = 2, settle = 3, remove = 4 };
+enum class SegmentRecordKind : int { create = 1, append = 2, settle = 3, remove = 4, seal = 5 };
 
 }  // namespace tealshelf
 MSGPACK_ADD_ENUM(tealshelf::SegmentRecordKind)
@@ -15,13 +15,14 @@
   SegmentRecordKind kind = SegmentRecordKind::create;
   string host, lotId;
   GenerationStamp stamp;
-  std::uint64_t position = 0;  ///< where results are appended, or the length that they are cut to
+  std::uint64_t position = 0;  ///< where results are appended, or the length that they are cut or sealed to
   LotRecord lot;
   string items;
   vector<string> results;
   bool intact = true;
+  bool sealed = false;
   LotKey key() const { return {host, lotId}; }
-  MSGPACK_DEFINE(kind, host, lotId, stamp, position, lot, items, results, intact)
+  MSGPACK_DEFINE(kind, host, lotId, stamp, position, lot, items, results, intact, sealed)
 };
 
 }  // namespace tealshelf
--- a/tests/formats_test.cpp
+++ b/tests/formats_test.cpp
@@ -38,6 +38,12 @@
   STRCMP_EQUAL(bytes.c_str(), toHex(serialize(deserialize<T>(fromHex(bytes)))).c_str());
 }
 
+/// What an older release wrote reads as a value with the fields that it didn't know at their defaults.
+template <class T>
+void expectReads(string const& olderBytes, T const& value) {
+  STRCMP_EQUAL(toHex(serialize(value)).c_str(), toHex(serialize(deserialize<T>(fromHex(olderBytes)))).c_str());
+}
+
 Entries const entries{{"a", Entry{{3, NodeId(11)}, 5, "v", false}}, {"b", Entry{{3, NodeId(11)}, 6, "", true}}};
 Member const founder{NodeId(1), "n1", "10.0.0.1", "z1", true, true, 0};
 Member const newcomer{NodeId(2), "n2", "10.0.0.2", "z2", false, true, 44};
@@ -198,39 +204,104 @@
   table.append(key, GenerationStamp(5), 0, {"a", "b"});
   table.settle(key, GenerationStamp(5), GenerationStamp(8), 1);
   vector<string> const expected{
+      "9a01a168a36c6f7405009fa36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e"
+      "302e302e39cd1ded0000a56974656d7390c3c2",
+      "9a02a168a36c6f7405009fa0a0a0a00000010000000000900000a092a161a162c3c2",
+      "9a03a168a36c6f7408019fa0a0a0a00000010000000000900000a090c3c2",
+  };
+  vector<string> const snapshot{
+      "9a01a168a36c6f7408009fa36c6f74a168a172a173280203cd03e8cdea60cd1f400108919409a27374a17a92a831302e"
+      "302e302e39cd1ded0000a56974656d7391a161c3c2"};
+  expectRecords(expected, table.takeRecords());
+  expectRecords(snapshot, table.snapshot());
+  // Before lots were sealed.
+  vector<string> const older{
       "9901a168a36c6f7405009da36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e"
       "302e302e39cd1deda56974656d7390c3",
       "9902a168a36c6f7405009da0a0a0a0000001000000000090a092a161a162c3",
       "9903a168a36c6f7408019da0a0a0a0000001000000000090a090c3",
   };
-  vector<string> const snapshot{
+  vector<string> const olderSnapshot{
       "9901a168a36c6f7408009da36c6f74a168a172a173280203cd03e8cdea60cd1f400108919409a27374a17a92a831302e"
       "302e302e39cd1deda56974656d7391a161c3"};
-  expectRecords(expected, table.takeRecords());
-  expectRecords(snapshot, table.snapshot());
-  for (vector<string> const& log : {expected, snapshot}) {
+  for (vector<string> const& log : {expected, snapshot, older, olderSnapshot}) {
     ReplicaTable restarted;
     for (string const& record : log) restarted.replay(fromHex(record));
     LONGS_EQUAL(1, restarted.find(key)->results.size());
     CHECK(restarted.find(key)->lot.stamp == GenerationStamp(8));
+    CHECK_FALSE(restarted.find(key)->sealed);
   }
   table.remove(key, GenerationStamp(8));
-  expectRecords({"9904a168a36c6f7408009da0a0a0a0000001000000000090a090c3"}, table.takeRecords());
+  expectRecords({"9a04a168a36c6f7408009fa0a0a0a00000010000000000900000a090c3c2"}, table.takeRecords());
 }
 
 TEST(formats, lots) {
-  expectBytes("9da36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e302e302e39cd1ded", lot());
+  LotRecord sealed = lot();
+  sealed.sealedStamp = GenerationStamp(4);
+  sealed.sealedResults = 2;
+  expectBytes("9fa36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e302e302e39cd1ded0402",
+              sealed);
+  expectBytes("9fa36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e302e302e39cd1ded0000",
+              lot());
   expectBytes("95a169a22f70a1629192a54d6f64656ca16d0a", ItemRecord{"i", "/p", "b", {{"Model", "m"}}, 10});
   expectBytes("9301c3a174", ResultRecord{1, true, "t"});
   expectBytes("919195a168a36c6f74050191a161", AppendResults{{{"h", "lot", GenerationStamp(5), 1, {"a"}}}});
   expectBytes(
+      "949fa36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e302e302e39cd1ded0000"
+      "a56974656d7391a161c3",
+      CreateReplica{lot(), "items", {"a"}, true});
+  expectBytes(
+      "959fa36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e302e302e39cd1ded0000"
+      "64019109cd012c",
+      OpenLot{lot(), 100, 1, {NodeId(9)}, 300});
+  expectBytes(
+      "949fa36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e302e302e39cd1ded0000"
+      "92a831302e302e302e39cd1ded0402",
+      CopyReplica{lot(), store().address, GenerationStamp(4), 2});
+  expectBytes("94a168a36c6f7404c3", FetchReplica{"h", "lot", GenerationStamp(4), true});
+  expectBytes("98a168a36c6f7404016407c302", ReadResults{"h", "lot", GenerationStamp(4), 1, 100, 7, true, 2});
+  ReplicaVersion const replica{"h", "lot", GenerationStamp(5)};
+  StoreHeartbeat heartbeat;
+  heartbeat.self = store();
+  heartbeat.lease = 3;
+  heartbeat.process = 4;
+  heartbeat.revision = 5;
+  heartbeat.countsAsLoss = true;
+  heartbeat.progress = {{"h", "lot", GenerationStamp(5), 10, 1, true}};
+  heartbeat.replicas = {replica};
+  heartbeat.failures = {{"h", "lot", GenerationStamp(5), NodeId(9)}};
+  heartbeat.diskFailing = true;
+  heartbeat.load = {7, 8, 9};
+  expectBytes(
+      "9b9409a27374a17a92a831302e302e302e39cd1ded030405c39196a168a36c6f74050a01c39193a168a36c6f74059194a1"
+      "68a36c6f740509c2c393070809",
+      heartbeat);
+  StoreHeartbeatReply reply;
+  reply.granted = true;
+  reply.process = 4;
+  reply.revision = 5;
+  reply.lots = {lot()};
+  reply.staleReplicas = {replica};
+  reply.ownedKeyspaces = {"lots/h"};
+  reply.members = {founder};
+  reply.fencedUpTo = 2;
+  expectBytes(
+      "99c3c20405919fa36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e302e302e"
+      "39cd1ded00009193a168a36c6f740591a66c6f74732f68919701a26e31a831302e302e302e31a27a31c3c30002",
+      reply);
+}
+
+/// Bytes that releases wrote before lots were sealed and stores told their load.
+TEST(formats, lotsOfOlderReleases) {
+  expectReads("9da36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e302e302e39cd1ded", lot());
+  expectReads(
       "949da36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e302e302e39cd1deda5"
       "6974656d7391a161c3",
       CreateReplica{lot(), "items", {"a"}, true});
-  expectBytes(
+  expectReads(
       "949da36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e302e302e39cd1ded64"
       "019109",
-      OpenLot{lot(), 100, 1, {NodeId(9)}});
+      OpenLot{lot(), 100, 1, {NodeId(9)}, 0});
   ReplicaVersion const replica{"h", "lot", GenerationStamp(5)};
   StoreHeartbeat heartbeat;
   heartbeat.self = store();
@@ -238,11 +309,11 @@
   heartbeat.process = 4;
   heartbeat.revision = 5;
   heartbeat.countsAsLoss = true;
-  heartbeat.progress = {{"h", "lot", GenerationStamp(5), 10, 1}};
+  heartbeat.progress = {{"h", "lot", GenerationStamp(5), 10, 1, false}};
   heartbeat.replicas = {replica};
   heartbeat.failures = {{"h", "lot", GenerationStamp(5), NodeId(9)}};
   heartbeat.diskFailing = true;
-  expectBytes(
+  expectReads(
       "9a9409a27374a17a92a831302e302e302e39cd1ded030405c39195a168a36c6f74050a019193a168a36c6f74059194a1"
       "68a36c6f740509c2c3",
       heartbeat);
@@ -255,7 +326,7 @@
   reply.ownedKeyspaces = {"lots/h"};
   reply.members = {founder};
   reply.fencedUpTo = 2;
-  expectBytes(
+  expectReads(
       "99c3c20405919da36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e302e302e"
       "39cd1ded9193a168a36c6f740591a66c6f74732f68919701a26e31a831302e302e302e31a27a31c3c30002",
       reply);
--- a/tests/lots/full_stores_test.cpp
+++ b/tests/lots/full_stores_test.cpp
@@ -34,3 +34,16 @@
     CHECK_TEXT(readable, (id + " of " + std::to_string(accepted.size()) + " can't be read").c_str());
   }
 }
+
+/// Losses that overlap beyond what must be survived: service may rest, but nothing is lost once the stores are back.
+TEST(fullStores, anAcceptedLotIsReadableAgainAfterTooManyLosses) {
+  StoreFleet fleet("/tmp/tealshelf-full-stores-2", 6, 2, 17780);
+  vector<string> const accepted = fill(fleet);
+  for (std::size_t const store : {0, 1, 2, 3}) fleet.halt(store);
+  fleet.runUntil([] { return false; }, Ms(4000));
+  for (std::size_t const store : {0, 1, 2, 3}) fleet.resume(store);
+  for (string const& id : accepted) {
+    bool const readable = fleet.runUntil([&] { return fleet.isReadable(id); }, Ms(20000));
+    CHECK_TEXT(readable, (id + " of " + std::to_string(accepted.size()) + " can't be read").c_str());
+  }
+}
--- a/tests/lots/lot_submission_test.cpp
+++ b/tests/lots/lot_submission_test.cpp
@@ -202,3 +202,32 @@
   CHECK(s.ask(control, open).second.alreadyAccepted);
   LONGS_EQUAL(1, s.runs["item-0"]);
 }
+
+/// Once all is listed the record says so, the store lets the bodies go, and readers see the same as before.
+TEST(lotSubmission, aCompleteLotIsSealedAndReadsTheSame) {
+  SmallSystem s;
+  string const body =
+      "{\"requests\":[{\"serverId\":\"item-0\",\"urlPath\":\"/night/"
+      "x\",\"headerMap\":{},\"payload\":\"QQ==\",\"tokens\":10}]}";
+  s.until([&] { return s.call(s.settings[2].outside, "POST", "/night/x", body).first == 202; });
+  s.until([&] { return s.list(2).find("\"nextToken\":1") != string::npos; });
+  string const listed = s.list(2);
+  Address const control = s.settings[0].controlAddress(s.ip(0));
+  LotRecord record;
+  s.until([&] {
+    record = s.ask(control, FindLot{host, "lot", 0}).second.lot;
+    return record.isSealed();
+  });
+  LONGS_EQUAL(1, record.sealedResults);
+  CHECK(record.stamp > record.sealedStamp);
+  s.until([&] { return s.list(3) == listed; });
+  STRCMP_EQUAL(listed.c_str(), s.list(2).c_str());
+  // The primary's own read is refused, as it runs nothing any more; the holder answers for the sealed lot.
+  Address const store = record.holders.at(0).address;
+  CHECK(s.ask(store, ReadResults{host, "lot", record.stamp, 0, 1u << 20, 0}).first != 0);
+  s.until([&] {
+    return s.ask(store, ReadResults{host, "lot", record.sealedStamp, 0, 1u << 20, 0, true, 1}).second.results.size() ==
+           1;
+  });
+  LONGS_EQUAL(1, s.runs["item-0"]);
+}
--- a/tests/lots/store_fleet.hpp
+++ b/tests/lots/store_fleet.hpp
@@ -39,6 +39,7 @@
     open.lot.tokens = 10;
     open.lot.keepForMs = 60000;
     open.lot.dueInMs = 30000;
+    open.itemBytes = items.size();
     std::pair<int, OpenLotReply> const opened = ask(controlAddress(), open);
     if (opened.first) return opened.first;
     LotRecord const& record = opened.second.lot;
@@ -61,6 +62,7 @@
   }
 
   void halt(std::size_t store) { stores_[store]->halted = true; }
+  void resume(std::size_t store) { stores_[store]->halted = false; }
   Address controlAddress() const { return controlSettings_.controlAddress(controlSettings_.ip); }
   StoreNode& store(std::size_t index) { return *stores_[index]->node; }
 
--- /dev/null
+++ b/tests/lots/store_placement_test.cpp
@@ -0,0 +1,58 @@
+#include "lots/store_placement.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace tealshelf;
+
+namespace {
+constexpr std::uint64_t limit = 100;
+
+FleetLoad fleetOf(std::size_t stores, std::uint64_t used) {
+  FleetLoad fleet;
+  fleet.stores.assign(stores, StoreLoad{used, 0, limit});
+  fleet.lossesToCome = 2;
+  fleet.neededCopies = 3;
+  return fleet;
+}
+}  // namespace
+
+TEST_GROUP(storePlacement){};
+
+TEST(storePlacement, roomDependsOnWhatACopyIsFor) {
+  StoreLoad const load{60, 20, limit};
+  CHECK(hasRoom(load, CopyPurpose::admission, 10));
+  CHECK_FALSE(hasRoom(load, CopyPurpose::admission, 11));
+  CHECK(hasRoom(load, CopyPurpose::recovery, 40));
+  CHECK_FALSE(hasRoom(load, CopyPurpose::recovery, 41));
+  CHECK_FALSE(hasRoom(load, CopyPurpose::spare, 0));
+  CHECK(hasRoom(StoreLoad{}, CopyPurpose::spare, 1e9));
+}
+
+/// Nine stores, two of which may be lost: what is admitted fits the seven that are left.
+TEST(storePlacement, aLotIsAdmittedWhileItsCopiesFitTheStoresThatAreLeft) {
+  CHECK(admits(fleetOf(9, 50), 10));
+  CHECK_FALSE(admits(fleetOf(9, 70), 10));
+  FleetLoad fleet = fleetOf(9, 70);
+  // Spare copies are given up before a needed one is refused.
+  fleet.neededShare = 0.75;
+  CHECK(admits(fleet, 10));
+  // A loss that has come is no loss to come.
+  fleet = fleetOf(7, 70);
+  fleet.lossesToCome = 0;
+  CHECK(admits(fleet, 10));
+  fleet.lossesToCome = 2;
+  CHECK_FALSE(admits(fleet, 10));
+}
+
+TEST(storePlacement, whatOpenLotsWillGrowByCounts) {
+  FleetLoad fleet = fleetOf(9, 30);
+  CHECK(admits(fleet, 10));
+  for (StoreLoad& store : fleet.stores) store.growth = 40;
+  CHECK_FALSE(admits(fleet, 10));
+}
+
+TEST(storePlacement, aStoreThatTellsNoLoadBarsNothing) {
+  FleetLoad fleet = fleetOf(9, 100);
+  fleet.stores[4] = StoreLoad{};
+  CHECK(admits(fleet, 10));
+}
