tests: an owner takes its epoch twice if it wrote before its own vote was synced

Cause: `Consensus` counts any majority of votes, also one without the candidate's own. A node whose disk is slower than the others' owns a keyspace, writes and acknowledges while its own vote isn't on its disk. If it loses power then and asks again before it heard what the others hold, it takes the same number: its earlier life's writes have positions above those of its new ones, so members keep the old value and say "stored". An acknowledged write is then lost, a record goes back to an older state, and stamps of lots repeat.

--- a/tests/consensus/consensus_sim.hpp
+++ b/tests/consensus/consensus_sim.hpp
@@ -18,6 +18,7 @@
     bool refuses = false;  ///< its disk syncs nothing
     std::uint64_t life = 0;
     TimePoint syncAt;
+    Ms syncTakes = Ms(5);                                    ///< how long a write and its sync take
     std::uint64_t seenVersion = 0;                           ///< highest settled version in this life
     bool lasting = true;                                     ///< without a disk its state ends with its process
     std::map<std::uint64_t, tealshelf::Membership> changes;  ///< memberships proposed by this life, by operation
@@ -169,7 +170,7 @@
     if (x.refuses) return send(x, std::move(b));
     if (b.needsSync && !breakSync_) {
       x.waiting.emplace_back(x.disk.size() + x.unsynced.size(), std::move(b));
-      if (x.syncAt < now_) x.syncAt = now_ + Ms(5);
+      if (x.syncAt < now_) x.syncAt = now_ + x.syncTakes;
     } else {
       send(x, std::move(b));
     }
--- /dev/null
+++ b/tests/consensus/epoch_test.cpp
@@ -0,0 +1,88 @@
+#include "tests/consensus/consensus_sim.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <cstdlib>
+
+using namespace tealshelf;
+
+namespace {
+std::uint64_t seeds() {
+  char const* const given = std::getenv("TEALSHELF_SEEDS");
+  return given ? std::strtoull(given, nullptr, 10) : 40;
+}
+
+void load(sim::Cluster& cluster, std::size_t steps) {
+  for (std::size_t k = 0; k < steps && cluster.broken.empty(); ++k) {
+    cluster.step();
+    if (k % 3 == 0) cluster.write();
+    if (k % 7 == 0) cluster.read();
+    cluster.check();
+  }
+}
+
+/// A sync that takes long, but not so long that the disk counts as stalled.
+constexpr Ms slowSync(600);
+
+/// The preferred owner starts again with a disk slower than the others', and acknowledges before its own vote is
+/// synced. Then all lose power at once and start again, on a network that loses packets.
+string ownerWithASlowDisk(std::uint64_t seed, std::uint64_t& acknowledgedBefore) {
+  sim::Cluster cluster(seed, 3);
+  cluster.run(400);
+  load(cluster, 100);
+  std::size_t const owner = cluster.ownerOf("configuration");
+  cluster.power(owner);
+  cluster.run(400);
+  load(cluster, 100);
+  sim::Cluster::Node& node = cluster.nodes()[owner];
+  node.syncTakes = slowSync;
+  cluster.start(owner);
+  std::uint64_t const before = cluster.acked;
+  load(cluster, 40 + cluster.dice(120));
+  acknowledgedBefore += cluster.acked - before;
+  for (std::size_t i = 0; i < 3; ++i) cluster.power(i);
+  node.syncTakes = Ms(5);
+  cluster.run(cluster.dice(30));
+  cluster.loss = 0.3;
+  for (std::size_t i = 0; i < 3; ++i) cluster.start((owner + i) % 3);
+  load(cluster, 300);
+  cluster.loss = 0;
+  load(cluster, 400);
+  if (!cluster.broken.empty()) return cluster.broken;
+  std::size_t const last = cluster.ownerOf("configuration");
+  if (last == 3) return "no owner after all started again";
+  return cluster.value(cluster.nodes()[last]) < cluster.acked ? "the owner lost an acknowledged write" : "";
+}
+}  // namespace
+
+TEST_GROUP(epochs){};
+
+/// An epoch under which an owner wrote must never be taken by it a second time, also if it lost power.
+TEST(epochs, anOwnerWithASlowDiskThatLosesPowerLosesNothing) {
+  std::uint64_t acknowledged = 0;
+  std::size_t broken = 0;
+  string first;
+  for (std::uint64_t seed = 1; seed <= seeds(); ++seed) {
+    string const what = ownerWithASlowDisk(seed, acknowledged);
+    if (what.empty()) continue;
+    if (!broken++) first = "seed " + std::to_string(seed) + ": " + what;
+  }
+  string const text = std::to_string(broken) + " of " + std::to_string(seeds()) + " seeds; " + first;
+  CHECK_TEXT(!broken, text.c_str());
+  CHECK(acknowledged > 0);
+}
+
+/// The way in which an epoch could come twice: others vote and store, while the owner's own vote isn't synced yet.
+TEST(epochs, nobodyOwnsAKeyspaceBeforeItsOwnVoteIsSynced) {
+  sim::Cluster cluster(3, 3);
+  cluster.run(400);
+  std::size_t const preferred = cluster.ownerOf("configuration");
+  cluster.power(preferred);
+  cluster.run(400);
+  sim::Cluster::Node& node = cluster.nodes()[preferred];
+  node.syncTakes = std::chrono::hours(1);
+  cluster.start(preferred);
+  for (int k = 0; k < 400; ++k) {
+    cluster.step();
+    CHECK(!node.consensus->owns("configuration"));
+  }
+}
--- /dev/null
+++ b/tests/consensus/overlapping_losses_test.cpp
@@ -0,0 +1,129 @@
+#include "tests/consensus/membership_runs.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace tealshelf;
+using namespace tealshelf::sim;
+
+namespace {
+/// A deployment: its control disks and how many of them may be lost at once.
+struct Site {
+  std::size_t disks, founders;
+  std::int64_t survive;
+};
+constexpr Site sites[] = {{8, 3, 2}, {5, 3, 2}, {4, 3, 1}, {3, 3, 1}};
+
+/// Cuts the machines into two halves, whichever they are; a cut that stands is replaced.
+void cutIntoHalves(Cluster& cluster) {
+  cluster.cuts.clear();
+  std::size_t const disks = cluster.nodes().size();
+  vector<bool> left(disks);
+  for (std::size_t i = 0; i < disks; ++i) left[i] = cluster.dice(2);
+  for (std::size_t a = 0; a < disks; ++a)
+    for (std::size_t b = 0; b < disks; ++b)
+      if (left[a] != left[b]) cluster.cuts.insert({a, b});
+}
+
+/// Loses as many disks as the site allows, while all others lose power at the same moment.
+std::uint64_t loseDisksAndPower(Cluster& cluster, Site const& site) {
+  std::uint64_t lost = 0;
+  for (std::size_t i = 0; i < site.disks; ++i)
+    if (cluster.nodes()[i].up) cluster.power(i);
+  for (std::size_t i = cluster.dice(site.disks); thin(cluster.nodes()) < static_cast<std::size_t>(site.survive);
+       i = cluster.dice(site.disks)) {
+    cluster.wipe(i);
+    ++lost;
+  }
+  return lost;
+}
+
+void lossOfOne(Cluster& cluster, std::size_t i) {
+  Cluster::Node& node = cluster.nodes()[i];
+  if (!node.up) return;
+  switch (cluster.dice(4)) {
+    case 0:
+      return cluster.power(i);
+    case 1:
+      return cluster.kill(i);
+    case 2:
+      node.frozen = true;
+      return;
+    default:
+      node.syncTakes = Ms(cluster.dice(2) ? 5 : 600);
+      return;
+  }
+}
+
+void comesBack(Cluster& cluster, std::size_t i) {
+  if (!cluster.nodes()[i].up)
+    cluster.start(i);
+  else if (cluster.nodes()[i].frozen)
+    cluster.thaw(i);
+}
+
+/// What the terms allow: halves whatever the site survives, any losses at once but those of disks.
+string play(Site const& site, std::uint64_t seed, std::uint64_t& wipes, std::uint64_t& writes) {
+  Cluster cluster(seed, site.disks, false, site.founders);
+  cluster.joins = true;
+  cluster.survive = site.survive;
+  for (std::size_t i = 0; i < site.founders; ++i) cluster.found(i);
+  for (int k = 0; k < 60 && thin(cluster.nodes()); ++k) {
+    cluster.run(100);
+    cluster.check();
+  }
+  if (thin(cluster.nodes())) return "not all disks became members";
+  for (int k = 0; k < 5000 && cluster.broken.empty(); ++k) {
+    cluster.step();
+    if (cluster.dice(3) == 0) cluster.write();
+    if (cluster.dice(5) == 0) cluster.read();
+    cluster.check();
+    if (cluster.dice(60)) continue;
+    std::size_t const i = cluster.dice(site.disks);
+    switch (cluster.dice(12)) {
+      case 0:
+        cutIntoHalves(cluster);
+        break;
+      case 1:
+        cluster.cuts.clear();
+        break;
+      case 2:
+      case 3:
+      case 4:
+        lossOfOne(cluster, i);
+        break;
+      case 5:
+        if (cluster.dice(4) == 0) wipes += loseDisksAndPower(cluster, site);
+        break;
+      case 6:
+        if (thin(cluster.nodes()) < static_cast<std::size_t>(site.survive)) {
+          cluster.wipe(i);
+          ++wipes;
+        }
+        break;
+      default:
+        comesBack(cluster, i);
+        break;
+    }
+  }
+  if (cluster.broken.empty()) wipes += loseDisksAndPower(cluster, site);
+  for (Cluster::Node& node : cluster.nodes()) node.syncTakes = Ms(5);
+  writes += cluster.writes;
+  return healed(cluster);
+}
+}  // namespace
+
+TEST_GROUP(overlappingLosses){};
+
+/// Halves that are cut, kills, freezes, slow disks and losses of power overlap beyond what a site survives, with no
+/// more disks lost than it allows; at the end disks are lost while all others lose power.
+TEST(overlappingLosses, nothingAcknowledgedIsLostOrShownOlder) {
+  std::uint64_t wipes = 0, writes = 0;
+  for (Site const& site : sites)
+    for (std::uint64_t seed = 1; seed <= seeds(); ++seed) {
+      string const broken = play(site, 7000 + seed, wipes, writes);
+      string const text = std::to_string(site.disks) + " disks, seed " + std::to_string(7000 + seed) + ": " + broken;
+      if (!broken.empty()) FAIL(text.c_str());
+    }
+  CHECK(wipes > 10);
+  CHECK(writes > 100);
+}
