consensus: an owner's own vote must be synced before it writes under its epoch

Cause: a majority of votes without the candidate's own sufficed. After a loss of power it could take the same number again: two lives wrote under one epoch, members kept the older value of a key where the earlier life had counted further, and said that they had stored the new one.

Change: the votes that count include the candidate's own, which is sent only once it is synced.

--- a/consensus/ownership.cpp
+++ b/consensus/ownership.cpp
@@ -65,7 +65,10 @@
   if (!answer.granted) return onRefusal(answer.votedEpoch, keyspace);
   keyspace.votes.insert(message.from);
   mergeNewer(keyspace.votedEntries, answer.entries);
-  if (keyspace.votes.size() < membership_.quorum()) return;
+  // This node's own vote is among them: once it is synced, no later life of this node can take the same epoch again.
+  // Without it the epoch could be used by two lives, whose writes nobody could tell apart.
+  bool const ownVoteIsSynced = keyspace.votes.contains(self_.id);
+  if (!ownVoteIsSynced || keyspace.votes.size() < membership_.quorum()) return;
   rewriteUnderOwnEpoch(message.keyspace, keyspace, now);
 }
 
