consensus: invariants of epochs, committed values and memberships; changes bound to an epoch

Cause: a change that was worked out under one ownership could be written under a later one of the same node, over what another owner wrote meanwhile (recovery of lots awaits for seconds between reading and writing). Nothing in the running code noticed a broken promise of the control state.

Change: `propose(..., under)` writes only while the keyspace is owned under that epoch; used by nobody yet. Checked from now on: epochHasOneOwner (at each stored write, also two values at one place), epochNeverFalls, committedNeverGoesBack, takeoverHoldsCommitted, membershipOverlaps. A broken variant of the membership search violates the last one on purpose and says so.

--- a/base/invariant.cpp
+++ b/base/invariant.cpp
@@ -14,8 +14,9 @@
 
 /// In the order of the enumerators.
 constexpr std::array<std::string_view, invariantCount> names = {
-    "acceptedRecordStays", "acceptedRecordIsKept", "recordStampRises",       "freshStampIsNew",   "recordNamesHolders",
-    "epochHasOneOwner",    "epochNeverFalls",      "committedNeverGoesBack", "committedIsStored", "membershipOverlaps"};
+    "acceptedRecordStays",    "acceptedRecordIsKept", "recordStampRises", "freshStampIsNew",
+    "recordNamesHolders",     "epochHasOneOwner",     "epochNeverFalls",  "committedNeverGoesBack",
+    "takeoverHoldsCommitted", "membershipOverlaps"};
 static_assert(!names.back().empty(), "each invariant has a name");
 
 std::array<std::atomic<std::uint64_t>, invariantCount> violations;
--- a/base/invariant.hpp
+++ b/base/invariant.hpp
@@ -22,7 +22,7 @@
   epochHasOneOwner,        ///< nothing is stored under an epoch but what its owner wrote
   epochNeverFalls,         ///< the epoch that a disk voted for never falls
   committedNeverGoesBack,  ///< the committed values of a keyspace stand at a position that never falls
-  committedIsStored,       ///< no committed write lies above what is stored without a gap
+  takeoverHoldsCommitted,  ///< a takeover begins with no less than what its node knows as committed
   membershipOverlaps,      ///< two memberships that follow each other differ by one member at the most
   count                    ///< number of invariants; not one itself
 };
--- a/consensus/consensus.hpp
+++ b/consensus/consensus.hpp
@@ -47,10 +47,10 @@
 /// The replicated control state of one node, as a state machine without input or output of its own.
 ///
 /// Messages, heartbeats and ticks go in; takeOutput() gives what shall be written and sent. Every keyspace has one
-/// owner at a time. A node becomes owner by the votes of a majority for a higher epoch; it takes the newest entry of
-/// each key that the voters hold and rewrites them all under its epoch before it serves anything. A write is
-/// committed once a majority has stored and synced it; a read is confirmed by a majority that voted for no higher
-/// epoch since.
+/// owner at a time. A node becomes owner by the votes of a majority, its own among them, for a higher epoch; it takes
+/// the newest entry of each key that the voters hold and rewrites them all under its epoch before it serves anything. A
+/// write is committed once a majority has stored and synced it; a read is confirmed by a majority that voted for no
+/// higher epoch since.
 ///
 /// Invariants: a vote for an epoch bars every lower one, and every other owner of the same number, on this disk; only
 /// members that hold all keys vote; a node that lost contact with a majority steps down.
@@ -93,7 +93,10 @@
   void addKeyspace(string const& keyspace);
   /// Writes changes. The outcome comes with an output, at the latest when the operation timeout is over. An owner
   /// whose write ends as unknown has given the keyspace up: only the next takeover tells what is in force.
-  OperationId propose(string const& keyspace, vector<KeyChange> changes, TimePoint now);
+  /// With `under`, it ends as notOwner unless the keyspace is still owned under that epoch: for changes that build on
+  /// values that were read a while ago, as another owner may have written since.
+  OperationId propose(string const& keyspace, vector<KeyChange> changes, TimePoint now,
+                      std::optional<Epoch> under = std::nullopt);
   /// Asks a majority whether this node still owns a keyspace.
   OperationId confirmOwnership(string const& keyspace, TimePoint now);
   /// Gives a keyspace up; open operations end as unknown.
--- a/consensus/consensus_driver.cpp
+++ b/consensus/consensus_driver.cpp
@@ -152,9 +152,9 @@
   co_return waiter->result;
 }
 
-Task<OperationResult> ConsensusDriver::propose(string keyspace, vector<KeyChange> changes) {
+Task<OperationResult> ConsensusDriver::propose(string keyspace, vector<KeyChange> changes, std::optional<Epoch> under) {
   Epoch const epoch = consensus_.epochOf(keyspace);
-  OperationId const operation = consensus_.propose(keyspace, std::move(changes), Clock::now());
+  OperationId const operation = consensus_.propose(keyspace, std::move(changes), Clock::now(), under);
   std::optional<OperationResult> const end = co_await await(operation, settings_.bounds.confirmWithin / 5);
   OperationResult const result = end.value_or(OperationResult::unknown);
   // Where a stalled disk or a freeze kept the consensus from ending it, the keyspace is given up here.
--- a/consensus/consensus_driver.hpp
+++ b/consensus/consensus_driver.hpp
@@ -16,7 +16,8 @@
 
   /// Writes changes to a majority of the disks, within a bound. After an unknown end this node has given the keyspace
   /// up: nothing is built on its old values, and only the next owner knows what came of the change.
-  Task<OperationResult> propose(string keyspace, vector<KeyChange> changes);
+  /// With `under`, nothing is written unless this node still owns the keyspace under that epoch.
+  Task<OperationResult> propose(string keyspace, vector<KeyChange> changes, std::optional<Epoch> under = std::nullopt);
   /// True once a majority says that this node still owns the keyspace.
   Task<bool> confirmOwnership(string keyspace, Ms limit);
   /// Waits until everything recorded so far is synced; throws ErrorCode::diskUnavailable once the disk isn't well.
--- a/consensus/keyspace_replica.cpp
+++ b/consensus/keyspace_replica.cpp
@@ -1,12 +1,25 @@
 #include "consensus/keyspace_replica.hpp"
 
+#include "base/invariant.hpp"
+
 namespace tealshelf {
 
 namespace {
 constexpr std::size_t maxRanges = 1024;
+
+/// Two values at one place of a sequence of writes: an epoch was used by two owners, or by two lives of one.
+void checkSamePlaceSameValue(Entries const& present, Entries const& arriving) {
+  for (auto const& [key, entry] : arriving) {
+    auto const known = present.find(key);
+    if (known == present.end() || known->second.position() != entry.position()) continue;
+    bool const same = known->second.value == entry.value && known->second.deleted == entry.deleted;
+    checkInvariant(Invariant::epochHasOneOwner, same, [&key] { return "key " + key + " has two values at one place"; });
+  }
 }
+}  // namespace
 
 void KeyspaceReplica::store(Epoch epoch, WriteRange const& writes) {
+  checkSamePlaceSameValue(entries_, writes.entries);
   if (storedEpoch_ != epoch) {
     storedEpoch_ = epoch;
     ranges_.clear();
@@ -82,6 +95,9 @@
 }
 
 void KeyspaceReplica::applyCommitted(Position at, bool full, Entries const& entries) {
+  checkInvariant(Invariant::committedNeverGoesBack, at >= committedAt_, [&] {
+    return "from epoch " + std::to_string(committedAt_.epoch.number) + " to " + std::to_string(at.epoch.number);
+  });
   if (full) committedValues_.clear();
   for (auto const& [key, entry] : entries) {
     if (entry.deleted)
--- a/consensus/ownership.cpp
+++ b/consensus/ownership.cpp
@@ -1,9 +1,25 @@
 // How a node becomes the owner of a keyspace, and how it stops being one.
+#include "base/invariant.hpp"
 #include "consensus/consensus.hpp"
 
 namespace tealshelf {
 
 namespace {
+string textOf(Position const& position) {
+  return std::to_string(position.epoch.number) + "/" + hex(position.epoch.owner.value) + " write " +
+         std::to_string(position.sequence);
+}
+
+/// The newest entry that a majority of the voters brought can't be older than what this node knows as committed.
+void checkVotesHoldCommitted(string const& name, KeyspaceState const& keyspace) {
+  if (keyspace.replica.committedValues().empty()) return;
+  Position newest;
+  for (auto const& [key, entry] : keyspace.votedEntries) newest = std::max(newest, entry.position());
+  Position const committed = keyspace.replica.committedAt();
+  checkInvariant(Invariant::takeoverHoldsCommitted, newest >= committed,
+                 [&] { return name + ": the votes end at " + textOf(newest) + ", committed is " + textOf(committed); });
+}
+
 /// After so many resends a takeover is given up if another node should own the keyspace, or has a higher epoch.
 constexpr int takeoverResends = 20;
 }  // namespace
@@ -75,6 +91,7 @@
 /// Writes the newest entry of each key again, under the new epoch. Once a majority has stored that, this node owns
 /// the keyspace.
 void Consensus::rewriteUnderOwnEpoch(string const& name, KeyspaceState& keyspace, TimePoint now) {
+  checkVotesHoldCommitted(name, keyspace);
   keyspace.phase = OwnershipPhase::rewriting;
   keyspace.nextSequence = 1;
   keyspace.committedSequence = 0;
--- a/consensus/replication.cpp
+++ b/consensus/replication.cpp
@@ -1,4 +1,5 @@
 // Writes and reads of the owner of a keyspace, and how members store them.
+#include "base/invariant.hpp"
 #include "consensus/consensus.hpp"
 
 namespace tealshelf {
@@ -8,10 +9,12 @@
 constexpr std::size_t maxKeptWrites = 64;
 }  // namespace
 
-OperationId Consensus::propose(string const& name, vector<KeyChange> changes, TimePoint now) {
+OperationId Consensus::propose(string const& name, vector<KeyChange> changes, TimePoint now,
+                               std::optional<Epoch> under) {
   KeyspaceState& keyspace = keyspaces_[name];
   OperationId const operation = ++lastOperation_;
-  if (keyspace.phase != OwnershipPhase::owner || !mayVote()) {
+  bool const overtaken = under && *under != keyspace.epoch;
+  if (keyspace.phase != OwnershipPhase::owner || !mayVote() || overtaken) {
     finish(operation, OperationResult::notOwner);
     return operation;
   }
@@ -98,6 +101,13 @@
 /// Stores what the owner wrote under the message's epoch.
 void Consensus::storeWrites(Message const& message, WriteRange const& writes, std::uint64_t committed,
                             KeyspaceState& keyspace) {
+  checkInvariant(Invariant::epochNeverFalls, message.epoch >= keyspace.votedEpoch,
+                 [&] { return message.keyspace + " at epoch " + std::to_string(message.epoch.number); });
+  bool const byOwner = message.epoch.owner == message.from &&
+                       std::all_of(writes.entries.begin(), writes.entries.end(),
+                                   [&message](auto const& item) { return item.second.epoch == message.epoch; });
+  checkInvariant(Invariant::epochHasOneOwner, byOwner,
+                 [&] { return message.keyspace + " from " + hex(message.from.value); });
   if (keyspace.epoch < message.epoch && keyspace.phase != OwnershipPhase::notOwner) stepDown(keyspace);
   keyspace.votedEpoch = message.epoch;
   record(LogRecord::append(message.keyspace, message.epoch, writes));
--- a/consensus/voting_rights.cpp
+++ b/consensus/voting_rights.cpp
@@ -1,8 +1,29 @@
 // How a node becomes a member that votes, and how it stops being one.
+#include "base/invariant.hpp"
 #include "consensus/consensus.hpp"
 
 namespace tealshelf {
 
+namespace {
+/// How many members of one list are not in the other, under their incarnation.
+std::ptrdiff_t countMissing(vector<Member> const& members, vector<Member> const& others) {
+  return std::count_if(members.begin(), members.end(), [&others](Member const& member) {
+    return std::none_of(others.begin(), others.end(), [&member](Member const& other) {
+      return other.id == member.id && other.incarnation == member.incarnation;
+    });
+  });
+}
+
+void checkOverlap(Membership const& membership) {
+  std::ptrdiff_t const joined = countMissing(membership.members, membership.formerMembers);
+  std::ptrdiff_t const left = countMissing(membership.formerMembers, membership.members);
+  checkInvariant(Invariant::membershipOverlaps, joined <= 1 && left <= 1, [&] {
+    return "number " + std::to_string(membership.number.value) + ": " + std::to_string(joined) + " joined, " +
+           std::to_string(left) + " left";
+  });
+}
+}  // namespace
+
 std::uint64_t KeyspaceCopy::digest() const {
   msgpack::sbuffer buffer;
   msgpack::pack(buffer, votedEpoch);
@@ -30,6 +51,7 @@
   bool const wasMember = isMember();
   bool const voted = mayVote();
   membership_ = membership;
+  checkOverlap(membership_);
   bool const isMemberNow = isMember();
   retired_ = retired_ || (wasMember && !isMemberNow);
   bool const founder = isMemberNow && membership_.find(self_.id)->founder;
--- a/tests/consensus/epoch_test.cpp
+++ b/tests/consensus/epoch_test.cpp
@@ -86,3 +86,28 @@
     CHECK(!node.consensus->owns("configuration"));
   }
 }
+
+/// A change that builds on values read under an earlier ownership is refused, also by the same node.
+TEST(epochs, aChangeUnderAnEarlierOwnershipIsRefused) {
+  sim::Cluster cluster(5, 3);
+  cluster.run(400);
+  std::size_t const owner = cluster.ownerOf("configuration");
+  Consensus& consensus = *cluster.nodes()[owner].consensus;
+  Epoch const before = consensus.epochOf("configuration");
+  vector<KeyChange> const changes{{"stamp", "1", false}};
+  std::optional<bool> written, refused;
+  cluster.begin(
+      owner, [&](Consensus& at) { return at.propose("configuration", changes, cluster.now(), before); },
+      [&](bool committed) { written = committed; });
+  cluster.run(60);
+  CHECK(written.value_or(false));
+  consensus.relinquish("configuration");
+  cluster.run(200);
+  CHECK(consensus.owns("configuration"));
+  CHECK(consensus.epochOf("configuration") > before);
+  cluster.begin(
+      owner, [&](Consensus& at) { return at.propose("configuration", changes, cluster.now(), before); },
+      [&](bool committed) { refused = !committed; });
+  cluster.run(60);
+  CHECK(refused.value_or(false));
+}
--- a/tests/consensus/membership_search_test.cpp
+++ b/tests/consensus/membership_search_test.cpp
@@ -1,4 +1,5 @@
 #include "tests/consensus/membership_search.hpp"
+#include "tests/invariant_plugin.hpp"
 
 #include <CppUTest/TestHarness.h>
 #include <cstdio>
@@ -85,6 +86,7 @@
 }
 
 TEST(membershipSearch, brokenVariantsAreFound) {
+  ProvokedViolations const provoked;
   Case const cases[] = {
       {"a promoted learner votes at once",
        4,
