--- a/base/durable_log.cpp
+++ b/base/durable_log.cpp
@@ -2,6 +2,8 @@
 
 #include "base/disk_retry.hpp"
 
+#include <filesystem>
+
 namespace tealshelf {
 
 DiskLimits diskLimits(Settings const& settings, double share) {
@@ -122,7 +124,7 @@
   TimePoint const startedAt = Clock::now();
   JobResult result;
   if (job.renews) {
-    if (files_.makeDirectory(directory_) && errno != EEXIST) result.error = errno;
+    result.error = makeDirectoryLast();
     if (!result.error) result.error = writer_->renew(std::move(job.snapshotRecords));
     result.removalError = writer_->removalError();
   } else if (!job.encodedRecords.empty()) {
@@ -132,6 +134,16 @@
   return result;
 }
 
+int DurableLog::makeDirectoryLast() {
+  if (files_.makeDirectory(directory_) && errno != EEXIST) return errno;
+  // Also where it was there: an earlier process may have ended before the name was synced.
+  if (directoryLasts_) return 0;
+  std::filesystem::path const parent = std::filesystem::path(directory_).parent_path();
+  int const error = syncDirectory(files_, parent.empty() ? "." : parent.string());
+  directoryLasts_ = !error;
+  return error;
+}
+
 void DurableLog::finishJob(Job& job, JobResult const& result) {
   jobRunning_ = false;
   lastSyncTook_ = result.took;
--- a/base/durable_log.hpp
+++ b/base/durable_log.hpp
@@ -94,6 +94,8 @@
   // On the thread.
   void run();
   JobResult carryOut(Job& job);
+  /// Makes the directory, and sees to it that its name outlasts a loss of power; gives 0 or errno.
+  int makeDirectoryLast();
   // On the io thread.
   /// Hands what has gathered to the thread, unless it is at work or a failing disk is left in peace.
   void startJob();
@@ -111,6 +113,7 @@
   FileSystem& files_;
   RecoveredLog recovered_;
   std::unique_ptr<LogWriter> writer_;  ///< used by the thread only
+  bool directoryLasts_ = false;        ///< likewise
   Job gathered_;
   std::size_t stateSize_ = 0, logSize_ = 0;
   bool mustRenew_ = true;
--- a/tests/base/durable_log_test.cpp
+++ b/tests/base/durable_log_test.cpp
@@ -121,9 +121,9 @@
 
 /// A log on a disk in memory, with a state that holds every record.
 struct Running {
-  explicit Running(MemoryDisk& disk)
+  explicit Running(MemoryDisk& disk, string const& directory = folder)
       : log(
-            io, folder, limits, [this] { return state; }, disk) {
+            io, directory, limits, [this] { return state; }, disk) {
     state = log.recovered().records;
   }
   asio::io_context io;
@@ -173,6 +173,19 @@
   CHECK(most <= limits.budget);
 }
 
+TEST(durableLog, aNewFolderLastsOnceItsFirstRecordIsSynced) {
+  MemoryDisk disk(1);
+  disk.losesFolders = true;
+  string const nested = folder + "/registry";
+  {
+    Running run(disk, nested);
+    run.add();
+    run.until([&] { return run.synced == 1; });
+  }
+  disk.losePower();
+  LONGS_EQUAL(1, readLog(disk, nested).records.size());
+}
+
 TEST(durableLog, aRefusingDiskEndsNothingAndComesBackWhole) {
   MemoryDisk disk(1);
   Running run(disk);
--- a/tests/base/memory_disk.hpp
+++ b/tests/base/memory_disk.hpp
@@ -15,6 +15,7 @@
 
   std::size_t failFrom = ~std::size_t(0), failCount = 0;  ///< which calls fail, by number
   std::atomic<std::size_t> calls{0};
+  bool losesFolders = false;  ///< a new folder is lost with the power unless the folder above it was synced
 
   /// Loses power: unsynced writes and names are there, missing or torn, each by itself.
   void losePower() {
@@ -29,6 +30,9 @@
       file->cached = file->synced;
       file->unsynced.clear();
     }
+    for (string const& folder : newFolders_)
+      if (losesFolders) std::erase_if(lasting_, [&](auto const& item) { return item.first.starts_with(folder + "/"); });
+    newFolders_.clear();
     files_ = lasting_;
   }
   /// Calls hang until this is undone.
@@ -52,7 +56,11 @@
     return out;
   }
 
-  int makeDirectory(string const&) override { return fails() ? -1 : 0; }
+  int makeDirectory(string const& path) override {
+    if (fails()) return -1;
+    newFolders_.insert(path);
+    return 0;
+  }
   int open(string const& path, OpenMode mode) override {
     if (fails()) return -1;
     if (mode != OpenMode::directory) {
@@ -60,6 +68,7 @@
       if (mode == OpenMode::truncate) files_[path] = std::make_shared<File>();
     }
     open_.push_back(mode == OpenMode::directory ? nullptr : files_[path]);
+    openFolder_ = path;
     return static_cast<int>(open_.size() - 1);
   }
   std::ptrdiff_t write(int file, string_view bytes) override {
@@ -79,6 +88,7 @@
     std::shared_ptr<File> const target = open_[static_cast<std::size_t>(file)];
     if (!target) {
       if (!failed) lasting_ = files_;
+      if (!failed) std::erase_if(newFolders_, [this](string const& folder) { return isIn(folder, openFolder_); });
     } else {
       if (!failed)
         for (Write const& write : target->unsynced) put(target->synced, write.at, write.bytes);
@@ -127,6 +137,9 @@
     if (target.size() < at + bytes.size()) target.resize(at + bytes.size());
     target.replace(at, bytes.size(), bytes);
   }
+  static bool isIn(string const& path, string const& folder) {
+    return path.starts_with(folder + "/") && path.find('/', folder.size() + 1) == string::npos;
+  }
   bool fails() {
     std::unique_lock<std::mutex> guard(lock_);
     wake_.wait(guard, [this] { return !hangs_; });
@@ -139,6 +152,8 @@
   std::mt19937_64 random_;
   std::map<string, std::shared_ptr<File>> files_, lasting_;  ///< names now, and after a loss of power
   vector<std::shared_ptr<File>> open_;                       ///< nothing stands for a folder
+  string openFolder_;                                        ///< opened last
+  std::set<string> newFolders_;                              ///< whose names aren't synced
   std::mutex lock_;
   std::condition_variable wake_;
   bool hangs_ = false, refuses_ = false;
