--- /dev/null
+++ b/tests/lots/lot_api_test.cpp
@@ -0,0 +1,97 @@
+#include "lots/lot_api.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace tealshelf;
+
+namespace {
+string const ip = "127.0.0.79", host = "shop.example";
+string const configuration =
+    "{\"version\":1,\"routes\":[{\"name\":\"night\",\"host\":\"shop.example\",\"pathStart\":\"/night/\",\"kind\":"
+    "\"bulk\",\"timeLimitMs\":9000,\"targetMs\":500,\"priority\":2,\"service\":\"app\",\"tries\":3,\"dueInMs\":300,"
+    "\"keepForS\":60,\"maxQueuedTokens\":0}],\"services\":[{\"name\":\"app\",\"healthPath\":\"/h\",\"maxConnections\":"
+    "100,\"protocol\":\"h1\",\"useTls\":false}],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,"
+    "\"headerWaitMs\":3000,\"idleLimitMs\":15000}}";
+
+/// The lot calls of an edge node, a stand-in for control and a store that was given a lot over. The store that had the
+/// lot before takes connections and never answers.
+struct LotApiRig {
+  LotApiRig()
+      : rpc(io, settings.bounds.inTouch / 2),
+        control(io, settings.controlAddress(ip), settings.bounds.inTouch),
+        publisher(io, settings, 0),
+        silentStore(io, {asio::ip::make_address(ip), 17695}),
+        store(io, {ip, 17696}, settings.bounds.inTouch),
+        view(io, settings, rpc, "edge", {ip, 17697}),
+        relay(io, {ip, 17697}, settings.bounds.inTouch),
+        lots(settings, rpc, view) {
+    publisher.proof = [] { return UpdatePublisher::Proof{true, 0, Clock::now()}; };
+    publisher.setConfiguration(1, configuration);
+    control.on<UpdateRequest>([this](UpdateRequest request) { return publisher.serve(std::move(request)); });
+    control.on<FindLot>([this](FindLot) -> Task<FindLotReply> { co_return FindLotReply{true, record}; });
+    store.on<ReadResults>([](ReadResults) -> Task<ReadResultsReply> { co_return ReadResultsReply{1, {}, {}}; });
+    store.on<ReadItem>([](ReadItem) -> Task<ReadItemReply> { co_return ReadItemReply{true, false, "body"}; });
+    record.id = "lot";
+    record.host = host;
+    record.state = LotState::accepted;
+    control.start();
+    store.start();
+    view.start(relay);
+    for (int turn = 0; turn < 400 && !view.isFresh(); ++turn) run(Ms(5));
+  }
+  static Settings makeSettings() {
+    Settings settings;
+    settings.nodeName = "e-1";
+    settings.ip = ip;
+    settings.zone = "z";
+    settings.firstInternalPort = 17690;
+    settings.seeds = {{ip, 17698}};
+    settings.bounds.settleWithin = Ms(300);
+    return settings;
+  }
+  void holdAt(int port) { record.holders = {StoreRef{NodeId(), "s-1", "z", {ip, port}}}; }
+  void run(Ms duration) {
+    io.restart();
+    io.run_for(duration);
+  }
+  /// The status of a call of a client.
+  int call(string const& target, Ms hold) {
+    std::shared_ptr<int> const status = std::make_shared<int>(0);
+    asio::co_spawn(io, lots.call("GET", host, target, hold),
+                   [status](std::exception_ptr failure, HttpReply reply) { *status = failure ? -1 : reply.status; });
+    for (int turn = 0; turn < 800 && !*status; ++turn) run(Ms(5));
+    return *status;
+  }
+  asio::io_context io{1};
+  Settings settings = makeSettings();
+  RpcClient rpc;
+  RpcServer control;
+  UpdatePublisher publisher;
+  tcp::acceptor silentStore;
+  RpcServer store;
+  FleetView view;
+  RpcServer relay;
+  LotApi lots;
+  LotRecord record;
+};
+
+void readThroughATakeover(string const& target, Ms hold) {
+  LotApiRig rig;
+  rig.holdAt(17695);
+  rig.call(target, hold);
+  // The lot went over to another store while this node was reading.
+  rig.holdAt(17696);
+  rig.call(target, hold);
+  LONGS_EQUAL(200, rig.call(target, hold));
+}
+}  // namespace
+
+/// A record that this node keeps of a lot must not outlive the store that it names.
+TEST_GROUP(lotApi){};
+
+TEST(lotApi, resultsAreReadAtTheNewPrimaryThoughTheOldOneIsSilent) {
+  readThroughATakeover("/lots/lot?startAfter=0", Ms(300));
+}
+TEST(lotApi, itemsAreReadAtTheNewPrimaryThoughTheOldOneIsSilent) {
+  readThroughATakeover("/items/lot?serverId=item-0", Ms(0));
+}
--- a/tests/traffic/worker_stand_in.hpp
+++ b/tests/traffic/worker_stand_in.hpp
@@ -11,6 +11,7 @@
   string answer;      ///< sent once the whole request was read
   End end = End::keep;
   string late;  ///< sent a moment after each answer to a priming request
+  Ms pause{0};  ///< before the answer to a request that was read whole
 };
 
 /// One answer in the protocol; an empty id leaves the id out.
@@ -80,6 +81,7 @@
       }
       co_await http::async_read(s, buf, p, asio::redirect_error(asio::use_awaitable, e));
       if (e) co_return;
+      if (!primes && script.pause > Ms(0)) co_await sleepFor(script.pause);
       string const answer = primes ? answerText(200, "$ID", "Server-Seal: s\r\n", "own $ID") : script.answer;
       co_await write(s, answer, id);
       if (primes && !script.late.empty()) {
@@ -122,7 +124,7 @@
         workers{{{io, {ip, 17685}, script}, {io, {ip, 17686}, script}}},
         edge_(io, settings_) {
     publisher_.proof = [] { return UpdatePublisher::Proof{true, 0, Clock::now()}; };
-    publisher_.setConfiguration(1, configuration());
+    publisher_.setConfiguration(version_, configuration(version_, ClientLimits{16384, 33554432}, true));
     for (int n = 0; n < 2; ++n) {
       Worker w;
       w.id = "i-" + std::to_string(n);
@@ -147,6 +149,12 @@
     return workers[0].primed && workers[1].primed;
   }
   void stopEdge() { edge_.stop(); }
+  std::size_t activeRequests() const { return edge_.activeRequests(); }
+  tcp::endpoint outside() const { return {asio::ip::make_address(ip), 17680}; }
+  /// Puts a configuration with other limits in force.
+  void changeLimits(ClientLimits const& limits) { install(configuration(++version_, limits, true)); }
+  /// Puts a configuration without routes in force.
+  void removeRoutes() { install(configuration(++version_, ClientLimits(), false)); }
   /// After this part of the grace a stopping edge takes no requests any more.
   Ms untilRefusal() const { return settings_.bounds.grace / 3; }
   std::size_t sends() const { return workers[0].sends + workers[1].sends; }
@@ -180,22 +188,36 @@
     settings_.bounds.grace = Ms(600);
     return settings_;
   }
-  static string configuration() {
+  void install(string text) {
+    std::uint64_t const repliesBefore = publisher_.repliesSent();
+    publisher_.setConfiguration(version_, std::move(text));
+    publisher_.notifyAfter(Ms(0));
+    for (int turn = 0; turn < 400 && publisher_.repliesSent() == repliesBefore; ++turn) run(Ms(5));
+    run(Ms(20));
+  }
+  static string limitsText(ClientLimits const& limits) {
+    return "{\"maxHeaderBytes\":" + std::to_string(limits.maxHeaderBytes) +
+           ",\"maxBodyBytes\":" + std::to_string(limits.maxBodyBytes) +
+           ",\"headerWaitMs\":" + std::to_string(limits.headerWait.count()) +
+           ",\"idleLimitMs\":" + std::to_string(limits.idleLimit.count()) + "}";
+  }
+  static string configuration(std::uint64_t version, ClientLimits const& limits, bool withRoutes) {
     string routes;
-    for (string_view const kind : {"one_shot", "repeatable", "streaming", "resumable"}) {
-      bool const resumes = kind == "resumable";
-      string const path = kind == "one_shot" ? "once" : kind == "repeatable" ? "again" : string(kind);
-      routes += (routes.empty() ? "" : ",") +
-                ("{\"name\":\"" + path + "\",\"host\":\"shop.example\",\"pathStart\":\"/") + path + "/\",\"kind\":\"" +
-                (resumes ? "streaming" : string(kind)) +
-                "\",\"timeLimitMs\":4000,\"targetMs\":200,\"priority\":0,\"service\":\"app\",\"tries\":2,"
-                "\"sticky\":false,\"resumable\":" +
-                (resumes ? "true" : "false") + "}";
-    }
-    return "{\"version\":1,\"routes\":[" + routes +
+    if (withRoutes)
+      for (string_view const kind : {"one_shot", "repeatable", "streaming", "resumable"}) {
+        bool const resumes = kind == "resumable";
+        string const path = kind == "one_shot" ? "once" : kind == "repeatable" ? "again" : string(kind);
+        routes += (routes.empty() ? "" : ",") +
+                  ("{\"name\":\"" + path + "\",\"host\":\"shop.example\",\"pathStart\":\"/") + path +
+                  "/\",\"kind\":\"" + (resumes ? "streaming" : string(kind)) +
+                  "\",\"timeLimitMs\":4000,\"targetMs\":200,\"priority\":0,\"service\":\"app\",\"tries\":2,"
+                  "\"sticky\":false,\"resumable\":" +
+                  (resumes ? "true" : "false") + "}";
+      }
+    return "{\"version\":" + std::to_string(version) + ",\"routes\":[" + routes +
            "],\"services\":[{\"name\":\"app\",\"healthPath\":\"/h\",\"maxConnections\":100,\"protocol\":\"h1\","
-           "\"useTls\":false}],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":33554432,\"headerWaitMs\":3000,"
-           "\"idleLimitMs\":15000}}";
+           "\"useTls\":false}],\"limits\":" +
+           limitsText(limits) + "}";
   }
   Task<void> client(string q, std::shared_ptr<Got> got) {
     tcp::socket s(io);
@@ -229,6 +251,7 @@
   Settings settings_;
   RpcServer server_;
   UpdatePublisher publisher_;
+  std::uint64_t version_ = 1;
 
  public:
   std::array<StandIn, 2> workers;
