edge: a request that was read is answered: stop, limits, exceptions, HEAD, 100-continue

Cause: a stop shut idle connections both ways, but the kernel still hands over what came in before, so that the request was read, went to a worker, and its answer couldn't be written. The same class: a request that came in behind another was dropped at a stop; an idle connection was closed by a timer set under limits that a configuration had changed since, and its next request held to them (413, 431); an exception of a library closed the connection and left the request counted as under way; a HEAD was answered with a body, and nobody answered 100-continue.

Change: IdleConnections only ends the wait for the next request; what came in before is answered, with Connection: close. Limits are looked up when a request comes in. A request counts as under way from its first byte to its end, however it ends, and a failure of the node itself is answered with 502.

--- a/edge/edge_node.cpp
+++ b/edge/edge_node.cpp
@@ -5,6 +5,22 @@
 namespace {
 constexpr int clientBacklog = 1024;
 constexpr std::uint64_t maxReadinessBytes = 1u << 16;
+/// So often within the idle limit is looked for connections that have reached it; and within inTouch, at least, as the
+/// limit may change.
+constexpr int checksInIdleLimit = 16, checksInTouch = 4;
+
+/// Counts a request while it is under way, however it ends. It may outlive the node, as a task that never ended.
+struct ActiveRequest {
+  explicit ActiveRequest(std::shared_ptr<std::size_t> active) : count(std::move(active)) { ++*count; }
+  ~ActiveRequest() { --*count; }
+  ActiveRequest(ActiveRequest const&) = delete;
+  ActiveRequest& operator=(ActiveRequest const&) = delete;
+  std::shared_ptr<std::size_t> count;
+};
+
+bool awaitsContinue(http::request<http::string_body> const& request) {
+  return request.version() >= 11 && beast::iequals(request[http::field::expect], "100-continue");
+}
 }  // namespace
 
 EdgeNode::EdgeNode(asio::io_context& io, Settings const& settings)
@@ -34,16 +50,14 @@
     spawnTask(io_, "client", serve(std::make_shared<ClientConnection>(std::move(socket))));
   });
   spawnTask(io_, "edge sweep", sweepLoop());
+  spawnTask(io_, "idle clients", endIdleLoop());
   logInfo("edge", settings_.nodeName + " serves clients at " + settings_.outside.text());
 }
 
 void EdgeNode::stop() {
   stopping_ = true;
   stoppedAt_ = Clock::now();
-  for (ClientConnection* const client : idle_) {
-    error_code ignored;
-    client->socket.shutdown(tcp::socket::shutdown_both, ignored);
-  }
+  idle_.endAll();
 }
 
 bool EdgeNode::isEndingSoon() const {
@@ -57,34 +71,50 @@
   }
 }
 
-Task<EdgeNode::ReadResult> EdgeNode::readRequest(ClientConnection& client, RequestParser& parser,
-                                                 ClientLimits const& limits) {
+ClientLimits EdgeNode::limitsInForce() const {
+  std::shared_ptr<Configuration const> const configuration = view_.configuration();
+  return configuration ? configuration->limits : ClientLimits();
+}
+
+/// The limit may change while connections are idle, so it is looked up at each turn.
+Task<void> EdgeNode::endIdleLoop() {
+  for (;;) {
+    Ms const limit = limitsInForce().idleLimit;
+    idle_.endOlderThan(limit);
+    co_await sleepFor(std::clamp(limit / checksInIdleLimit, Ms(1), settings_.bounds.inTouch / checksInTouch));
+  }
+}
+
+Task<bool> EdgeNode::awaitRequest(ClientConnection& client) {
+  // A request may have come in behind the last one.
+  if (client.buffer.size()) co_return true;
+  bool const hasServed = client.headSent;
+  if (stopping_ && hasServed && !client.hasInput()) co_return false;
+  co_return co_await idle_.awaitRequest(client);
+}
+
+Task<bool> EdgeNode::readRequest(ClientConnection& client, RequestParser& parser) {
+  ClientLimits const limits = limitsInForce();
+  error_code const error = co_await readMessage(client, parser, limits);
+  if (!client.socket.is_open()) co_return false;
+  if (error) co_await rejectUnreadable(client, error);
+  co_return !error;
+}
+
+Task<error_code> EdgeNode::readMessage(ClientConnection& client, RequestParser& parser, ClientLimits const& limits) {
   parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
   parser.body_limit(limits.maxBodyBytes);
   error_code error;
-  bool expired = false;
-  {
-    SocketDeadline deadline(io_, client.socket);
-    if (!client.buffer.size()) {
-      deadline.expireAt(Clock::now() + limits.idleLimit);
-      idle_.insert(&client);
-      co_await client.socket.async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
-      idle_.erase(&client);
-      if (error || deadline.expired()) co_return ReadResult::closed;
-    }
-    deadline.expireAt(Clock::now() + limits.headerWait);
-    co_await http::async_read_header(client.socket, client.buffer, parser,
-                                     asio::redirect_error(asio::use_awaitable, error));
-    if (!error) {
-      deadline.expireAt(Clock::now() + limits.idleLimit);
-      co_await http::async_read(client.socket, client.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-    }
-    expired = deadline.expired();
-  }
-  if (expired || !client.socket.is_open()) co_return ReadResult::closed;
-  if (!error) co_return ReadResult::request;
-  co_await rejectUnreadable(client, error);
-  co_return ReadResult::answeredError;
+  SocketDeadline deadline(io_, client.socket);
+  deadline.expireAt(Clock::now() + limits.headerWait);
+  co_await http::async_read_header(client.socket, client.buffer, parser,
+                                   asio::redirect_error(asio::use_awaitable, error));
+  if (error) co_return error;
+  deadline.expireAt(Clock::now() + limits.idleLimit);
+  if (awaitsContinue(parser.get()) && !parser.is_done()) error = co_await client.sendContinue();
+  if (error) co_return error;
+  co_await http::async_read(client.socket, client.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+  co_return error;
 }
 
 Task<void> EdgeNode::rejectUnreadable(ClientConnection& client, error_code error) {
@@ -101,30 +131,41 @@
 
 Task<void> EdgeNode::serve(std::shared_ptr<ClientConnection> client) {
   setSocketOptions(client->socket, 2 * settings_.bounds.inTouch);
-  while (client->keepAlive && client->socket.is_open()) {
-    std::shared_ptr<Configuration const> const configuration = view_.configuration();
-    ClientLimits const limits = configuration ? configuration->limits : ClientLimits();
-    RequestParser parser;
-    ReadResult const read = co_await readRequest(*client, parser, limits);
-    if (read != ReadResult::request) break;
-    ++activeRequests_;
-    client->headSent = false;
-    client->keepAlive = parser.get().keep_alive() && !stopping_;
-    try {
-      co_await handle(*client, parser.release());
-    } catch (Error const& error) {
-      client->keepAlive = false;
-      logWarning("edge", error.what());
-    }
-    --activeRequests_;
+  bool goesOn = true;
+  while (goesOn) {
+    goesOn = co_await awaitRequest(*client);
+    if (goesOn) goesOn = co_await serveRequest(*client);
   }
-  error_code ignored;
-  client->socket.shutdown(tcp::socket::shutdown_send, ignored);
-  client->socket.close(ignored);
+  client->close();
+}
+
+Task<bool> EdgeNode::serveRequest(ClientConnection& client) {
+  ActiveRequest const active(activeRequests_);
+  client.beginRequest();
+  RequestParser parser;
+  bool const whole = co_await readRequest(client, parser);
+  if (!whole) co_return false;
+  client.keepAlive = parser.get().keep_alive();
+  client.isHead = parser.get().method() == http::verb::head;
+  co_await answer(client, parser.release());
+  co_return client.keepAlive&& client.socket.is_open();
+}
+
+Task<void> EdgeNode::answer(ClientConnection& client, HttpRequest request) {
+  string failure;
+  try {
+    co_await handle(client, std::move(request));
+    co_return;
+  } catch (std::exception const& error) {
+    failure = error.what();
+  }
+  logWarning("edge", "a request failed here: " + failure);
+  client.keepAlive = false;
+  if (!client.headSent) co_await reply(client, errorReply(Error(ErrorCode::callFailed)));
 }
 
 Task<void> EdgeNode::reply(ClientConnection& client, HttpReply answer) {
-  client.keepAlive = client.keepAlive && !stopping_;
+  client.decideKeepAlive(stopping_);
   co_await client.reply(io_, std::move(answer), 5 * settings_.bounds.inTouch);
 }
 
--- a/edge/edge_node.hpp
+++ b/edge/edge_node.hpp
@@ -1,4 +1,5 @@
 #pragma once
+#include "edge/idle_connections.hpp"
 #include "edge/request_forwarder.hpp"
 #include "lots/lot_api.hpp"
 #include "wire/listener.hpp"
@@ -12,17 +13,27 @@
   void start();
   /// Takes no new work; idle connections are closed.
   void stop();
-  /// How many requests are under way.
-  std::size_t activeRequests() const { return activeRequests_; }
+  /// How many requests are under way, those that are still being read too.
+  std::size_t activeRequests() const { return *activeRequests_; }
 
  private:
-  enum class ReadResult { request, answeredError, closed };
   Task<void> serve(std::shared_ptr<ClientConnection> client);
   using RequestParser = http::request_parser<http::string_body>;
-  Task<ReadResult> readRequest(ClientConnection& client, RequestParser& parser, ClientLimits const& limits);
+  /// Waits until a client's next request begins to come in; false if the connection ends instead.
+  Task<bool> awaitRequest(ClientConnection& client);
+  /// Reads one request and answers it; true if another may follow.
+  Task<bool> serveRequest(ClientConnection& client);
+  /// Reads a request that has begun, and answers one that can't be read; true if it is there whole.
+  Task<bool> readRequest(ClientConnection& client, RequestParser& parser);
+  /// Reads a request that has begun, within the limits.
+  Task<error_code> readMessage(ClientConnection& client, RequestParser& parser, ClientLimits const& limits);
   /// Answers a request that can't be read.
   Task<void> rejectUnreadable(ClientConnection& client, error_code error);
+  /// Answers a request, also if this node fails while it handles it.
+  Task<void> answer(ClientConnection& client, HttpRequest request);
   Task<void> handle(ClientConnection& client, HttpRequest request);
+  /// Of the configuration in force; defaults before there is one.
+  ClientLimits limitsInForce() const;
   /// The configuration; null if there is none yet, also after a short wait.
   Task<std::shared_ptr<Configuration const>> awaitConfiguration(TimePoint now);
   Task<HttpReply> submitLot(RequestPlan const& plan, HttpRequest const& request);
@@ -30,6 +41,7 @@
   /// True once this process ends so soon that a request taken now might be cut off.
   bool isEndingSoon() const;
   Task<void> sweepLoop();
+  Task<void> endIdleLoop();
 
   asio::io_context& io_;
   Settings const& settings_;
@@ -42,8 +54,8 @@
   LotApi lots_;
   HttpServer readiness_;
   std::optional<Listener> clients_;
-  std::size_t activeRequests_ = 0;
-  std::set<ClientConnection*> idle_;
+  std::shared_ptr<std::size_t> const activeRequests_ = std::make_shared<std::size_t>(0);
+  IdleConnections idle_;
 };
 
 }  // namespace tealshelf
--- /dev/null
+++ b/edge/idle_connections.cpp
@@ -0,0 +1,31 @@
+#include "edge/idle_connections.hpp"
+
+namespace tealshelf {
+
+namespace {
+/// The wait is told that it ended; what arrived before stays where it is.
+void endWait(ClientConnection& client) {
+  error_code ignored;
+  client.socket.cancel(ignored);
+}
+}  // namespace
+
+Task<bool> IdleConnections::awaitRequest(ClientConnection& client) {
+  idleSince_[&client] = Clock::now();
+  error_code error;
+  co_await client.socket.async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
+  idleSince_.erase(&client);
+  co_return !error || client.hasInput();
+}
+
+void IdleConnections::endOlderThan(Ms limit) {
+  TimePoint const now = Clock::now();
+  for (auto const& [client, since] : idleSince_)
+    if (now - since >= limit) endWait(*client);
+}
+
+void IdleConnections::endAll() {
+  for (auto const& [client, since] : idleSince_) endWait(*client);
+}
+
+}  // namespace tealshelf
--- a/edge/request_forwarder.cpp
+++ b/edge/request_forwarder.cpp
@@ -171,7 +171,7 @@
   bool const tryAgain = plan.mayRepeat && status >= 500 && retries.sends < plan.tries;
   bool const passes = !tryAgain && mayPassOn(client, plan, exchange);
   bool passed = false;
-  if (passes && plan.isStream && status == 200)
+  if (passes && plan.isStream && status == 200 && !client.isHead)
     passed = co_await relayEvents(client, plan, exchange, retries.events);
   else if (passes)
     passed = co_await passWhole(client, plan, exchange);
@@ -211,11 +211,14 @@
   http::response<http::string_body> response(static_cast<http::status>(exchange.status()), 11);
   response.result(static_cast<unsigned>(exchange.status()));
   copyHeaders(exchange.headers(), response);
+  string const length = exchange.header("Content-Length");
   exchange.release();
   response.body() = std::move(body);
-  client.keepAlive = client.keepAlive && !stopping_;
+  client.decideKeepAlive(stopping_);
   response.keep_alive(client.keepAlive);
   response.prepare_payload();
+  // That of the body which a GET would have brought.
+  if (client.isHead && !length.empty()) response.set(http::field::content_length, length);
   client.headSent = true;
   error_code error;
   SocketDeadline deadline(io_, client.socket);
@@ -228,7 +231,7 @@
 Task<error_code> RequestForwarder::sendStreamHead(ClientConnection& client, Exchange const& exchange) {
   http::response<http::empty_body> response(static_cast<http::status>(exchange.status()), 11);
   copyHeaders(exchange.headers(), response);
-  client.keepAlive = client.keepAlive && !stopping_;
+  client.decideKeepAlive(stopping_);
   response.keep_alive(client.keepAlive);
   response.chunked(true);
   client.headSent = true;
@@ -290,7 +293,7 @@
   }
   HttpReply answer = errorReply(Error(code));
   if (!retries.mayHaveRun) answer.headers.emplace_back("Retry-After", retryAfterSeconds(plan));
-  client.keepAlive = client.keepAlive && !stopping_;
+  client.decideKeepAlive(stopping_);
   co_await client.reply(io_, std::move(answer), 5 * settings_.bounds.inTouch);
 }
 
