apps: signals that come while a daemon starts are kept until it runs

Cause: the handlers of SIGTERM and SIGHUP were set after the start, which reads the logs of a disk; a SIGHUP before that ended the process. Change: they are set before it.

--- a/apps/daemon.cpp
+++ b/apps/daemon.cpp
@@ -31,7 +31,7 @@
     try {
       loadSettings(settings.path);
       logInfo("settings", "the settings file was read again");
-    } catch (Error const& fault) {
+    } catch (std::exception const& fault) {
       logWarning("settings", fault.what());
     }
     recheckSettingsOnHangUp(signals, settings);
@@ -64,9 +64,10 @@
     Settings const settings = loadSettings(settingsPath);
     for (string const& field : settings.unknownFields) logInfo("settings", "unknown field " + field + " is ignored");
     asio::io_context io(1);
+    // Before the start, which may take long: a signal that comes meanwhile is kept until then.
+    asio::signal_set endSignals(io, SIGTERM, SIGINT), hangUpSignals(io, SIGHUP);
     Daemon daemon;
     start(io, settings, daemon);
-    asio::signal_set endSignals(io, SIGTERM, SIGINT), hangUpSignals(io, SIGHUP);
     endSignals.async_wait([&](error_code error, int) {
       if (error) return;
       logInfo("run", "told to end");
