tests: wrong answers about lots, and items that can never be sent (red)

Cause: LotApi passes every error of kind badInput or notFound on to the client, also one that arose between our own nodes (E503 gives 400, E403 gives 404); the parser takes headers that no request can hold, and ids and paths that break out of their lines.

--- a/tests/lots/lot_api_test.cpp
+++ b/tests/lots/lot_api_test.cpp
@@ -28,7 +28,10 @@
     publisher.proof = [] { return UpdatePublisher::Proof{true, 0, Clock::now()}; };
     publisher.setConfiguration(1, configuration);
     control.on<UpdateRequest>([this](UpdateRequest request) { return publisher.serve(std::move(request)); });
-    control.on<FindLot>([this](FindLot) -> Task<FindLotReply> { co_return FindLotReply{true, record}; });
+    control.on<FindLot>([this](FindLot) -> Task<FindLotReply> {
+      if (failure) throw Error(*failure);
+      co_return FindLotReply{true, record};
+    });
     store.on<ReadResults>([](ReadResults) -> Task<ReadResultsReply> { co_return ReadResultsReply{1, {}, {}}; });
     store.on<ReadItem>([](ReadItem) -> Task<ReadItemReply> { co_return ReadItemReply{true, false, "body"}; });
     record.id = "lot";
@@ -73,6 +76,7 @@
   RpcServer relay;
   LotApi lots;
   LotRecord record;
+  std::optional<ErrorCode> failure;  ///< of control
 };
 
 void readThroughATakeover(string const& target, Ms hold) {
@@ -95,3 +99,18 @@
 TEST(lotApi, itemsAreReadAtTheNewPrimaryThoughTheOldOneIsSilent) {
   readThroughATakeover("/items/lot?serverId=item-0", Ms(0));
 }
+
+/// Only what is said of the lot itself may reach its client as a 4xx.
+TEST_GROUP(lotCalls){};
+
+TEST(lotCalls, aFailureWithinTheSystemSaysNothingOfTheLot) {
+  for (ErrorCode const code : {ErrorCode::badMessage, ErrorCode::unknownNode, ErrorCode::noQuorum}) {
+    LotApiRig rig;
+    rig.failure = code;
+    LONGS_EQUAL(503, rig.call("/lots/lot?startAfter=0", Ms(0)));
+  }
+  LotApiRig rig;
+  rig.failure = ErrorCode::lotUnknown;
+  LONGS_EQUAL(404, rig.call("/lots/lot?startAfter=0", Ms(0)));
+  LONGS_EQUAL(400, rig.call("/lots/lot?startAfter=x", Ms(0)));
+}
--- a/tests/lots/lot_parser_test.cpp
+++ b/tests/lots/lot_parser_test.cpp
@@ -37,6 +37,27 @@
     many += string(i ? "," : "") + "{\"serverId\":\"a" + std::to_string(i) + "\",\"urlPath\":\"/p\",\"tokens\":1}";
   LONGS_EQUAL(301, code(many + "]}"));
 }
+/// What could never be sent to a worker as it is must not be taken: nothing would ever come of it.
+TEST(lotParser, refusesItemsThatCannotBeSent) {
+  auto const isTaken = [](string const& id, string const& path, string const& header) {
+    try {
+      parseLot("{\"requests\":[{\"serverId\":\"" + id + "\",\"urlPath\":\"" + path + "\",\"headerMap\":{\"X\":\"" +
+               header + "\"},\"tokens\":1}]}");
+    } catch (Error const& error) {
+      CHECK(error.code() == ErrorCode::lotUnreadable);
+      return false;
+    }
+    return true;
+  };
+  CHECK(isTaken("a", "/p", "x y"));
+  CHECK(isTaken("a", "/p", string(60000, 'x')));
+  CHECK_FALSE(isTaken("a", "/p", string(70000, 'x')));
+  CHECK_FALSE(isTaken("a\\r\\nB: c", "/p", "x"));
+  CHECK_FALSE(isTaken(string(70000, 'a'), "/p", "x"));
+  CHECK_FALSE(isTaken("a", "/p HTTP/1.1\\r\\nB: c", "x"));
+  CHECK_FALSE(isTaken("a", "/p q", "x"));
+  CHECK_FALSE(isTaken("a", "/p\\u0000", "x"));
+}
 TEST(lotParser, base64IsStrict) {
   STRCMP_EQUAL("A", decodeBase64("QQ==").value().c_str());
   STRCMP_EQUAL("", decodeBase64("").value().c_str());
