lots: only what is known of a lot reaches its client as 4xx; items must be sendable

Cause: errors between our own nodes were passed on by their kind, so that a malformed call inside became a 400 and an unknown node a 404 for a lot that was accepted. The parser took ids, paths and headers that no request can hold (a run of such an item ends in an exception, and the item is never listed) or that break out of their lines.

Change: LotApi answers 4xx only for lotUnknown, itemUnknown and lotUnreadable, else 503; what is kept of lots is bounded after DELETE too. The parser refuses such items, and reads texts with their NULs.

--- a/lots/lot_api.cpp
+++ b/lots/lot_api.cpp
@@ -36,6 +36,13 @@
          error.code() == ErrorCode::timedOut;
 }
 
+/// True for what is known of the lot, or of the call itself. Any other error arose between our own nodes and says
+/// nothing of the lot, whatever its kind.
+bool isAboutLot(Error const& error) {
+  return error.code() == ErrorCode::lotUnknown || error.code() == ErrorCode::itemUnknown ||
+         error.code() == ErrorCode::lotUnreadable;
+}
+
 void writeText(rapidjson::Writer<rapidjson::StringBuffer>& writer, char const* name, string const& value) {
   writer.Key(name);
   writer.String(value.data(), static_cast<rapidjson::SizeType>(value.size()));
@@ -159,11 +166,15 @@
   FindLot const request{key.host, key.id, 0};
   FindLotReply const reply = co_await askCoordinator(request, settings_.bounds.settleWithin / 2);
   if (!reply.known) throw Error(ErrorCode::lotUnknown);
-  if (knownLots_.size() > maxKnownLots) knownLots_.clear();
-  knownLots_[key] = reply.lot;
+  remember(reply.lot);
   co_return reply.lot;
 }
 
+void LotApi::remember(LotRecord const& lot) {
+  if (knownLots_.size() >= maxKnownLots) knownLots_.clear();
+  knownLots_[lot.key()] = lot;
+}
+
 Task<HttpReply> LotApi::call(string verb, string host, string target, Ms hold) {
   string_view const path = string_view(target).substr(0, target.find('?'));
   try {
@@ -179,7 +190,7 @@
     if (!from) throw Error(ErrorCode::lotUnreadable, "startAfter");
     co_return co_await listResults(key, *from, hold);
   } catch (Error const& error) {
-    if (error.status() == 404 || error.status() == 400) co_return errorReply(error);
+    if (isAboutLot(error)) co_return errorReply(error);
     logDebug("lots", target + ": " + error.what());
     HttpReply answer = errorReply(Error(ErrorCode::lotStateUnknown));
     answer.headers.emplace_back("Retry-After", "0.05");
@@ -191,7 +202,7 @@
   EndLot const request{key.host, key.id, 0};
   FindLotReply const reply = co_await askCoordinator(request, settings_.bounds.inTouch / 2);
   if (!reply.known) throw Error(ErrorCode::lotUnknown);
-  knownLots_[key] = reply.lot;
+  remember(reply.lot);
   co_return HttpReply{200, "{}", "application/json", {}};
 }
 
--- a/lots/lot_api.hpp
+++ b/lots/lot_api.hpp
@@ -27,6 +27,7 @@
   Task<void> place(OpenLot request, string items);
   /// The record of a lot, as this node knows it or, if asked for, as its coordinator knows it now.
   Task<LotRecord> findLot(LotKey key, bool anew);
+  void remember(LotRecord const& lot);
   Task<HttpReply> endLot(LotKey key);
   Task<HttpReply> listResults(LotKey key, std::uint64_t from, Ms hold);
   Task<HttpReply> readItem(LotKey key, string item);
--- a/lots/lot_parser.cpp
+++ b/lots/lot_parser.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 constexpr std::size_t maxItems = 200;
+/// Of an id, a path, or the name or value of a header: no request can hold more.
+constexpr std::size_t maxTextBytes = std::numeric_limits<std::uint16_t>::max() - 2;
 
 constexpr std::array<signed char, 256> makeBase64Digits() {
   std::array<signed char, 256> digits{};
@@ -21,17 +23,32 @@
 }
 constexpr std::array<signed char, 256> base64Digits = makeBase64Digits();
 
+/// What would end a header or a request's first line.
+string const lineBreakers("\r\n\0", 3);
+
+string textOf(rapidjson::Value const& value) {
+  return string(value.GetString(), value.GetStringLength());
+}
+
 string requiredText(rapidjson::Value const& object, char const* name) {
   if (!object.HasMember(name) || !object[name].IsString()) throw Error(ErrorCode::lotUnreadable, "item");
-  return object[name].GetString();
+  return textOf(object[name]);
+}
+
+/// True for a text that can't break out of its line and fits into a request.
+bool isOneLine(string const& text) {
+  return text.size() <= maxTextBytes && text.find_first_of(lineBreakers) == string::npos;
 }
 
-/// A header that can't break out of its line.
 bool isSafeHeader(HeaderField const& header) {
-  bool const oneLine = (header.name + header.value).find_first_of("\r\n") == string::npos;
+  bool const oneLine = isOneLine(header.name) && isOneLine(header.value);
   return oneLine && !header.name.empty() && header.name.find_first_of(": ") == string::npos;
 }
 
+bool isSafePath(string const& path) {
+  return isOneLine(path) && path.starts_with('/') && path.find(' ') == string::npos;
+}
+
 vector<HeaderField> parseHeaders(rapidjson::Value const& item) {
   vector<HeaderField> headers;
   if (!item.HasMember("headerMap")) return headers;
@@ -39,7 +56,7 @@
   if (!map.IsObject()) throw Error(ErrorCode::lotUnreadable, "headerMap");
   for (rapidjson::Value::Member const& member : map.GetObject()) {
     if (!member.value.IsString()) throw Error(ErrorCode::lotUnreadable, "headerMap");
-    HeaderField const header{member.name.GetString(), member.value.GetString()};
+    HeaderField const header{textOf(member.name), textOf(member.value)};
     if (!isSafeHeader(header)) throw Error(ErrorCode::lotUnreadable, "headerMap");
     headers.push_back(header);
   }
@@ -66,7 +83,8 @@
   ItemRecord item;
   item.id = requiredText(value, "serverId");
   item.path = requiredText(value, "urlPath");
-  if (item.id.empty() || item.path.empty() || item.path[0] != '/') throw Error(ErrorCode::lotUnreadable, "item");
+  bool const sendable = !item.id.empty() && isOneLine(item.id) && isSafePath(item.path);
+  if (!sendable) throw Error(ErrorCode::lotUnreadable, "item");
   if (!ids.insert(item.id).second) throw Error(ErrorCode::duplicateItem, item.id);
   item.headers = parseHeaders(value);
   item.body = parsePayload(value, item.id);
