--- a/edge/edge_node.cpp
+++ b/edge/edge_node.cpp
@@ -155,10 +155,12 @@
   string failure;
   try {
     co_await handle(client, std::move(request));
-    co_return;
+    if (client.headSent) co_return;
+    failure = "it was left without an answer";
   } catch (std::exception const& error) {
     failure = error.what();
   }
+  ++failedRequests_;
   logWarning("edge", "a request failed here: " + failure);
   client.keepAlive = false;
   if (!client.headSent) co_await reply(client, errorReply(Error(ErrorCode::callFailed)));
--- a/edge/edge_node.hpp
+++ b/edge/edge_node.hpp
@@ -15,6 +15,9 @@
   void stop();
   /// How many requests are under way, those that are still being read too.
   std::size_t activeRequests() const { return *activeRequests_; }
+  /// Requests that this node itself failed at. Must stay 0: each that was read whole has its answer, or a part of it,
+  /// once it was handled; what breaks that is logged, counted and answered with 502.
+  std::uint64_t failedRequests() const { return failedRequests_; }
 
  private:
   Task<void> serve(std::shared_ptr<ClientConnection> client);
@@ -55,6 +58,7 @@
   HttpServer readiness_;
   std::optional<Listener> clients_;
   std::shared_ptr<std::size_t> const activeRequests_ = std::make_shared<std::size_t>(0);
+  std::uint64_t failedRequests_ = 0;
   IdleConnections idle_;
 };
 
--- a/tests/edge/unanswered_test.cpp
+++ b/tests/edge/unanswered_test.cpp
@@ -68,6 +68,7 @@
   LONGS_EQUAL(502, got.status);
   CHECK(says(got, "Connection: close"));
   LONGS_EQUAL(0, rig.activeRequests());
+  LONGS_EQUAL(1, rig.failedRequests());
   LONGS_EQUAL(0, rig.sends());
 }
 /// The limits are those in force when a request comes, not those of the time at which its connection fell idle.
--- a/tests/traffic/exchange_test.cpp
+++ b/tests/traffic/exchange_test.cpp
@@ -154,6 +154,7 @@
   bool const promise = got.status == 408 || got.status == 421 || got.status == 429 || got.status == 503;
   CHECK_TEXT(!promise || !row.ran, what.c_str());
   CHECK_TEXT(mayRepeat || !row.ran || rig.sends() == 1, what.c_str());
+  CHECK_TEXT(rig.failedRequests() == 0, what.c_str());
   for (int n = 0; n < 4; ++n) {
     string const id = "nx" + std::to_string(n);
     Got const next = rig.call("/again/prime", id);
--- a/tests/traffic/worker_stand_in.hpp
+++ b/tests/traffic/worker_stand_in.hpp
@@ -149,6 +149,8 @@
     return workers[0].primed && workers[1].primed;
   }
   void stopEdge() { edge_.stop(); }
+  /// Requests that the edge itself failed at: none, unless a test makes it fail.
+  std::uint64_t failedRequests() const { return edge_.failedRequests(); }
   std::size_t activeRequests() const { return edge_.activeRequests(); }
   tcp::endpoint outside() const { return {asio::ip::make_address(ip), 17680}; }
   /// Puts a configuration with other limits in force.
