--- a/tests/lots/lot_api_test.cpp
+++ b/tests/lots/lot_api_test.cpp
@@ -1,11 +1,12 @@
 #include "lots/lot_api.hpp"
+#include "tests/wire/loopback.hpp"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace tealshelf;
 
 namespace {
-string const ip = "127.0.0.79", host = "shop.example";
+string const ip = loopbackOfThisProcess(), host = "shop.example";
 string const configuration =
     "{\"version\":1,\"routes\":[{\"name\":\"night\",\"host\":\"shop.example\",\"pathStart\":\"/night/\",\"kind\":"
     "\"bulk\",\"timeLimitMs\":9000,\"targetMs\":500,\"priority\":2,\"service\":\"app\",\"tries\":3,\"dueInMs\":300,"
--- a/tests/traffic/worker_stand_in.hpp
+++ b/tests/traffic/worker_stand_in.hpp
@@ -1,5 +1,6 @@
 #pragma once
 #include "edge/edge_node.hpp"
+#include "tests/wire/loopback.hpp"
 
 namespace tealshelf {
 
@@ -247,7 +248,7 @@
   }
 
  public:
-  string const ip = "127.0.0.78";
+  string const ip = loopbackOfThisProcess();
 
  private:
   Settings settings_;
