--- a/apps/daemon.cpp
+++ b/apps/daemon.cpp
@@ -33,7 +33,7 @@
     try {
       loadSettings(settings.path);
       logInfo("settings", "the settings file was read again");
-    } catch (Error const& fault) {
+    } catch (std::exception const& fault) {
       logWarning("settings", fault.what());
     }
     recheckSettingsOnHangUp(signals, settings);
@@ -73,12 +73,13 @@
     Settings const settings = loadSettings(options.settingsPath);
     for (string const& field : settings.unknownFields) logInfo("settings", "unknown field " + field + " is ignored");
     asio::io_context io(1);
+    // Before the start, which may take long: a signal that comes meanwhile is kept until then.
+    asio::signal_set endSignals(io, SIGTERM, SIGINT), hangUpSignals(io, SIGHUP);
     Daemon daemon;
     start(io, settings, daemon);
     std::optional<MetricsServer> metricsServer;
     if (options.metricsPort)
       metricsServer.emplace(io, Address{settings.ip, options.metricsPort}, 5 * settings.bounds.inTouch, metrics());
-    asio::signal_set endSignals(io, SIGTERM, SIGINT), hangUpSignals(io, SIGHUP);
     endSignals.async_wait([&](error_code error, int) {
       if (error) return;
       logInfo("run", "told to end");
