settings: a field that is empty counts as missing

Cause: keys of matters that aren't open in a deployment may be empty; an empty value of a number that we read (a bound, a limit, a count) was a bad value and stopped the start with E601.

Change: an empty value is passed over, so the default holds; a field that is needed is still a fault.

--- a/base/settings.cpp
+++ b/base/settings.cpp
@@ -183,7 +183,8 @@
     settings.unknownFields.push_back(field);
     return std::nullopt;
   }
-  if (parser->second(settings, value)) return std::nullopt;
+  // As if it weren't there: a field may belong to a matter that isn't open in this deployment.
+  if (value.empty() || parser->second(settings, value)) return std::nullopt;
   return field + " can't be " + value;
 }
 }  // namespace
--- a/tests/base/settings_test.cpp
+++ b/tests/base/settings_test.cpp
@@ -23,6 +23,20 @@
   CHECK(b.firstBoot);
   LONGS_EQUAL(1, b.unknownFields.size());
 }
+/// Fields of matters that aren't open may be empty, known ones and unknown ones.
+TEST(settings, emptyFieldsCountAsMissing) {
+  vector<SettingsFault> f;
+  Settings const b = readSettings(
+      settingsText + "some.new.field=\nlimits.networkMbps=\nbounds.cancelWithinMs=\nsurvive.zones=\nentry=\n", f);
+  CHECK(f.empty());
+  LONGS_EQUAL(3000, b.bounds.cancelWithin.count());
+  LONGS_EQUAL(0, b.surviveZones);
+}
+TEST(settings, aFieldThatIsNeededMustNotBeEmpty) {
+  vector<SettingsFault> f;
+  readSettings("nodeName=a\nipAddress=\ninternalPorts=\nseedNodes=\n", f);
+  LONGS_EQUAL(3, f.size());
+}
 TEST(settings, listsAllFaultsInOnePass) {
   vector<SettingsFault> f;
   readSettings("nodeName=a\nipAddress=1\ninternalPorts=9,8\nlimits.memoryMb=-4\nfirstBoot=maybe\nbounds.graceS=x\n", f);
