control: a worker that leaves is acknowledged once a majority knows of it

Cause: a control node that has just been cut off takes itself for one of the majority for up to a quarter of inTouch. It acknowledged a worker as draining or gone although none of the others had answered, and sent nothing when the worker said so again. Edges that hear the others went on sending to it: DRAIN, which binds also where the machine that acknowledged was not in touch.

Change: `tellMajority` waits for the answers of the others, as before for a fifth of drainMs at most, and throws notReady (503) unless with this node a majority was told; also each time the worker says so again.

--- a/control/worker_directory.cpp
+++ b/control/worker_directory.cpp
@@ -88,36 +88,47 @@
   Worker const worker = workerFrom(call, id);
   bool const leaves = worker.draining || worker.removed;
   bool const changed = registry_.merge(worker, Clock::now());
-  if (changed) {
-    onChange();
-    co_await tellPeers(*registry_.find(id), leaves);
-  }
+  if (changed) onChange();
+  if (leaves)
+    co_await tellMajority(*registry_.find(id));
+  else if (changed)
+    tellPeers(*registry_.find(id));
   // Also where it was known: a heartbeat that another node told of may not be synced here yet.
   if (log_ && leaves) co_await log_->waitSynced();
   std::optional<Address> const reportTo = worker.removed || stopping_ ? std::nullopt : registrarFor(worker);
   co_return CallReply{200, reportTo ? "{\"reportTo\":\"" + reportTo->text() + "\"}" : "{}"};
 }
 
-Task<void> WorkerDirectory::tellPeers(Worker worker, bool waits) {
+std::shared_ptr<WorkerDirectory::PeerAnswers> WorkerDirectory::tellPeers(Worker worker) {
   TimePoint const now = Clock::now();
   Consensus const& consensus = driver_.consensus();
   HeartbeatMessage message;
   message.heartbeat = consensus.heartbeat(now);
   message.heartbeat.holdsAllKeys = message.heartbeat.holdsAllKeys && !stopping_;
-  message.workers = {worker};
+  message.workers = {std::move(worker)};
   Ms const limit = settings_.bounds.drain / 5;
-  std::shared_ptr<std::size_t> const outstanding = std::make_shared<std::size_t>(0);
-  std::shared_ptr<asio::steady_timer> const timer = std::make_shared<asio::steady_timer>(io_, limit);
+  std::shared_ptr<PeerAnswers> const answers = std::make_shared<PeerAnswers>(io_, limit);
   for (Member const& member : consensus.membership().members) {
     if (member.id == self() || !consensus.isAlive(member.id, now)) continue;
-    ++*outstanding;
+    ++answers->outstanding;
     asio::co_spawn(io_, rpc_.call(settings_.controlAddress(member.ip), message, limit),
-                   [outstanding, timer](std::exception_ptr, HeartbeatReply) {
-                     if (!--*outstanding) timer->cancel();
+                   [answers](std::exception_ptr failure, HeartbeatReply) {
+                     if (!failure) ++answers->taken;
+                     if (!--answers->outstanding) answers->timer.cancel();
                    });
   }
+  return answers;
+}
+
+/// Control nodes that serve the data plane hear a majority, so one of those that they hear knows of the worker,
+/// whatever becomes of this node.
+Task<void> WorkerDirectory::tellMajority(Worker worker) {
+  std::shared_ptr<PeerAnswers> const answers = tellPeers(std::move(worker));
   error_code ignored;
-  if (waits && *outstanding) co_await timer->async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  if (answers->outstanding) co_await answers->timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  Membership const& membership = driver_.consensus().membership();
+  std::size_t const informed = answers->taken + (membership.find(self()) ? 1 : 0);
+  if (informed < membership.quorum()) throw Error(ErrorCode::notReady, "no majority was told of a worker that leaves");
 }
 
 std::optional<Address> WorkerDirectory::registrarFor(Worker const& worker) const {
--- a/control/worker_directory.hpp
+++ b/control/worker_directory.hpp
@@ -35,9 +35,19 @@
   std::function<void()> onChange;
 
  private:
+  /// What the other control nodes answer to news of a worker.
+  struct PeerAnswers {
+    PeerAnswers(asio::io_context& io, Ms limit) : timer(io, limit) {}
+    asio::steady_timer timer;  ///< ends when the time is up, or no answer is outstanding
+    std::size_t outstanding = 0, taken = 0;
+  };
+
   Worker workerFrom(ForwardedCall const& call, string const& id) const;
-  /// Tells the other control nodes of a worker, and waits for their answers if asked to.
-  Task<void> tellPeers(Worker worker, bool waits);
+  /// Tells the other control nodes of a worker.
+  std::shared_ptr<PeerAnswers> tellPeers(Worker worker);
+  /// The same for a worker that leaves: throws ErrorCode::notReady unless a majority knows of it. An acknowledgement
+  /// binds every data-plane node, also if this node is being cut off and doesn't know it yet.
+  Task<void> tellMajority(Worker worker);
   /// Where the next heartbeats of a worker should go: a control node of its zone if there is one.
   std::optional<Address> registrarFor(Worker const& worker) const;
   void replayLog();
