edge: headers that a message names in Connection stay on their connection

Cause: only a fixed list of headers was kept back; those named in `Connection`, which concern one connection too, went on to workers and clients.

Change: `edge/forwarded_headers.hpp` tells which headers go on.

Measured: without the names in `Connection`, as before, `thoseThatTheMessageNamesInConnectionStay` fails; now all 4 tests of `forwardedHeaders` pass.

--- a/edge/request_forwarder.cpp
+++ b/edge/request_forwarder.cpp
@@ -1,5 +1,7 @@
 #include "edge/request_forwarder.hpp"
 
+#include "edge/forwarded_headers.hpp"
+
 namespace tealshelf {
 
 namespace {
@@ -8,30 +10,15 @@
 /// A worker that is silent for so many targets counts as failed.
 constexpr int silentTargets = 4;
 
-bool isAnyOf(beast::string_view name, std::initializer_list<string_view> names) {
-  return std::any_of(names.begin(), names.end(), [name](string_view candidate) {
-    return beast::iequals(name, beast::string_view(candidate.data(), candidate.size()));
-  });
-}
-
-/// Headers that concern one connection only.
-bool isHopByHop(beast::string_view name) {
-  return isAnyOf(name, {"Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "TE", "Trailer", "Upgrade",
-                        "Content-Length"});
-}
-
-/// Headers that this system sets itself.
-bool isReplaced(beast::string_view name) {
-  return isAnyOf(name, {"Time-Left-Ms", "Wanted-Server", "Expect"});
-}
+/// Headers of a client that this system sets itself, or has dealt with.
+constexpr char const* replacedHeaders[] = {"Time-Left-Ms", "Wanted-Server", "Expect"};
 
 HttpRequest requestForWorker(HttpRequest const& request, RequestPlan const& plan, Worker const& worker,
                              EventStreamReader const& events) {
   HttpRequest forwarded(request.method(), request.target(), 11);
   if (request.method() == http::verb::unknown) forwarded.method_string(request.method_string());
-  for (http::fields::value_type const& header : request)
-    if (!isHopByHop(header.name_string()) && !isReplaced(header.name_string()))
-      forwarded.insert(header.name_string(), header.value());
+  copyHeaders(request, forwarded);
+  for (char const* const replaced : replacedHeaders) forwarded.erase(replaced);
   forwarded.set("Time-Left-Ms", std::to_string(std::max<std::int64_t>(1, remainingMs(plan.deadline))));
   forwarded.set("Wanted-Server", worker.id);
   if (events.hasEvents()) forwarded.set("Last-Event-Id", std::to_string(events.lastId()));
@@ -40,12 +27,6 @@
   return forwarded;
 }
 
-template <class Response>
-void copyHeaders(http::fields const& from, Response& response) {
-  for (http::fields::value_type const& header : from)
-    if (!isHopByHop(header.name_string())) response.insert(header.name_string(), header.value());
-}
-
 Task<error_code> writeChunk(tcp::socket& socket, string const& bytes) {
   error_code error;
   co_await asio::async_write(socket, http::make_chunk(asio::buffer(bytes)),
