edge: a request whose client is gone ends at its worker, and goes to no other

Cause: nothing watched a client between its request and the first write of an answer.

Change: `ClientWatch` waits beside the exchange for the end of the connection and peeks, so that bytes of a next request stay where they are. Repeatable requests and streams are cancelled at their worker without a mark against it. A request that must not run twice stays at its worker, as a client that ended only its sending looks the same, but is tried nowhere else. The judgement of a send's end moves to `judge`. The silent stand-in worker of the tests notices that its connection closes.

--- a/edge/request_forwarder.cpp
+++ b/edge/request_forwarder.cpp
@@ -47,11 +47,11 @@
 }
 
 Task<void> RequestForwarder::forward(ClientConnection& client, HttpRequest const& request, RequestPlan const& plan) {
-  RetryState retries;
+  RetryState retries(client);
   NextStep next = NextStep::tryAnother;
   while (next == NextStep::tryAnother && retries.sends < plan.tries && Clock::now() < plan.deadline) {
     Worker const* const worker = co_await nextWorker(client, plan, retries);
-    if (!worker) break;
+    if (!worker || retries.watch.clientIsGone()) break;
     // The list of workers may change while the request is under way.
     Worker const target = *worker;
     next = co_await tryWorker(client, request, plan, target, retries);
@@ -78,17 +78,38 @@
   retries.triedWorkers.insert(worker.id);
   HttpRequest const forwarded = requestForWorker(request, plan, worker, retries.events);
   Exchange exchange(pool_, worker, plan.mayRepeat);
+  // Any other request is left to its worker: the client may have ended its sending only, and sends it to nobody else.
+  bool const endsWithClient = plan.mayRepeat || plan.isStream;
+  if (endsWithClient) retries.watch.onGone([&exchange] { exchange.cancel(); });
   std::uint64_t const unreadTokens = plan.pick.promptTokens - plan.pick.sharedTokens;
   balancer_.requestStarted(worker.id, unreadTokens);
   SendResult const result = co_await exchange.send(forwarded, plan.attempt, plan.deadline);
   balancer_.promptRead(worker.id, unreadTokens);
   logDebug("request", plan.attempt + " at " + worker.id + " result " + std::to_string(static_cast<int>(result)) +
                           (result == SendResult::answered ? " status " + std::to_string(exchange.status()) : ""));
+  NextStep next = NextStep::done;
+  if (endsWithClient && retries.watch.clientIsGone())
+    abandon(client, exchange);
+  else
+    next = co_await judge(client, plan, exchange, result, retries);
+  retries.watch.onGone(nullptr);
+  balancer_.requestEnded(worker.id);
+  co_return next;
+}
+
+void RequestForwarder::abandon(ClientConnection& client, Exchange& exchange) {
+  exchange.abort();
+  client.close();
+}
+
+Task<RequestForwarder::NextStep> RequestForwarder::judge(ClientConnection& client, RequestPlan const& plan,
+                                                         Exchange& exchange, SendResult result, RetryState& retries) {
+  string const worker = exchange.worker().id;
   NextStep next = NextStep::tryAnother;
   switch (result) {
     case SendResult::notSent:
-      balancer_.markFailed(worker.id, true);
-      view_.tally(worker.id, false);
+      balancer_.markFailed(worker, true);
+      view_.tally(worker, false);
       retries.lastFailure = ErrorCode::noWorker;
       break;
     case SendResult::notRun:
@@ -98,13 +119,12 @@
       next = noteMaybeRun(exchange, plan, retries);
       break;
     case SendResult::timedOut:
-      next = noteTimeout(worker.id, plan, retries);
+      next = noteTimeout(worker, plan, retries);
       break;
     case SendResult::answered:
       next = co_await passOn(client, plan, exchange, retries);
       break;
   }
-  balancer_.requestEnded(worker.id);
   co_return next;
 }
 
@@ -156,6 +176,10 @@
     passed = co_await relayEvents(client, plan, exchange, retries.events);
   else if (passes)
     passed = co_await passWhole(client, plan, exchange);
+  if (!passed && passes && retries.watch.clientIsGone()) {
+    abandon(client, exchange);
+    co_return NextStep::done;
+  }
   if (passed) {
     if (client.keepAlive && status < 500) {
       balancer_.markHealthy(worker);
--- a/edge/request_forwarder.hpp
+++ b/edge/request_forwarder.hpp
@@ -1,5 +1,6 @@
 #pragma once
 #include "edge/client_connection.hpp"
+#include "edge/client_watch.hpp"
 #include "edge/edge_metrics.hpp"
 #include "edge/request_plan.hpp"
 #include "traffic/event_stream.hpp"
@@ -23,6 +24,8 @@
  private:
   /// What the tries of one request have come to so far.
   struct RetryState {
+    explicit RetryState(ClientConnection& client) : watch(client.socket) {}
+    ClientWatch watch;
     std::set<string> triedWorkers;
     std::uint64_t sends = 0;
     bool startedOver = false;  ///< all workers were tried once, and are tried again
@@ -36,6 +39,11 @@
   Task<Worker const*> nextWorker(ClientConnection const& client, RequestPlan const& plan, RetryState& retries);
   Task<NextStep> tryWorker(ClientConnection& client, HttpRequest const& request, RequestPlan const& plan,
                            Worker const& worker, RetryState& retries);
+  /// The end of a request whose client is gone: it says nothing of its worker, and no other gets it.
+  void abandon(ClientConnection& client, Exchange& exchange);
+  /// What comes after a send that ended.
+  Task<NextStep> judge(ClientConnection& client, RequestPlan const& plan, Exchange& exchange, SendResult result,
+                       RetryState& retries);
   void noteRefusal(Exchange const& exchange, RetryState& retries);
   NextStep noteMaybeRun(Exchange const& exchange, RequestPlan const& plan, RetryState& retries);
   NextStep noteTimeout(string const& worker, RequestPlan const& plan, RetryState& retries);
--- /dev/null
+++ b/tests/edge/client_watch_test.cpp
@@ -0,0 +1,93 @@
+#include "edge/client_watch.hpp"
+
+#include "tests/traffic/worker_stand_in.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace tealshelf;
+
+namespace {
+Script const silentWorker{"", true, "", Script::End::silent, ""};
+
+string requestTo(string const& path) {
+  return "POST " + path + " HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: id1\r\nContent-Length: 1\r\n\r\nb";
+}
+
+/// A client whose request waits at a worker that says nothing.
+struct WaitingClient {
+  explicit WaitingClient(string const& path) : rig(silentWorker), socket(rig.io) {
+    CHECK(rig.prime());
+    socket.connect({asio::ip::make_address(rig.ip), 17680});
+    asio::write(socket, asio::buffer(requestTo(path)));
+    until([this] { return rig.sends() == 1; });
+  }
+  /// Well before the time of the route is up, at which the worker's connection ends anyway.
+  void until(std::function<bool()> const& done) {
+    TimePoint const end = Clock::now() + Ms(1000);
+    while (!done() && Clock::now() < end) rig.run(Ms(2));
+    CHECK(done());
+  }
+  std::size_t connectionsOfWorkers() const { return rig.workers[0].connections() + rig.workers[1].connections(); }
+
+  EdgeRig rig;
+  tcp::socket socket;
+};
+}  // namespace
+
+TEST_GROUP(clientWatch){};
+
+TEST(clientWatch, seesThatTheClientCloses) {
+  asio::io_context io;
+  tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  tcp::socket client(io);
+  client.connect(acceptor.local_endpoint());
+  tcp::socket served = acceptor.accept();
+  ClientWatch watch(served);
+  int calls = 0;
+  watch.onGone([&calls] { ++calls; });
+  io.poll();
+  CHECK_FALSE(watch.clientIsGone());
+  client.close();
+  io.restart();
+  io.run_one_for(Ms(1000));
+  CHECK(watch.clientIsGone());
+  LONGS_EQUAL(1, calls);
+}
+TEST(clientWatch, leavesTheBytesOfTheNextRequestAlone) {
+  asio::io_context io;
+  tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  tcp::socket client(io);
+  client.connect(acceptor.local_endpoint());
+  tcp::socket served = acceptor.accept();
+  ClientWatch watch(served);
+  asio::write(client, asio::buffer("next", 4));
+  io.run_one_for(Ms(1000));
+  CHECK_FALSE(watch.clientIsGone());
+  LONGS_EQUAL(4, served.available());
+}
+/// What repeats does no harm is ended at its worker, and goes to no other.
+TEST(clientWatch, aRepeatableRequestEndsAtItsWorkerWithItsClient) {
+  WaitingClient client("/again/x");
+  std::size_t const connections = client.connectionsOfWorkers();
+  client.socket.close();
+  client.until([&] { return client.connectionsOfWorkers() < connections; });
+  client.rig.run(Ms(50));
+  LONGS_EQUAL(1, client.rig.sends());
+}
+TEST(clientWatch, aStreamEndsAtItsWorkerWithItsClient) {
+  WaitingClient client("/streaming/x");
+  std::size_t const connections = client.connectionsOfWorkers();
+  client.socket.close();
+  client.until([&] { return client.connectionsOfWorkers() < connections; });
+  client.rig.run(Ms(50));
+  LONGS_EQUAL(1, client.rig.sends());
+}
+/// A request that must not run twice is left to its worker: the client may have ended its sending only.
+TEST(clientWatch, aRequestOfOneShotStaysAtItsWorker) {
+  WaitingClient client("/once/x");
+  std::size_t const connections = client.connectionsOfWorkers();
+  client.socket.close();
+  client.rig.run(Ms(100));
+  LONGS_EQUAL(connections, client.connectionsOfWorkers());
+  LONGS_EQUAL(1, client.rig.sends());
+}
--- a/tests/traffic/worker_stand_in.hpp
+++ b/tests/traffic/worker_stand_in.hpp
@@ -35,6 +35,8 @@
   bool onUsed = false;  ///< the last send came on a connection that had answered before
   vector<string> lastEventIds;
   Script onResume;  ///< for requests that bear Last-Event-Id
+  /// Connections that are open here.
+  std::size_t connections() const { return open_.size(); }
   /// Ends all idle connections.
   void closeAll() {
     for (std::shared_ptr<tcp::socket> const& s : open_) {
@@ -87,7 +89,7 @@
         co_await write(s, script.late, id);
       }
       if (primes || script.end == Script::End::keep) continue;
-      if (script.end == Script::End::silent) co_await sleepFor(Ms(5000));
+      if (script.end == Script::End::silent) co_await untilPeerCloses(s, Ms(5000));
       co_return end(s, script.end);
     }
   }
@@ -96,6 +98,13 @@
     error_code e;
     co_await asio::async_write(s, asio::buffer(text), asio::redirect_error(asio::use_awaitable, e));
   }
+  Task<void> untilPeerCloses(tcp::socket& s, Ms limit) {
+    SocketDeadline deadline(io_, s);
+    deadline.expireAt(Clock::now() + limit);
+    char byte = 0;
+    error_code e;
+    while (!e) co_await s.async_read_some(asio::buffer(&byte, 1), asio::redirect_error(asio::use_awaitable, e));
+  }
   static void end(tcp::socket& s, Script::End how) {
     if (how == Script::End::reset) s.set_option(asio::socket_base::linger(true, 0));
     s.close();
--- a/traffic/exchange.cpp
+++ b/traffic/exchange.cpp
@@ -24,6 +24,12 @@
   connection_.reset();
 }
 
+void Exchange::cancel() {
+  if (!connection_) return;
+  error_code ignored;
+  connection_->socket.close(ignored);
+}
+
 string Exchange::header(string_view name) const {
   beast::string_view const value = headers()[beast::string_view(name.data(), name.size())];
   return string(value.data(), value.size());
--- a/traffic/exchange.hpp
+++ b/traffic/exchange.hpp
@@ -55,6 +55,8 @@
   bool onNewConnection() const { return newConnection_; }
   /// Ends the exchange; its connection is closed.
   void abort();
+  /// Closes the connection under a send() or readBody() that is under way, which then ends as broken off.
+  void cancel();
   /// Gives the connection back if it is clean; called once the answer was read whole.
   void release();
 
