--- a/edge/request_forwarder.cpp
+++ b/edge/request_forwarder.cpp
@@ -1,5 +1,7 @@
 #include "edge/request_forwarder.hpp"
 
+#include "edge/forwarded_headers.hpp"
+
 namespace tealshelf {
 
 namespace {
@@ -8,30 +10,15 @@
 /// A worker that is silent for so many targets counts as failed.
 constexpr int silentTargets = 4;
 
-bool isAnyOf(beast::string_view name, std::initializer_list<string_view> names) {
-  return std::any_of(names.begin(), names.end(), [name](string_view candidate) {
-    return beast::iequals(name, beast::string_view(candidate.data(), candidate.size()));
-  });
-}
-
-/// Headers that concern one connection only.
-bool isHopByHop(beast::string_view name) {
-  return isAnyOf(name, {"Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "TE", "Trailer", "Upgrade",
-                        "Content-Length"});
-}
-
-/// Headers that this system sets itself.
-bool isReplaced(beast::string_view name) {
-  return isAnyOf(name, {"Time-Left-Ms", "Wanted-Server", "Expect"});
-}
+/// Headers of a client that this system sets itself, or has dealt with.
+constexpr char const* replacedHeaders[] = {"Time-Left-Ms", "Wanted-Server", "Expect"};
 
 HttpRequest requestForWorker(HttpRequest const& request, RequestPlan const& plan, Worker const& worker,
                              EventStreamReader const& events) {
   HttpRequest forwarded(request.method(), request.target(), 11);
   if (request.method() == http::verb::unknown) forwarded.method_string(request.method_string());
-  for (http::fields::value_type const& header : request)
-    if (!isHopByHop(header.name_string()) && !isReplaced(header.name_string()))
-      forwarded.insert(header.name_string(), header.value());
+  copyHeaders(request, forwarded);
+  for (char const* const replaced : replacedHeaders) forwarded.erase(replaced);
   forwarded.set("Time-Left-Ms", std::to_string(std::max<std::int64_t>(1, remainingMs(plan.deadline))));
   forwarded.set("Wanted-Server", worker.id);
   if (events.hasEvents()) forwarded.set("Last-Event-Id", std::to_string(events.lastId()));
@@ -40,12 +27,6 @@
   return forwarded;
 }
 
-template <class Response>
-void copyHeaders(http::fields const& from, Response& response) {
-  for (http::fields::value_type const& header : from)
-    if (!isHopByHop(header.name_string())) response.insert(header.name_string(), header.value());
-}
-
 Task<error_code> writeChunk(tcp::socket& socket, string const& bytes) {
   error_code error;
   co_await asio::async_write(socket, http::make_chunk(asio::buffer(bytes)),
@@ -66,11 +47,11 @@
 }
 
 Task<void> RequestForwarder::forward(ClientConnection& client, HttpRequest const& request, RequestPlan const& plan) {
-  RetryState retries;
+  RetryState retries(client);
   NextStep next = NextStep::tryAnother;
   while (next == NextStep::tryAnother && retries.sends < plan.tries && Clock::now() < plan.deadline) {
     Worker const* const worker = co_await nextWorker(client, plan, retries);
-    if (!worker) break;
+    if (!worker || retries.watch.clientIsGone()) break;
     // The list of workers may change while the request is under way.
     Worker const target = *worker;
     next = co_await tryWorker(client, request, plan, target, retries);
@@ -97,17 +78,38 @@
   retries.triedWorkers.insert(worker.id);
   HttpRequest const forwarded = requestForWorker(request, plan, worker, retries.events);
   Exchange exchange(pool_, worker, plan.mayRepeat);
+  // Any other request is left to its worker: the client may have ended its sending only, and sends it to nobody else.
+  bool const endsWithClient = plan.mayRepeat || plan.isStream;
+  if (endsWithClient) retries.watch.onGone([&exchange] { exchange.cancel(); });
   std::uint64_t const unreadTokens = plan.pick.promptTokens - plan.pick.sharedTokens;
   balancer_.requestStarted(worker.id, unreadTokens);
   SendResult const result = co_await exchange.send(forwarded, plan.attempt, plan.deadline);
   balancer_.promptRead(worker.id, unreadTokens);
   logDebug("request", plan.attempt + " at " + worker.id + " result " + std::to_string(static_cast<int>(result)) +
                           (result == SendResult::answered ? " status " + std::to_string(exchange.status()) : ""));
+  NextStep next = NextStep::done;
+  if (endsWithClient && retries.watch.clientIsGone())
+    abandon(client, exchange);
+  else
+    next = co_await judge(client, plan, exchange, result, retries);
+  retries.watch.onGone(nullptr);
+  balancer_.requestEnded(worker.id);
+  co_return next;
+}
+
+void RequestForwarder::abandon(ClientConnection& client, Exchange& exchange) {
+  exchange.abort();
+  client.close();
+}
+
+Task<RequestForwarder::NextStep> RequestForwarder::judge(ClientConnection& client, RequestPlan const& plan,
+                                                         Exchange& exchange, SendResult result, RetryState& retries) {
+  string const worker = exchange.worker().id;
   NextStep next = NextStep::tryAnother;
   switch (result) {
     case SendResult::notSent:
-      balancer_.markFailed(worker.id, true);
-      view_.tally(worker.id, false);
+      balancer_.markFailed(worker, true);
+      view_.tally(worker, false);
       retries.lastFailure = ErrorCode::noWorker;
       break;
     case SendResult::notRun:
@@ -117,13 +119,12 @@
       next = noteMaybeRun(exchange, plan, retries);
       break;
     case SendResult::timedOut:
-      next = noteTimeout(worker.id, plan, retries);
+      next = noteTimeout(worker, plan, retries);
       break;
     case SendResult::answered:
       next = co_await passOn(client, plan, exchange, retries);
       break;
   }
-  balancer_.requestEnded(worker.id);
   co_return next;
 }
 
@@ -175,6 +176,10 @@
     passed = co_await relayEvents(client, plan, exchange, retries.events);
   else if (passes)
     passed = co_await passWhole(client, plan, exchange);
+  if (!passed && passes && retries.watch.clientIsGone()) {
+    abandon(client, exchange);
+    co_return NextStep::done;
+  }
   if (passed) {
     if (client.keepAlive && status < 500) {
       balancer_.markHealthy(worker);
