lots: records are written under the epoch they were read under; lots without workers

Change: save() takes the epoch; the stale are looked up again; undetermined instead of a promise; the known record is forgotten; lots without workers are passed over; a route counts as gone after applyWithin only.

--- a/lots/item_execution.cpp
+++ b/lots/item_execution.cpp
@@ -37,13 +37,32 @@
   }
 }
 
+Route const* LotRunner::routeOf(LotRecord const& lot, Configuration const& configuration) {
+  Route const* const route = configuration.findByName(lot.route);
+  bool const isSame = route && route->kind == RouteKind::bulk && route->host == lot.host;
+  return isSame ? route : nullptr;
+}
+
+std::uint64_t LotRunner::slotsOf(Route const& route) const {
+  std::uint64_t slots = 0;
+  for (TrafficShare const& share : route.shares)
+    for (Worker const* const worker : view_.workersOf(share.service)) slots += worker->capacity;
+  return slots;
+}
+
+bool LotRunner::canRunItems(LotRun const& run) const {
+  Route const* const route = routeOf(run.lot, *view_.configuration());
+  return !route || slotsOf(*route) > 0;
+}
+
 LotRunner::RunPtr LotRunner::mostUrgentRun(TimePoint now) const {
   RunPtr best;
   std::int64_t least = 0;
   for (auto const& [key, run] : runs_) {
     if (!isActive(*run) || run->stalled) continue;
     while (run->nextItem < run->items.size() && run->items[run->nextItem].state != ItemState::queued) ++run->nextItem;
-    if (run->nextItem >= run->items.size()) continue;
+    // A lot without workers must not hold up the others.
+    if (run->nextItem >= run->items.size() || !canRunItems(*run)) continue;
     std::int64_t const remaining = remainingTimeMs(run->lot, now);
     if (best && remaining >= least) continue;
     best = run;
@@ -53,9 +72,10 @@
 }
 
 bool LotRunner::mayStartMore(LotRun const& next, TimePoint now) const {
-  std::uint64_t slots = 0;
-  if (Route const* const route = view_.configuration()->findByName(next.lot.route))
-    for (Worker const* const worker : view_.workersOf(route->serviceFor(0))) slots += worker->capacity;
+  Route const* const route = routeOf(next.lot, *view_.configuration());
+  // The items of a lot whose route is gone are given up, which needs no worker.
+  if (!route) return true;
+  std::uint64_t const slots = slotsOf(*route);
   double wanted = 1;
   for (auto const& [key, run] : runs_) {
     if (run->abandoned || run->ended()) continue;
@@ -87,8 +107,12 @@
   bool over = false;
   Ms retryPause = firstRetryPause;
   while (!over && isActive(*run) && run->items[index].state == ItemState::running) {
-    over = co_await tryItem(run, index, events);
-    if (over) break;
+    try {
+      over = co_await tryItem(run, index, events);
+    } catch (std::exception const& error) {
+      logWarning("lots", run->lot.id + ": a try of an item failed: " + error.what());
+    }
+    if (over || !canRunItems(*run)) break;
     co_await sleepFor(retryPause);
     retryPause = std::min(retryPause * 2, settings_.bounds.step);
   }
@@ -101,12 +125,15 @@
   ItemRecord const& item = run->items[index].record;
   LotRecord const& lot = run->lot;
   std::shared_ptr<Configuration const> const configuration = view_.configuration();
-  Route const* const route = configuration->findByName(lot.route);
-  bool const routeIsGone = !route || route->kind != RouteKind::bulk || route->host != lot.host;
-  if (routeIsGone || ages_.atLeast(lot.key(), Clock::now()) > Ms(lot.keepForMs)) {
+  Route const* const route = routeOf(lot, *configuration);
+  Ms const age = ages_.atLeast(lot.key(), Clock::now());
+  // The edge that took the lot may have had a newer configuration than this store.
+  bool const routeIsGone = !route && age > settings_.bounds.applyWithin;
+  if (routeIsGone || age > Ms(lot.keepForMs)) {
     finishItem(*run, index, false, "");
     co_return true;
   }
+  if (!route) co_return false;
   PickRequest pick;
   pick.service = route->serviceFor(hash64(item.id));
   pick.background = true;
--- a/lots/lot_api.cpp
+++ b/lots/lot_api.cpp
@@ -151,9 +151,7 @@
       answer.headers.emplace_back("Retry-After", "0.5");
       co_return answer;
     }
-    // An owner that was overtaken may not know the lot; that says nothing of whether it was taken.
-    bool const unsure = error.code() == ErrorCode::staleStamp || error.code() == ErrorCode::lotUnknown;
-    if (error.status() < 500 && !unsure) throw;
+    // What came between the own nodes says nothing of whether the lot was taken.
     logDebug("lots", string("a lot was not taken: ") + error.what());
     HttpReply answer = errorReply(error);
     answer.status = 500;
@@ -240,6 +238,8 @@
     if (lot.holders.empty()) throw Error(ErrorCode::lotStateUnknown);
     page = co_await readFromHolders(lot, from, std::min(until, Clock::now() + hold));
     if (page) break;
+    // Whoever asks next doesn't wait for the same silent store.
+    knownLots_.erase(key);
     if (Clock::now() + settings_.bounds.step > until) throw Error(ErrorCode::lotStateUnknown);
     co_await sleepFor(settings_.bounds.step / 2);
   }
--- a/lots/lot_coordinator.cpp
+++ b/lots/lot_coordinator.cpp
@@ -72,11 +72,11 @@
   checkInvariant(Invariant::sealedRecordStays, staysSealed, [&] { return next.id; });
 }
 
-Task<bool> LotCoordinator::save(LotRecord lot) {
+Task<bool> LotCoordinator::save(LotRecord lot, Epoch under) {
   checkChange(lot);
   vector<KeyChange> changes(1, KeyChange{lot.id, serialize(lot), false});
   // An unknown end is reported like none: the callers answer with a status that promises nothing.
-  OperationResult const result = co_await driver_.propose(keyspaceOf(lot.host), std::move(changes));
+  OperationResult const result = co_await driver_.propose(keyspaceOf(lot.host), std::move(changes), under);
   if (result != OperationResult::committed) co_return false;
   lots_[lot.key()].revision = ++revision_;
   co_return true;
@@ -127,6 +127,7 @@
   if (forwarded) co_return *forwarded;
   LotKey const key = request.lot.key();
   AsyncMutex::Lock const held = co_await lock(key);
+  Epoch const epoch = driver_.consensus().epochOf(keyspaceOf(key.host));
   std::optional<LotRecord> const known = load(key);
   if (known && known->state != LotState::opening) {
     co_await confirmOwnership(key.host);
@@ -134,14 +135,20 @@
   }
   LotRecord lot = request.lot;
   lot.sentAtMs = known ? known->sentAtMs : wallClockMs();
-  checkQuota(lot, request.maxQueuedTokens);
   std::set<NodeId> const excluded(request.excluded.begin(), request.excluded.end());
-  lot.holders = chooseForNewLot(lot, excluded, static_cast<double>(request.itemBytes));
+  try {
+    checkQuota(lot, request.maxQueuedTokens);
+    lot.holders = chooseForNewLot(lot, excluded, static_cast<double>(request.itemBytes));
+  } catch (Error const& error) {
+    // A refusal promises that nothing runs, which can't be said while an earlier try may still be accepted.
+    if (known && mayBeAccepted(key, settings_.bounds.inTouch)) throw Error(ErrorCode::noQuorum, error.what());
+    throw;
+  }
   lot.state = LotState::opening;
   lot.stamp = freshStamp(lot.host);
   lots_[key].openedAt = Clock::now();
   opening_[key] = OpeningLot{lot.route, lot.tokens, Clock::now()};
-  bool const saved = co_await save(lot);
+  bool const saved = co_await save(lot, epoch);
   opening_.erase(key);
   if (!saved) throw Error(ErrorCode::noQuorum);
   co_return OpenLotReply{false, lot};
@@ -167,13 +174,14 @@
   if (forwarded) co_return *forwarded;
   LotKey const key = request.key();
   AsyncMutex::Lock const held = co_await lock(key);
+  Epoch const epoch = driver_.consensus().epochOf(keyspaceOf(key.host));
   std::optional<LotRecord> lot = load(key);
   if (!lot) throw Error(ErrorCode::lotUnknown);
   if (lot->state != LotState::opening) co_return Acknowledgement{};
   if (lot->stamp != request.stamp || !mayBeAccepted(key, settings_.bounds.inTouch / 2))
     throw Error(ErrorCode::staleStamp);
   lot->state = LotState::accepted;
-  bool const saved = co_await save(*lot);
+  bool const saved = co_await save(*lot, epoch);
   if (!saved) throw Error(ErrorCode::noQuorum);
   co_return Acknowledgement{};
 }
@@ -192,13 +200,13 @@
   if (forwarded) co_return *forwarded;
   LotKey const key = request.key();
   AsyncMutex::Lock const held = co_await lock(key);
+  // What a node that was overtaken knows may be older, so its ownership is confirmed before it looks.
+  co_await confirmOwnership(key.host);
+  Epoch const epoch = driver_.consensus().epochOf(keyspaceOf(key.host));
   std::optional<LotRecord> lot = load(key);
-  if (!lot || lot->state == LotState::opening) {
-    co_await confirmOwnership(key.host);
-    co_return FindLotReply{false, {}};
-  }
+  if (!lot || lot->state == LotState::opening) co_return FindLotReply{false, {}};
   lot->state = LotState::ended;
-  bool const saved = co_await save(*lot);
+  bool const saved = co_await save(*lot, epoch);
   if (!saved) throw Error(ErrorCode::noQuorum);
   if (!lot->holders.empty()) rpc_.sendRaw(lot->holders[0].address, RpcMethod::startLot, serialize(*lot));
   co_return FindLotReply{true, *lot};
--- a/lots/lot_coordinator.hpp
+++ b/lots/lot_coordinator.hpp
@@ -83,8 +83,9 @@
   Task<void> confirmOwnership(string host);
   std::optional<LotRecord> load(LotKey const& key) const;
   void checkChange(LotRecord const& next) const;
-  /// False if the record isn't known to be committed.
-  Task<bool> save(LotRecord lot);
+  /// Writes a record under the epoch under which the one before was read, so that nothing that came between is
+  /// overwritten. False if the record isn't known to be committed.
+  Task<bool> save(LotRecord lot, Epoch under);
   /// Lets one change of a lot's record at a time begin; throws ErrorCode::busy if that takes too long.
   Task<AsyncMutex::Lock> lock(LotKey key);
   GenerationStamp freshStamp(string const& host);
@@ -97,7 +98,9 @@
   void addRecords(string const& keyspace, std::uint64_t sinceRevision, StoreHeartbeatReply& reply);
   void addStaleReplicas(string const& keyspace, StoreHeartbeat const& heartbeat, StoreHeartbeatReply& reply) const;
   /// Leaves out what an owner says that may have been overtaken.
-  Task<void> confirmStaleReplicas(StoreHeartbeatReply& reply);
+  Task<void> confirmStaleReplicas(NodeId store, StoreHeartbeatReply& reply);
+  /// True if a store's replica counts for nothing any more.
+  bool isStale(ReplicaVersion const& replica, NodeId store) const;
   Task<Acknowledgement> fence(FenceStore request);
   bool isDead(NodeId store, TimePoint now) const;
   bool isDiskFailing(NodeId store) const;
@@ -136,12 +139,12 @@
   };
   void startRecoveries(vector<PendingRecovery> pending);
   Task<void> recover(LotKey key, RecoveryNeed need);
-  Task<RecoveryOutcome> recoverAs(RecoveryNeed need, LotRecord lot);
+  Task<RecoveryOutcome> recoverAs(RecoveryNeed need, LotRecord lot, Epoch epoch);
   /// Notes how a recovery ended and tells of lots that wait for theirs.
   void noteOutcome(LotKey const& key, RecoveryNeed need, RecoveryOutcome outcome);
 
   // Recovery of lots that go on: lot_recovery.cpp.
-  Task<RecoveryOutcome> recoverOpen(LotRecord lot);
+  Task<RecoveryOutcome> recoverOpen(LotRecord lot, Epoch epoch);
   /// Fences a store at a majority of the control nodes; false if its lease may still count.
   Task<bool> fenceEverywhere(NodeId store);
   struct Survivors {
@@ -158,10 +161,10 @@
 
   // Sealed lots: sealed_lots.cpp.
   /// Records that nothing is listed beyond what all holders have.
-  Task<RecoveryOutcome> seal(LotRecord lot);
+  Task<RecoveryOutcome> seal(LotRecord lot, Epoch epoch);
   /// Brings the holders of a sealed lot to what they should be. Its replicas never change, so that each intact one
   /// serves reads all the while.
-  Task<RecoveryOutcome> replicateSealed(LotRecord lot);
+  Task<RecoveryOutcome> replicateSealed(LotRecord lot, Epoch epoch);
   struct HolderAnswers {
     vector<StoreRef> confirmed;  ///< hold it intact and synced
     vector<StoreRef> silent;     ///< may hold it
--- a/lots/lot_recovery.cpp
+++ b/lots/lot_recovery.cpp
@@ -81,10 +81,9 @@
 ///
 /// The copies that are needed are made first. Until they are there no survivor takes the fresh stamp, so that a
 /// recovery that has to give up leaves the replicas that the record names as they were.
-Task<RecoveryOutcome> LotCoordinator::recoverOpen(LotRecord lot) {
+Task<RecoveryOutcome> LotCoordinator::recoverOpen(LotRecord lot, Epoch epoch) {
   TimePoint const now = Clock::now();
   string const keyspace = keyspaceOf(lot.host);
-  Epoch const epoch = driver_.consensus().epochOf(keyspace);
   LotStatus& status = lots_[lot.key()];
   std::set<string> const retiring = retiringStores ? retiringStores() : std::set<string>();
   std::set<NodeId> const failed = status.failedHolders;
@@ -146,7 +145,7 @@
   recovered.holders = holdersAfterRecovery(settled, remaining, neededCopies());
   bool const enough = recovered.holders.size() >= minHolders || (noOtherCopy && settled.size() == kept.size());
   if (settled.empty() || !enough) co_return RecoveryOutcome::notSettled;
-  bool const saved = co_await save(recovered);
+  bool const saved = co_await save(recovered, epoch);
   if (!saved) co_return RecoveryOutcome::recordNotWritten;
   status.failedHolders.clear();
   status.primaryNeedsSettlement = false;
--- a/lots/lot_runner.hpp
+++ b/lots/lot_runner.hpp
@@ -55,6 +55,12 @@
   Task<void> startLoop();
   /// Starts the most urgent queued item if a worker has room that others leave; false if none was started.
   bool startNextItem();
+  /// The route that a lot came by, or null if it is gone.
+  static Route const* routeOf(LotRecord const& lot, Configuration const& configuration);
+  /// Slots of all workers that may run items of a route.
+  std::uint64_t slotsOf(Route const& route) const;
+  /// True if items of a lot can go to a worker, or are to be given up.
+  bool canRunItems(LotRun const& run) const;
   RunPtr mostUrgentRun(TimePoint now) const;
   bool mayStartMore(LotRun const& next, TimePoint now) const;
   Task<void> runItem(RunPtr run, std::size_t index);
--- a/lots/lot_upkeep.cpp
+++ b/lots/lot_upkeep.cpp
@@ -48,7 +48,8 @@
   bool const changing = status.recovering || (status.mutex && status.mutex->locked());
   if (changing) return false;
   Ms const age = ages_.atLeast(lot.key(), now);
-  if (lot.state == LotState::opening) return age > 4 * settings_.bounds.confirmWithin;
+  if (lot.state == LotState::opening)
+    return age > 4 * settings_.bounds.confirmWithin && !mayBeAccepted(lot.key(), settings_.bounds.inTouch);
   bool const complete = lot.state == LotState::ended || lot.isSealed() || status.listedResults >= lot.itemCount;
   return complete && age > 2 * settings_.bounds.statusEvery + Ms(lot.keepForMs);
 }
@@ -122,8 +123,9 @@
   RecoveryOutcome outcome = RecoveryOutcome::notOwner;
   try {
     AsyncMutex::Lock const held = co_await lock(key);
+    Epoch const epoch = driver_.consensus().epochOf(keyspaceOf(key.host));
     std::optional<LotRecord> const lot = load(key);
-    if (lot && driver_.consensus().owns(keyspaceOf(key.host))) outcome = co_await recoverAs(need, *lot);
+    if (lot && driver_.consensus().owns(keyspaceOf(key.host))) outcome = co_await recoverAs(need, *lot, epoch);
   } catch (std::exception const& error) {
     logDebug("lots", "recovery of " + key.id + ": " + error.what());
     outcome = RecoveryOutcome::busy;
@@ -132,9 +134,9 @@
   --recoveries_;
 }
 
-Task<RecoveryOutcome> LotCoordinator::recoverAs(RecoveryNeed need, LotRecord lot) {
-  if (lot.isSealed()) return replicateSealed(std::move(lot));
-  return need == RecoveryNeed::seal ? seal(std::move(lot)) : recoverOpen(std::move(lot));
+Task<RecoveryOutcome> LotCoordinator::recoverAs(RecoveryNeed need, LotRecord lot, Epoch epoch) {
+  if (lot.isSealed()) return replicateSealed(std::move(lot), epoch);
+  return need == RecoveryNeed::seal ? seal(std::move(lot), epoch) : recoverOpen(std::move(lot), epoch);
 }
 
 void LotCoordinator::noteOutcome(LotKey const& key, RecoveryNeed need, RecoveryOutcome outcome) {
--- a/lots/sealed_lots.cpp
+++ b/lots/sealed_lots.cpp
@@ -10,14 +10,14 @@
 }  // namespace
 
 /// The primary said under the recorded stamp that all it will ever list is listed, so each holder has synced it.
-Task<RecoveryOutcome> LotCoordinator::seal(LotRecord lot) {
+Task<RecoveryOutcome> LotCoordinator::seal(LotRecord lot, Epoch epoch) {
   LotStatus& status = lots_[lot.key()];
   bool const stands = status.finalStamp == lot.stamp && lot.holders.size() >= neededCopies();
   if (!stands) co_return RecoveryOutcome::overtaken;
   lot.sealedStamp = lot.stamp;
   lot.sealedResults = status.listedResults;
   lot.stamp = freshStamp(lot.host);
-  bool const saved = co_await save(lot);
+  bool const saved = co_await save(lot, epoch);
   co_return saved ? RecoveryOutcome::done : RecoveryOutcome::recordNotWritten;
 }
 
@@ -60,7 +60,7 @@
   return holders;
 }
 
-Task<RecoveryOutcome> LotCoordinator::replicateSealed(LotRecord lot) {
+Task<RecoveryOutcome> LotCoordinator::replicateSealed(LotRecord lot, Epoch epoch) {
   LotStatus& status = lots_[lot.key()];
   std::set<string> const retiring = retiringStores ? retiringStores() : std::set<string>();
   HolderAnswers const answers = co_await askHolders(lot);
@@ -93,7 +93,7 @@
                          std::all_of(next.holders.begin(), next.holders.end(),
                                      [&lot](StoreRef const& store) { return contains(lot.holders, store); });
   if (!unchanged) {
-    bool const saved = co_await save(next);
+    bool const saved = co_await save(next, epoch);
     if (!saved) co_return RecoveryOutcome::recordNotWritten;
   }
   status.failedHolders.clear();
--- a/lots/store_supervision.cpp
+++ b/lots/store_supervision.cpp
@@ -150,23 +150,30 @@
 
 void LotCoordinator::addStaleReplicas(string const& keyspace, StoreHeartbeat const& heartbeat,
                                       StoreHeartbeatReply& reply) const {
-  for (ReplicaVersion const& replica : heartbeat.replicas) {
-    if (keyspaceOf(replica.host) != keyspace) continue;
-    std::optional<LotRecord> const lot = load(replica.key());
-    // Nothing is deleted while the record names fewer copies than a loss needs.
-    bool const replaced = lot && lot->holders.size() >= neededCopies() && !lot->isHeldBy(heartbeat.self.id);
-    bool const stale = !lot || (replaced && replica.stamp < lot->stamp);
-    if (stale) reply.staleReplicas.push_back({replica.host, replica.lot, lot ? lot->stamp : replica.stamp});
-  }
+  for (ReplicaVersion const& replica : heartbeat.replicas)
+    if (keyspaceOf(replica.host) == keyspace && isStale(replica, heartbeat.self.id)) {
+      std::optional<LotRecord> const lot = load(replica.key());
+      reply.staleReplicas.push_back({replica.host, replica.lot, lot ? lot->stamp : replica.stamp});
+    }
+}
+
+bool LotCoordinator::isStale(ReplicaVersion const& replica, NodeId store) const {
+  std::optional<LotRecord> const lot = load(replica.key());
+  if (!lot) return true;
+  // Nothing is deleted while the record names fewer copies than a loss needs.
+  bool const replaced = lot->holders.size() >= neededCopies() && !lot->isHeldBy(store);
+  return replaced && replica.stamp < lot->stamp;
 }
 
-Task<void> LotCoordinator::confirmStaleReplicas(StoreHeartbeatReply& reply) {
+Task<void> LotCoordinator::confirmStaleReplicas(NodeId store, StoreHeartbeatReply& reply) {
   std::set<string> hosts;
   for (ReplicaVersion const& replica : reply.staleReplicas) hosts.insert(replica.host);
   for (string const& host : hosts) {
     bool const confirmed = co_await driver_.confirmOwnership(keyspaceOf(host), settings_.bounds.inTouch / 15);
-    if (confirmed) continue;
-    std::erase_if(reply.staleReplicas, [&host](ReplicaVersion const& replica) { return replica.host == host; });
+    // A lot may have been opened or recovered meanwhile.
+    std::erase_if(reply.staleReplicas, [&](ReplicaVersion const& replica) {
+      return replica.host == host && !(confirmed && isStale(replica, store));
+    });
   }
 }
 
@@ -190,7 +197,7 @@
     addRecords(keyspace, since, reply);
     addStaleReplicas(keyspace, heartbeat, reply);
   }
-  co_await confirmStaleReplicas(reply);
+  co_await confirmStaleReplicas(heartbeat.self.id, reply);
   co_return reply;
 }
 
--- a/tests/apps/daemon_test.cpp
+++ b/tests/apps/daemon_test.cpp
@@ -22,7 +22,7 @@
       daemon.isIdle = [] { return true; };
       asio::post(io, [] { ::raise(SIGTERM); });
     };
-    ::_exit(runDaemon(path, "error", start));
+    ::_exit(runDaemon({path, "error"}, start));
   }
   int status = -1;
   ::waitpid(child, &status, 0);
