--- a/base/durable_log.cpp
+++ b/base/durable_log.cpp
@@ -2,6 +2,8 @@
 
 #include "base/disk_retry.hpp"
 
+#include <filesystem>
+
 namespace tealshelf {
 
 DiskLimits diskLimits(Settings const& settings, double share) {
@@ -19,7 +21,9 @@
       snapshot_(std::move(snapshot)),
       files_(files),
       retryTimer_(io),
-      stallTimer_(io) {
+      stallTimer_(io),
+      metrics_(directory_),
+      sampler_(metrics().sample([this] { sampleMetrics(); })) {
   recovered_ = retryUntilDiskWorks(directory_, limits_.maxRetryPause, [this] { return readLog(files_, directory_); });
   writer_ = std::make_unique<LogWriter>(files_, directory_, recovered_.lastNumber);
   stateSize_ = recovered_.totalBytes;
@@ -93,6 +97,7 @@
     logSize_ += encodeBatch("").size() + job.encodedRecords.size();
     return job;
   }
+  metrics_.snapshots.increment();
   string().swap(job.encodedRecords);
   job.snapshotRecords = snapshot_();
   stateSize_ = 0;
@@ -122,7 +127,7 @@
   TimePoint const startedAt = Clock::now();
   JobResult result;
   if (job.renews) {
-    if (files_.makeDirectory(directory_) && errno != EEXIST) result.error = errno;
+    result.error = makeDirectoryLast();
     if (!result.error) result.error = writer_->renew(std::move(job.snapshotRecords));
     result.removalError = writer_->removalError();
   } else if (!job.encodedRecords.empty()) {
@@ -132,6 +137,16 @@
   return result;
 }
 
+int DurableLog::makeDirectoryLast() {
+  if (files_.makeDirectory(directory_) && errno != EEXIST) return errno;
+  // Also where it was there: an earlier process may have ended before the name was synced.
+  if (directoryLasts_) return 0;
+  std::filesystem::path const parent = std::filesystem::path(directory_).parent_path();
+  int const error = syncDirectory(files_, parent.empty() ? "." : parent.string());
+  directoryLasts_ = !error;
+  return error;
+}
+
 void DurableLog::finishJob(Job& job, JobResult const& result) {
   jobRunning_ = false;
   lastSyncTook_ = result.took;
@@ -147,6 +162,7 @@
 /// Nothing of the job counts as synced. Its callbacks wait for the snapshot that comes next.
 void DurableLog::failJob(Job& job, int error) {
   lastError_ = error;
+  metrics_.failures.increment();
   mustRenew_ = true;
   gathered_.encodedRecords.clear();
   gathered_.callbacks.insert(gathered_.callbacks.begin(), std::make_move_iterator(job.callbacks.begin()),
@@ -181,6 +197,15 @@
   });
 }
 
+void DurableLog::sampleMetrics() {
+  metrics_.stateBytes.setCount(stateSize_);
+  metrics_.logBytes.setCount(logSize_);
+  metrics_.budgetBytes.setCount(limits_.budget);
+  metrics_.overBudget.setCount(overBudget());
+  metrics_.diskState.setCount(static_cast<int>(state_));
+  metrics_.syncSeconds.set(std::chrono::duration<double>(lastSyncTook_).count());
+}
+
 void DurableLog::setState(DiskState state) {
   bool const wasHealthy = healthy();
   state_ = state;
--- a/lots/lot_api.cpp
+++ b/lots/lot_api.cpp
@@ -28,7 +28,8 @@
 /// Nobody else would answer better.
 bool isFinal(Error const& error) {
   return error.kind() == ErrorKind::notFound || error.kind() == ErrorKind::overQuota ||
-         error.code() == ErrorCode::staleStamp || error.code() == ErrorCode::noStores;
+         error.code() == ErrorCode::staleStamp || error.code() == ErrorCode::noStores ||
+         error.code() == ErrorCode::storesFull;
 }
 
 bool isConnectionFailure(Error const& error) {
@@ -36,6 +37,13 @@
          error.code() == ErrorCode::timedOut;
 }
 
+/// True for what is known of the lot, or of the call itself. Any other error arose between our own nodes and says
+/// nothing of the lot, whatever its kind.
+bool isAboutLot(Error const& error) {
+  return error.code() == ErrorCode::lotUnknown || error.code() == ErrorCode::itemUnknown ||
+         error.code() == ErrorCode::lotUnreadable;
+}
+
 void writeText(rapidjson::Writer<rapidjson::StringBuffer>& writer, char const* name, string const& value) {
   writer.Key(name);
   writer.String(value.data(), static_cast<rapidjson::SizeType>(value.size()));
@@ -132,19 +140,18 @@
   for (ItemRecord const& item : items) request.lot.tokens += item.tokens;
   request.maxQueuedTokens = route.maxQueuedTokens;
   string serializedItems = serialize(items);
+  request.itemBytes = serializedItems.size();
   items.clear();
   try {
     co_await place(std::move(request), std::move(serializedItems));
   } catch (Error const& error) {
     // Only a refusal that came before anything was recorded is a promise.
-    if (error.code() == ErrorCode::lotOverQuota) {
+    if (error.code() == ErrorCode::lotOverQuota || error.code() == ErrorCode::storesFull) {
       HttpReply answer = errorReply(error);
       answer.headers.emplace_back("Retry-After", "0.5");
       co_return answer;
     }
-    // An owner that was overtaken may not know the lot; that says nothing of whether it was taken.
-    bool const unsure = error.code() == ErrorCode::staleStamp || error.code() == ErrorCode::lotUnknown;
-    if (error.status() < 500 && !unsure) throw;
+    // What came between the own nodes says nothing of whether the lot was taken.
     logDebug("lots", string("a lot was not taken: ") + error.what());
     HttpReply answer = errorReply(error);
     answer.status = 500;
@@ -159,11 +166,15 @@
   FindLot const request{key.host, key.id, 0};
   FindLotReply const reply = co_await askCoordinator(request, settings_.bounds.settleWithin / 2);
   if (!reply.known) throw Error(ErrorCode::lotUnknown);
-  if (knownLots_.size() > maxKnownLots) knownLots_.clear();
-  knownLots_[key] = reply.lot;
+  remember(reply.lot);
   co_return reply.lot;
 }
 
+void LotApi::remember(LotRecord const& lot) {
+  if (knownLots_.size() >= maxKnownLots) knownLots_.clear();
+  knownLots_[lot.key()] = lot;
+}
+
 Task<HttpReply> LotApi::call(string verb, string host, string target, Ms hold) {
   string_view const path = string_view(target).substr(0, target.find('?'));
   try {
@@ -179,7 +190,7 @@
     if (!from) throw Error(ErrorCode::lotUnreadable, "startAfter");
     co_return co_await listResults(key, *from, hold);
   } catch (Error const& error) {
-    if (error.status() == 404 || error.status() == 400) co_return errorReply(error);
+    if (isAboutLot(error)) co_return errorReply(error);
     logDebug("lots", target + ": " + error.what());
     HttpReply answer = errorReply(Error(ErrorCode::lotStateUnknown));
     answer.headers.emplace_back("Retry-After", "0.05");
@@ -191,24 +202,46 @@
   EndLot const request{key.host, key.id, 0};
   FindLotReply const reply = co_await askCoordinator(request, settings_.bounds.inTouch / 2);
   if (!reply.known) throw Error(ErrorCode::lotUnknown);
-  knownLots_[key] = reply.lot;
+  remember(reply.lot);
   co_return HttpReply{200, "{}", "application/json", {}};
 }
 
+/// Asks who may answer a read: the primary, or of a sealed lot any holder, those in this zone first. Nothing if none
+/// does.
+Task<std::optional<ReadResultsReply>> LotApi::readFromHolders(LotRecord lot, std::uint64_t from, TimePoint until) {
+  vector<StoreRef> holders = lot.holders;
+  if (lot.isSealed())
+    std::stable_partition(holders.begin(), holders.end(),
+                          [this](StoreRef const& store) { return store.zone == settings_.zone; });
+  else
+    holders.resize(std::min<std::size_t>(holders.size(), 1));
+  for (StoreRef const& holder : holders) {
+    Ms const left(remainingMs(until));
+    ReadResults request{lot.host, lot.id, lot.lowestReplicaStamp(), from, maxAnswerBytes, left.count()};
+    request.sealed = lot.isSealed();
+    request.sealedResults = lot.sealedResults;
+    Ms const limit = lot.isSealed() ? settings_.bounds.settleWithin / 2 : left + settings_.bounds.settleWithin / 2;
+    try {
+      co_return co_await rpc_.call(holder.address, request, limit);
+    } catch (Error const& error) {
+      logDebug("lots", lot.id + ": " + holder.name + " doesn't answer a read: " + error.what());
+    }
+  }
+  co_return std::nullopt;
+}
+
 Task<HttpReply> LotApi::listResults(LotKey key, std::uint64_t from, Ms hold) {
   TimePoint const until = Clock::now() + std::max(hold, settings_.bounds.settleWithin);
   std::optional<ReadResultsReply> page;
   for (int turn = 0; !page; ++turn) {
     LotRecord const lot = co_await findLot(key, turn > 0);
     if (lot.holders.empty()) throw Error(ErrorCode::lotStateUnknown);
-    try {
-      Ms const left = std::min(hold, Ms(remainingMs(until)));
-      ReadResults const request{key.host, key.id, lot.stamp, from, maxAnswerBytes, left.count()};
-      page = co_await rpc_.call(lot.holders[0].address, request, left + settings_.bounds.settleWithin / 2);
-    } catch (Error const& error) {
-      if (Clock::now() + settings_.bounds.step > until) throw Error(ErrorCode::lotStateUnknown);
-    }
-    if (!page) co_await sleepFor(settings_.bounds.step / 2);
+    page = co_await readFromHolders(lot, from, std::min(until, Clock::now() + hold));
+    if (page) break;
+    // Whoever asks next doesn't wait for the same silent store.
+    knownLots_.erase(key);
+    if (Clock::now() + settings_.bounds.step > until) throw Error(ErrorCode::lotStateUnknown);
+    co_await sleepFor(settings_.bounds.step / 2);
   }
   co_return HttpReply{200, resultsAsJson(*page, from), "application/json", {}};
 }
@@ -218,6 +251,8 @@
   for (int turn = 0;; ++turn) {
     LotRecord const lot = co_await findLot(key, turn > 0);
     if (lot.holders.empty()) throw Error(ErrorCode::lotStateUnknown);
+    // All items of a sealed lot are listed, or the lot was ended: their bodies are gone.
+    if (lot.isSealed()) throw Error(ErrorCode::itemUnknown);
     try {
       ReadItem const request{key.host, key.id, item, lot.stamp};
       ReadItemReply reply = co_await rpc_.call(lot.holders[0].address, request, settings_.bounds.settleWithin / 2);
--- a/lots/store_node.hpp
+++ b/lots/store_node.hpp
@@ -1,5 +1,6 @@
 #pragma once
 #include "lots/lot_runner.hpp"
+#include "lots/store_metrics.hpp"
 #include "updates/fleet_view.hpp"
 
 namespace tealshelf {
@@ -41,6 +42,9 @@
   void reconcile();
   void reconcileAsPrimary(LotRecord const& lot, TimePoint now);
   void reconcileAsHolder(LotRecord const& lot, TimePoint now);
+  void reconcileSealed(LotRecord const& lot, TimePoint now);
+  /// Notes that a replica that this store should hold isn't there; it is reported after a grace time.
+  void noteMissing(LotRecord const& lot, TimePoint now);
 
   asio::io_context& io_;
   Settings const& settings_;
@@ -56,6 +60,8 @@
   std::map<LotKey, LotRecord> lots_;  ///< as their coordinators want them
   std::map<LotKey, UnusableReplica> unusable_;
   bool stopping_ = false;
+  StoreMetrics metrics_;
+  SamplerRegistration sampler_;
 };
 
 }  // namespace tealshelf
