--- /dev/null
+++ b/tests/lots/gone_disk_test.cpp
@@ -0,0 +1,29 @@
+#include "tests/lots/store_fleet.hpp"
+
+using namespace tealshelf;
+
+TEST_GROUP(goneDisk){};
+
+/// Of three holders one comes back with an empty disk, and another is silent for a while. The silent one still has its
+/// copy, so the record goes on naming it: with fewer holders than survive the losses to come it would count for nothing.
+TEST(goneDisk, aHolderWithoutItsDiskIsCountedOnce) {
+  StoreFleet fleet("/tmp/tealshelf-gone-disk", 3, 2, 17860);
+  CHECK(fleet.runUntil([&fleet] { return fleet.submit("lot", 1000) == 0; }, Ms(20000)));
+  std::optional<LotRecord> const accepted = fleet.find("lot");
+  CHECK(accepted.has_value());
+  LONGS_EQUAL(3, accepted->holders.size());
+  auto const indexOf = [&](std::size_t holder) {
+    return static_cast<std::size_t>(accepted->holders[holder].name.back() - '0');
+  };
+  fleet.halt(indexOf(2));
+  fleet.runUntil([] { return false; }, Ms(550));
+  fleet.replaceDisk(indexOf(1));
+  NodeId const silent = accepted->holders[2].id;
+  bool const forgotten = fleet.runUntil(
+      [&] {
+        std::optional<LotRecord> const lot = fleet.find("lot");
+        return lot && lot->holders.size() < 3 && !lot->isHeldBy(silent);
+      },
+      Ms(4000));
+  CHECK_FALSE(forgotten);
+}
--- /dev/null
+++ b/tests/lots/refusing_store_test.cpp
@@ -0,0 +1,61 @@
+#include "tests/lots/store_fleet.hpp"
+
+using namespace tealshelf;
+
+namespace {
+constexpr int firstPort = 17840;
+constexpr std::size_t lotBytes = 30u << 10;
+constexpr int lots = 12;
+
+Address addressOf(std::size_t store) {
+  Settings settings;
+  settings.firstInternalPort = firstPort;
+  return settings.storeAddress("127.0.0." + std::to_string(61 + store));
+}
+
+/// Puts a replica on a store of a host whose lots nobody owns, so that it stays there; false if it was refused.
+bool putFiller(StoreFleet& fleet, std::size_t store, std::size_t number, std::size_t bytes) {
+  LotRecord lot;
+  lot.host = "filler.example";
+  lot.id = "filler-" + std::to_string(number);
+  lot.state = LotState::ended;
+  lot.stamp = GenerationStamp(1);
+  string const items = serialize(vector<ItemRecord>{{"item", "/x", string(bytes, 'f'), {}, 1}});
+  return fleet.ask(addressOf(store), CreateReplica{lot, items, {}, false}).first == 0;
+}
+}  // namespace
+
+TEST_GROUP(refusingStore){};
+
+/// One of four stores is as full as it gets, and two of the three others have room. After the loss of one each lot
+/// finds its second copy there, whichever store comes first in the order of its choice.
+TEST(refusingStore, aCopyGoesToAnotherStoreThanTheOneThatRefuses) {
+  StoreFleet fleet("/tmp/tealshelf-refusing-store", 4, 1, firstPort);
+  CHECK(fleet.runUntil([&fleet] { return fleet.submit("first", 1000) == 0; }, Ms(20000)));
+  std::size_t number = 0;
+  // The full one takes smaller and smaller replicas until it refuses even a small one.
+  for (std::size_t bytes = 256u << 10; bytes >= 8u << 10; bytes /= 2)
+    while (putFiller(fleet, 3, ++number, bytes)) {
+    }
+  // The others are so full that no spare copies are made.
+  for (std::size_t store = 0; store < 3; ++store)
+    for (int part = 0; part < 4; ++part) CHECK(putFiller(fleet, store, ++number, 256u << 10));
+  fleet.runUntil([] { return false; }, Ms(1000));
+  vector<string> accepted;
+  for (int lot = 0; lot < lots; ++lot) {
+    string const id = "lot-" + std::to_string(lot);
+    if (fleet.submit(id, lotBytes) == 0) accepted.push_back(id);
+  }
+  CHECK(accepted.size() > lots / 2);
+  fleet.halt(0);
+  for (string const& id : accepted) {
+    auto const hasTwoLiveHolders = [&] {
+      std::optional<LotRecord> const lot = fleet.find(id);
+      return lot && lot->holders.size() >= 2 &&
+             std::none_of(lot->holders.begin(), lot->holders.end(),
+                          [](StoreRef const& holder) { return holder.name == "store-0"; });
+    };
+    bool const recovered = fleet.runUntil([&] { return fleet.isReadable(id) && hasTwoLiveHolders(); }, Ms(12000));
+    CHECK_TEXT(recovered, (id + " of " + std::to_string(accepted.size()) + " is not recovered").c_str());
+  }
+}
--- a/tests/lots/store_fleet.hpp
+++ b/tests/lots/store_fleet.hpp
@@ -63,6 +63,17 @@
 
   void halt(std::size_t store) { stores_[store]->halted = true; }
   void resume(std::size_t store) { stores_[store]->halted = false; }
+  /// A store comes back at once with an empty disk, as another store of the same name.
+  void replaceDisk(std::size_t store) {
+    Settings const settings = stores_[store]->settings;
+    stores_[store].reset();
+    std::filesystem::remove_all(settings.dataFolder);
+    std::filesystem::create_directories(settings.dataFolder);
+    stores_[store] = std::make_unique<Store>();
+    stores_[store]->settings = settings;
+    stores_[store]->node = std::make_unique<StoreNode>(stores_[store]->io, stores_[store]->settings);
+    stores_[store]->node->start();
+  }
   Address controlAddress() const { return controlSettings_.controlAddress(controlSettings_.ip); }
   StoreNode& store(std::size_t index) { return *stores_[index]->node; }
 
