--- a/base/durable_log.hpp
+++ b/base/durable_log.hpp
@@ -28,8 +28,9 @@
     return std::clamp(fits, minLogSize(), budget / 3);
   }
   /// While a snapshot is written the old one, the log and the new one stand side by side, and the new one may have
-  /// grown by what is in the log: 4 + 1 + 4 + 1 tenths.
-  std::size_t maxStateSize() const { return budget * 4 / 10; }
+  /// grown by what is in the log: 4 + 1 + 4 + 1 tenths. Some of it is kept back, as the state may outgrow its part by
+  /// what was promised before.
+  std::size_t maxStateSize() const { return budget * 35 / 100; }
 };
 
 /// The limits of a log that may use a share of the disk.
--- a/lots/lot_coordinator.cpp
+++ b/lots/lot_coordinator.cpp
@@ -162,7 +162,7 @@
     refusedForRoom_.increment();
     throw Error(ErrorCode::storesFull);
   }
-  vector<StoreRef> holders = chooseWithSpare({lot.id, CopyPurpose::admission, bytes}, excluded, {}, now);
+  vector<StoreRef> holders = chooseWithSpare({lot.id, CopyPurpose::admission, bytes, {}}, excluded, {}, now);
   if (holders.size() < neededCopies()) throw Error(ErrorCode::noStores);
   // Until their next heartbeats tell, the holders count as having the lot.
   for (StoreRef const& holder : holders) stores_.at(holder.id).load.growth += static_cast<std::uint64_t>(bytes);
--- a/lots/lot_coordinator.hpp
+++ b/lots/lot_coordinator.hpp
@@ -6,7 +6,7 @@
 #include "lots/lease_grants.hpp"
 #include "lots/lot_ages.hpp"
 #include "lots/messages.hpp"
-#include "lots/recovery_need.hpp"
+#include "lots/recovery_metrics.hpp"
 #include "lots/replica_rules.hpp"
 #include "lots/store_placement.hpp"
 
@@ -44,12 +44,15 @@
   struct LotStatus {
     std::uint64_t revision = 0;  ///< of the last change of the record
     std::uint64_t finishedTokens = 0, listedResults = 0;
-    GenerationStamp finalStamp;  ///< under which its primary said that nothing more will be listed
+    GenerationStamp finalStamp;      ///< under which its primary said that nothing more will be listed
+    std::uint64_t finalResults = 0;  ///< and how many results were listed then
     std::set<NodeId> failedHolders;
     bool primaryNeedsSettlement = false;
     TimePoint openedAt;
     bool recovering = false;
     TimePoint recoveryStartedAt, lastRecoveryAt;
+    RecoveryNeed need = RecoveryNeed::none;
+    TimePoint needSince;
     RecoveryOutcome lastOutcome = RecoveryOutcome::none;
     std::size_t failedRecoveries = 0;  ///< in a row
     TimePoint failingSince;            ///< when the first of them ended
@@ -89,6 +92,7 @@
   /// Lets one change of a lot's record at a time begin; throws ErrorCode::busy if that takes too long.
   Task<AsyncMutex::Lock> lock(LotKey key);
   GenerationStamp freshStamp(string const& host);
+  std::size_t countLotKeyspaces() const;
   /// Keyspaces of lots that this node owns.
   vector<string> ownedKeyspaces() const;
 
@@ -109,15 +113,17 @@
     string lot;
     CopyPurpose purpose;
     double bytes = 0;
+    vector<StoreRef> present;  ///< stores that have a replica already
   };
+  bool mayTake(Placement const& placement, StoreRef const& store) const;
   /// Adds stores with room to those that a lot has, in other zones first, in rendezvous order.
   vector<StoreRef> choose(Placement const& placement, std::set<NodeId> const& excluded, vector<StoreRef> holders,
                           std::size_t count, TimePoint now) const;
   /// Chooses the needed holders, and a spare one where there is plenty of room.
   vector<StoreRef> chooseWithSpare(Placement placement, std::set<NodeId> const& excluded,
                                    vector<StoreRef> const& holders, TimePoint now) const;
-  /// True while the stores have room for copies beyond the needed ones.
-  bool hasRoomForSpares(TimePoint now) const;
+  /// Notes whether the stores have room for copies beyond the needed ones.
+  void noteRoomForSpares(TimePoint now);
   FleetLoad fleetLoad(TimePoint now) const;
   /// True if the disk of a holder is known to be gone: its machine was heard with another one since.
   bool isDiskGone(StoreRef const& holder) const;
@@ -127,7 +133,13 @@
   // Upkeep: lot_upkeep.cpp.
   Task<void> upkeepLoop();
   /// Deletes records of lots that nobody asks for any more, and starts recoveries.
-  Task<void> maintain(string keyspace);
+  struct CopyCount {
+    std::size_t named = 0;   ///< by records
+    std::size_t needed = 0;  ///< of them, those that can't be given up
+  };
+  Task<void> maintain(string keyspace, CopyCount& copies);
+  /// Forgets what is known of lots whose records are deleted.
+  void forget(string const& host, vector<KeyChange> const& deletions);
   bool isForgettable(LotRecord const& lot, LotStatus const& status, TimePoint now) const;
   RecoveryNeed needOf(LotRecord const& lot, LotStatus const& status, TimePoint now) const;
   RecoveryNeed needOfSealed(LotRecord const& lot, LotStatus const& status, TimePoint now) const;
@@ -156,8 +168,13 @@
   Task<vector<StoreRef>> settleHolders(LotRecord lot, vector<StoreRef> holders, GenerationStamp stamp,
                                        std::uint64_t length);
 
-  /// Has a lot copied to stores that don't hold it; gives those that synced their copy.
-  Task<vector<StoreRef>> copyTo(vector<StoreRef> targets, CopyReplica request, vector<StoreRef> sources);
+  struct Copies {
+    vector<StoreRef> holders;  ///< those that there were, and behind them those that synced a copy
+    std::size_t made = 0, refused = 0;
+  };
+  /// Has a lot copied to other stores until it has enough holders or no store is left that may take it.
+  Task<Copies> makeCopies(CopyReplica request, vector<StoreRef> sources, vector<StoreRef> holders,
+                          std::set<NodeId> excluded);
 
   // Sealed lots: sealed_lots.cpp.
   /// Records that nothing is listed beyond what all holders have.
@@ -191,8 +208,10 @@
   std::map<LotKey, OpeningLot> opening_;
   std::map<string, Epoch> knownEpochs_;  ///< of owned keyspaces
   std::size_t recoveries_ = 0;
+  RecoveryMetrics recoveryMetrics_;
   Counter refusedForRoom_ =
       metrics().counter("tealshelf_lots_refused_for_room_total", "Lots refused as the stores are full.");
+  bool roomForSpares_ = true, mustTrimSpares_ = false;
   double neededCopyShare_ = 1;  ///< part of the copies that the records name that can't be given up
   LotAges ages_;
   std::map<string, TimePoint> closedStores_;  ///< stores asked about before they go, since when they get nothing new
--- a/lots/lot_recovery.cpp
+++ b/lots/lot_recovery.cpp
@@ -30,6 +30,8 @@
     try {
       InspectReplica const request{lot.host, lot.id};
       InspectReplicaReply const replica = co_await rpc_.call(holder.address, request, settings_.bounds.inTouch / 4);
+      // Another disk may have come to the holder's address; it says nothing of the holder's own.
+      if (replica.self != holder.id) continue;
       if (!replica.known || replica.stamp < lot.stamp) {
         ++survivors.withoutReplica;
         continue;
@@ -61,19 +63,26 @@
   co_return settled;
 }
 
-Task<vector<StoreRef>> LotCoordinator::copyTo(vector<StoreRef> targets, CopyReplica request, vector<StoreRef> sources) {
-  vector<StoreRef> copied;
-  for (std::size_t index = 0; index < targets.size(); ++index) {
-    request.source = sources[index % sources.size()].address;
+/// A store that refuses or fails a copy is passed over, so that one without room doesn't stand in the way of others.
+Task<LotCoordinator::Copies> LotCoordinator::makeCopies(CopyReplica request, vector<StoreRef> sources,
+                                                        vector<StoreRef> holders, std::set<NodeId> excluded) {
+  Copies copies{std::move(holders), 0, 0};
+  Placement const placement{request.lot.id, CopyPurpose::recovery, 0, request.lot.holders};
+  for (;;) {
+    vector<StoreRef> const chosen = chooseWithSpare(placement, excluded, copies.holders, Clock::now());
+    if (chosen.size() <= copies.holders.size()) co_return copies;
+    StoreRef const target = chosen[copies.holders.size()];
+    request.source = sources[(copies.made + copies.refused) % sources.size()].address;
     try {
-      co_await rpc_.call(targets[index].address, request, settings_.bounds.inTouch / 2);
-      copied.push_back(targets[index]);
+      co_await rpc_.call(target.address, request, settings_.bounds.inTouch / 2);
+      copies.holders.push_back(target);
+      ++copies.made;
     } catch (Error const& error) {
-      // The lot does without this copy.
-      logInfo("lots", request.lot.id + ": " + targets[index].name + " took no copy: " + error.what());
+      logInfo("lots", request.lot.id + ": " + target.name + " took no copy: " + error.what());
+      excluded.insert(target.id);
+      ++copies.refused;
     }
   }
-  co_return copied;
 }
 
 /// The paper's recovery: stamps are collected, those at or above the recorded one kept, the shortest length settled
@@ -90,19 +99,27 @@
   vector<StoreRef> live;
   std::size_t gone = 0;
   for (StoreRef const& holder : lot.holders) {
-    if (isDiskGone(holder)) ++gone;
-    if (!isDead(holder.id, now) && !isDiskFailing(holder.id) && !failed.contains(holder.id)) live.push_back(holder);
+    if (isDiskGone(holder))
+      ++gone;
+    else if (!isDead(holder.id, now) && !isDiskFailing(holder.id) && !failed.contains(holder.id))
+      live.push_back(holder);
   }
   if (live.empty()) {
     status.failedHolders.clear();
     co_return RecoveryOutcome::noLiveHolder;
   }
-  if (live[0].id != lot.holders[0].id) {
-    bool const fenced = co_await fenceEverywhere(lot.holders[0].id);
-    if (!fenced) co_return RecoveryOutcome::primaryNotFenced;
-  }
+  NodeId const primary = lot.holders[0].id;
+  auto const hasPrimary = [primary](vector<StoreRef> const& stores) {
+    return std::any_of(stores.begin(), stores.end(), [primary](StoreRef const& store) { return store.id == primary; });
+  };
   Survivors const survivors = co_await inspectHolders(lot, live);
   if (survivors.stores.empty()) co_return RecoveryOutcome::noIntactReplica;
+  // A primary that takes no part may go on answering reads under its lease.
+  bool fenced = false;
+  if (!hasPrimary(survivors.stores)) {
+    fenced = co_await fenceEverywhere(primary);
+    if (!fenced) co_return RecoveryOutcome::primaryNotFenced;
+  }
   // The record never names fewer than survive a loss, unless it did, or no other copy is left anywhere: the stores that
   // are away may come back with the others, and nothing could be listed with one copy anyway.
   std::size_t const minHolders = std::min(neededCopies(), lot.holders.size());
@@ -119,20 +136,16 @@
   vector<StoreRef> staying;
   for (StoreRef const& store : kept)
     if (!retiring.contains(store.name)) staying.push_back(store);
-  auto const choosing = [&](std::set<NodeId> const& excluded) {
-    return chooseWithSpare({lot.id, CopyPurpose::recovery}, excluded, staying, Clock::now());
-  };
-  vector<StoreRef> const chosen = storesForRecovery(choosing, failed, minHolders);
-  bool const possible = chosen.size() >= minHolders || kept.size() >= minHolders || noOtherCopy;
-  if (!possible) co_return RecoveryOutcome::tooFewStores;
-  vector<StoreRef> const targets(chosen.begin() + static_cast<std::ptrdiff_t>(staying.size()), chosen.end());
-  recovered.holders = chosen;
+  // Stores that failed the writer are excluded, unless too few others are there.
   CopyReplica const copy{recovered, {}, lot.stamp, survivors.shortest};
-  vector<StoreRef> const copied = co_await copyTo(targets, copy, kept);
-  vector<StoreRef> together = staying;
-  together.insert(together.end(), copied.begin(), copied.end());
-  std::size_t const reachable = holdersAfterRecovery(kept, together, neededCopies()).size();
-  if (reachable < minHolders && !noOtherCopy) co_return RecoveryOutcome::copiesRefused;
+  Copies copies = co_await makeCopies(copy, kept, staying, failed);
+  if (copies.holders.size() < minHolders && !failed.empty())
+    copies = co_await makeCopies(copy, kept, copies.holders, {});
+  vector<StoreRef> const copied(copies.holders.begin() + static_cast<std::ptrdiff_t>(staying.size()),
+                                copies.holders.end());
+  std::size_t const reachable = holdersAfterRecovery(kept, copies.holders, neededCopies()).size();
+  if (reachable < minHolders && !noOtherCopy)
+    co_return copies.refused ? RecoveryOutcome::copiesRefused : RecoveryOutcome::tooFewStores;
   checkInvariant(Invariant::freshStampAfterCopies, reachable >= minHolders || noOtherCopy, [&] { return lot.id; });
   vector<StoreRef> const settled = co_await settleHolders(lot, kept, recovered.stamp, survivors.shortest);
   auto const isSettled = [&settled](StoreRef const& store) {
@@ -145,6 +158,10 @@
   recovered.holders = holdersAfterRecovery(settled, remaining, neededCopies());
   bool const enough = recovered.holders.size() >= minHolders || (noOtherCopy && settled.size() == kept.size());
   if (settled.empty() || !enough) co_return RecoveryOutcome::notSettled;
+  if (!fenced && !hasPrimary(settled)) {
+    fenced = co_await fenceEverywhere(primary);
+    if (!fenced) co_return RecoveryOutcome::primaryNotFenced;
+  }
   bool const saved = co_await save(recovered, epoch);
   if (!saved) co_return RecoveryOutcome::recordNotWritten;
   status.failedHolders.clear();
@@ -153,7 +170,9 @@
   for (StoreRef const& holder : recovered.holders) names += " " + holder.name;
   logInfo("lots", lot.id + " is recovered under stamp " + hex(recovered.stamp.value) + " with " +
                       std::to_string(survivors.shortest) + " results at" + names);
-  co_return RecoveryOutcome::done;
+  // A wished copy that was refused is tried again, but with a pause that grows.
+  bool const wishRefused = copies.refused && !copies.made && recovered.holders.size() < neededCopies() + 1;
+  co_return wishRefused ? RecoveryOutcome::copiesRefused : RecoveryOutcome::done;
 }
 
 }  // namespace tealshelf
--- a/lots/lot_upkeep.cpp
+++ b/lots/lot_upkeep.cpp
@@ -14,34 +14,62 @@
 Task<void> LotCoordinator::upkeepLoop() {
   for (;;) {
     co_await sleepFor(settings_.bounds.inTouch / 30);
+    noteRoomForSpares(Clock::now());
+    recoveryMetrics_.beginCount();
+    CopyCount copies;
     vector<string> const keyspaces = ownedKeyspaces();
     for (string const& keyspace : keyspaces)
-      if (driver_.consensus().owns(keyspace)) co_await maintain(keyspace);
+      if (driver_.consensus().owns(keyspace)) co_await maintain(keyspace, copies);
+    recoveryMetrics_.endCount();
+    // Other owners' lots may have no spare copies to give up.
+    bool const ownsAll = keyspaces.size() == countLotKeyspaces();
+    neededCopyShare_ =
+        copies.named && ownsAll ? static_cast<double>(copies.needed) / static_cast<double>(copies.named) : 1;
   }
 }
 
-Task<void> LotCoordinator::maintain(string keyspace) {
+Task<void> LotCoordinator::maintain(string keyspace, CopyCount& copies) {
   TimePoint const now = Clock::now();
   vector<KeyChange> deletions;
   vector<PendingRecovery> pending;
-  std::size_t named = 0, needed = 0;
   for (auto const& [id, record] : driver_.consensus().committedValues(keyspace)) {
     LotRecord lot = deserialize<LotRecord>(record);
-    LotStatus const& status = lots_[lot.key()];
+    LotStatus& status = lots_[lot.key()];
     ages_.learn(lot.key(), now);
-    named += lot.holders.size();
+    copies.named += lot.holders.size();
     // The spare copy of a lot that goes on isn't given up for room.
-    needed += lot.isSealed() ? std::min(lot.holders.size(), neededCopies()) : lot.holders.size();
+    copies.needed += lot.isSealed() ? std::min(lot.holders.size(), neededCopies()) : lot.holders.size();
     if (isForgettable(lot, status, now)) {
       deletions.push_back(KeyChange{id, "", true});
       continue;
     }
     RecoveryNeed const need = needOf(lot, status, now);
-    if (need != RecoveryNeed::none) pending.push_back({std::move(lot), need});
+    if (need != std::exchange(status.need, need)) status.needSince = now;
+    recoveryMetrics_.count(need, std::chrono::duration_cast<Ms>(now - status.needSince));
+    bool const mayTry = !status.recovering && now - status.lastRecoveryAt >= retryPause(status, need);
+    if (need != RecoveryNeed::none && mayTry) pending.push_back({std::move(lot), need});
   }
-  if (named) neededCopyShare_ = static_cast<double>(needed) / static_cast<double>(named);
-  if (!deletions.empty()) co_await driver_.propose(keyspace, deletions);
   startRecoveries(std::move(pending));
+  if (deletions.empty()) co_return;
+  co_await driver_.propose(keyspace, deletions);
+  forget(keyspace.substr(keyspaceOf("").size()), deletions);
+}
+
+void LotCoordinator::forget(string const& host, vector<KeyChange> const& deletions) {
+  for (KeyChange const& deletion : deletions) {
+    LotKey const key{host, deletion.key};
+    auto const status = lots_.find(key);
+    bool const inUse = status != lots_.end() &&
+                       (status->second.recovering || (status->second.mutex && status->second.mutex->locked()));
+    if (inUse || load(key)) continue;
+    if (status != lots_.end()) lots_.erase(status);
+    ages_.forget(key);
+  }
+}
+
+std::size_t LotCoordinator::countLotKeyspaces() const {
+  vector<string> const keyspaces = driver_.consensus().keyspaces();
+  return static_cast<std::size_t>(std::count_if(keyspaces.begin(), keyspaces.end(), isLotKeyspace));
 }
 
 bool LotCoordinator::isForgettable(LotRecord const& lot, LotStatus const& status, TimePoint now) const {
@@ -63,51 +91,47 @@
 }
 
 RecoveryNeed LotCoordinator::needOf(LotRecord const& lot, LotStatus const& status, TimePoint now) const {
-  if (lot.state == LotState::opening || status.recovering) return RecoveryNeed::none;
-  RecoveryNeed need = RecoveryNeed::none;
-  if (lot.isSealed()) {
-    need = needOfSealed(lot, status, now);
-  } else {
-    std::set<string> const retiring = retiringStores ? retiringStores() : std::set<string>();
-    bool failing = status.primaryNeedsSettlement || !status.failedHolders.empty();
-    for (StoreRef const& holder : lot.holders)
-      failing = failing || isDead(holder.id, now) || isDiskFailing(holder.id) || retiring.contains(holder.name);
-    bool const isFinal = status.finalStamp == lot.stamp && lot.holders.size() >= neededCopies();
-    if (isFinal)
-      need = RecoveryNeed::seal;
-    else if (failing)
-      need = RecoveryNeed::serve;
-    else if (lot.holders.size() < neededCopies())
-      need = RecoveryNeed::replicate;
-    else if (chooseWithSpare({lot.id, CopyPurpose::recovery}, status.failedHolders, lot.holders, now).size() >
-             lot.holders.size())
-      need = RecoveryNeed::spare;
-  }
-  if (need == RecoveryNeed::none || now - status.lastRecoveryAt < retryPause(status, need)) return RecoveryNeed::none;
-  return need;
+  if (lot.state == LotState::opening) return RecoveryNeed::none;
+  if (lot.isSealed()) return needOfSealed(lot, status, now);
+  bool const isFinal = status.finalStamp == lot.stamp && lot.holders.size() >= neededCopies();
+  if (isFinal) return RecoveryNeed::seal;
+  std::set<string> const retiring = retiringStores ? retiringStores() : std::set<string>();
+  bool failing = status.primaryNeedsSettlement || !status.failedHolders.empty();
+  for (StoreRef const& holder : lot.holders)
+    failing = failing || isDiskGone(holder) || isDead(holder.id, now) || isDiskFailing(holder.id) ||
+              retiring.contains(holder.name);
+  if (failing) return RecoveryNeed::serve;
+  if (lot.holders.size() < neededCopies()) return RecoveryNeed::replicate;
+  if (!roomForSpares_) return RecoveryNeed::none;
+  vector<StoreRef> const wished =
+      chooseWithSpare({lot.id, CopyPurpose::recovery, 0, {}}, status.failedHolders, lot.holders, now);
+  return wished.size() > lot.holders.size() ? RecoveryNeed::spare : RecoveryNeed::none;
 }
 
 RecoveryNeed LotCoordinator::needOfSealed(LotRecord const& lot, LotStatus const& status, TimePoint now) const {
   std::set<string> const retiring = retiringStores ? retiringStores() : std::set<string>();
   std::size_t lasting = 0;
   for (StoreRef const& holder : lot.holders) {
-    bool const goes = isDead(holder.id, now) || isDiskFailing(holder.id) || retiring.contains(holder.name) ||
-                      status.failedHolders.contains(holder.id);
+    bool const goes = isDiskGone(holder) || isDead(holder.id, now) || isDiskFailing(holder.id) ||
+                      retiring.contains(holder.name) || status.failedHolders.contains(holder.id);
     if (!goes) ++lasting;
   }
   if (lasting < neededCopies()) return RecoveryNeed::replicate;
   if (!status.failedHolders.empty()) return RecoveryNeed::replicate;
-  bool const room = hasRoomForSpares(now);
-  if (lasting > neededCopies()) return room ? RecoveryNeed::none : RecoveryNeed::trim;
-  vector<StoreRef> const wished = chooseWithSpare({lot.id, CopyPurpose::recovery}, {}, lot.holders, now);
-  return room && wished.size() > lot.holders.size() ? RecoveryNeed::spare : RecoveryNeed::none;
+  if (lasting > neededCopies()) return mustTrimSpares_ ? RecoveryNeed::trim : RecoveryNeed::none;
+  if (!roomForSpares_) return RecoveryNeed::none;
+  vector<StoreRef> const wished = chooseWithSpare({lot.id, CopyPurpose::recovery, 0, {}}, {}, lot.holders, now);
+  return wished.size() > lot.holders.size() ? RecoveryNeed::spare : RecoveryNeed::none;
 }
 
-/// Starts recoveries, the most urgent needs and old lots first.
+/// Starts recoveries: the most urgent needs first, and of these the ones that failed least often, so that lots that
+/// can't be recovered now don't hold up the others; then old lots first.
 void LotCoordinator::startRecoveries(vector<PendingRecovery> pending) {
-  std::sort(pending.begin(), pending.end(), [](PendingRecovery const& left, PendingRecovery const& right) {
-    return std::pair(left.need, left.lot.sentAtMs) < std::pair(right.need, right.lot.sentAtMs);
-  });
+  auto const order = [this](PendingRecovery const& next) {
+    return std::tuple(next.need, lots_[next.lot.key()].failedRecoveries, next.lot.sentAtMs);
+  };
+  std::sort(pending.begin(), pending.end(),
+            [&order](PendingRecovery const& left, PendingRecovery const& right) { return order(left) < order(right); });
   for (PendingRecovery const& next : pending) {
     if (recoveries_ >= maxRecoveries) break;
     LotStatus& status = lots_[next.lot.key()];
@@ -144,10 +168,7 @@
   LotStatus& status = lots_[key];
   status.recovering = false;
   status.lastRecoveryAt = now;
-  metrics()
-      .counter("tealshelf_lot_recoveries_total", "Tries to recover, seal or replicate a lot.",
-               {{"need", string(nameOf(need))}, {"outcome", string(nameOf(outcome))}})
-      .increment();
+  recoveryMetrics_.ended(need, outcome);
   bool const changed = outcome != std::exchange(status.lastOutcome, outcome);
   if (outcome == RecoveryOutcome::done) {
     status.failedRecoveries = 0;
--- /dev/null
+++ b/lots/recovery_metrics.hpp
@@ -0,0 +1,27 @@
+#pragma once
+#include "base/metrics.hpp"
+#include "lots/recovery_need.hpp"
+
+namespace tealshelf {
+
+/// How many lots wait for a recovery, by what it is needed for, and how long the longest of them has waited.
+class RecoveryMetrics {
+ public:
+  RecoveryMetrics();
+  /// Begins a count of the lots of one keyspace.
+  void beginCount();
+  void count(RecoveryNeed need, Ms waited);
+  void endCount();
+  void ended(RecoveryNeed need, RecoveryOutcome outcome);
+
+ private:
+  struct Waiting {
+    std::size_t lots = 0;
+    Ms longest{0};
+  };
+  static constexpr std::size_t kinds = static_cast<std::size_t>(RecoveryNeed::none);
+  std::array<Waiting, kinds> waiting_;
+  vector<Gauge> lots_, longest_;
+};
+
+}  // namespace tealshelf
--- a/lots/replica_store.cpp
+++ b/lots/replica_store.cpp
@@ -136,7 +136,8 @@
 
 Task<InspectReplicaReply> ReplicaStore::inspect(InspectReplica request) {
   requireDisk();
-  InspectReplicaReply const reply = table_.inspect(request.key());
+  InspectReplicaReply reply = table_.inspect(request.key());
+  reply.self = id_;
   onRecovery(request.key());
   co_await persistAndSync();
   co_return reply;
--- a/lots/sealed_lots.cpp
+++ b/lots/sealed_lots.cpp
@@ -15,7 +15,7 @@
   bool const stands = status.finalStamp == lot.stamp && lot.holders.size() >= neededCopies();
   if (!stands) co_return RecoveryOutcome::overtaken;
   lot.sealedStamp = lot.stamp;
-  lot.sealedResults = status.listedResults;
+  lot.sealedResults = status.finalResults;
   lot.stamp = freshStamp(lot.host);
   bool const saved = co_await save(lot, epoch);
   co_return saved ? RecoveryOutcome::done : RecoveryOutcome::recordNotWritten;
@@ -70,17 +70,12 @@
     bool const goes = retiring.contains(holder.name) || isDiskFailing(holder.id);
     (goes ? leaving : staying).push_back(holder);
   }
-  TimePoint const now = Clock::now();
-  if (!hasRoomForSpares(now)) staying = trim(std::move(staying), neededCopies());
-  vector<StoreRef> const chosen = chooseWithSpare({lot.id, CopyPurpose::recovery}, {}, staying, now);
-  vector<StoreRef> const targets(chosen.begin() + static_cast<std::ptrdiff_t>(staying.size()), chosen.end());
+  if (mustTrimSpares_) staying = trim(std::move(staying), neededCopies());
   LotRecord next = lot;
   next.stamp = freshStamp(lot.host);
-  next.holders = chosen;
   CopyReplica const copy{next, {}, lot.sealedStamp, lot.sealedResults};
-  vector<StoreRef> const copied = co_await copyTo(targets, copy, answers.confirmed);
-  next.holders = staying;
-  next.holders.insert(next.holders.end(), copied.begin(), copied.end());
+  Copies const copies = co_await makeCopies(copy, answers.confirmed, staying, {});
+  next.holders = copies.holders;
   bool const enough = next.holders.size() >= neededCopies();
   // While too few have it for certain, every store that has or may have it stays named, and serves reads when it can.
   if (!enough) {
@@ -98,7 +93,7 @@
   }
   status.failedHolders.clear();
   if (enough) co_return RecoveryOutcome::done;
-  co_return targets.empty() ? RecoveryOutcome::tooFewStores : RecoveryOutcome::copiesRefused;
+  co_return copies.refused ? RecoveryOutcome::copiesRefused : RecoveryOutcome::tooFewStores;
 }
 
 }  // namespace tealshelf
--- a/lots/store_placement.cpp
+++ b/lots/store_placement.cpp
@@ -39,7 +39,7 @@
 
 bool admits(FleetLoad const& fleet, double lotBytes) {
   vector<double> limits;
-  double taken = 0;
+  double taken = static_cast<double>(fleet.lostBytes);
   for (StoreLoad const& store : fleet.stores) {
     if (!store.tells()) return true;
     limits.push_back(static_cast<double>(store.limit));
@@ -49,7 +49,11 @@
   std::sort(limits.begin(), limits.end());
   limits.resize(limits.size() - std::min(limits.size(), fleet.lossesToCome));
   double const room = std::accumulate(limits.begin(), limits.end(), 0.0) * evenShare;
-  return taken * fleet.neededShare + lotBytes * static_cast<double>(fleet.neededCopies) <= room;
+  // With few stores not all copies can be restored, and need no room then.
+  std::size_t const copies = std::min(fleet.neededCopies, limits.size());
+  double const restorable =
+      static_cast<double>(copies) / static_cast<double>(std::max<std::size_t>(1, fleet.neededCopies));
+  return taken * fleet.neededShare * restorable + lotBytes * static_cast<double>(copies) <= room;
 }
 
 }  // namespace tealshelf
--- a/lots/store_supervision.cpp
+++ b/lots/store_supervision.cpp
@@ -4,8 +4,8 @@
 namespace tealshelf {
 
 namespace {
-/// Spare copies are made and kept while the stores are not fuller than this part of their limits.
-constexpr double maxLoadForSpares = 0.5;
+/// Parts of the stores' limits up to which spare copies are made, and up to which they are kept.
+constexpr double maxLoadForSpares = 0.5, maxLoadToKeepSpares = 0.6;
 }  // namespace
 
 bool LotCoordinator::isDead(NodeId store, TimePoint now) const {
@@ -60,17 +60,23 @@
         used = used || holder.id == store.id || holder.name == store.name;
         zoneUsed = zoneUsed || holder.zone == store.zone;
       }
-      bool const fits = !used && !(otherZonesOnly && zoneUsed) &&
-                        hasRoom(stores_.at(store.id).load, placement.purpose, placement.bytes);
+      bool const fits = !used && !(otherZonesOnly && zoneUsed) && mayTake(placement, store);
       if (fits && holders.size() < count) holders.push_back(store);
     }
   return holders;
 }
 
+/// A store that has a replica of the lot takes a fresh one in its place, whether or not there is room for others.
+bool LotCoordinator::mayTake(Placement const& placement, StoreRef const& store) const {
+  bool const hasReplica = std::any_of(placement.present.begin(), placement.present.end(),
+                                      [&store](StoreRef const& holder) { return holder.id == store.id; });
+  return hasReplica || hasRoom(stores_.at(store.id).load, placement.purpose, placement.bytes);
+}
+
 vector<StoreRef> LotCoordinator::chooseWithSpare(Placement placement, std::set<NodeId> const& excluded,
                                                  vector<StoreRef> const& holders, TimePoint now) const {
   vector<StoreRef> const needed = choose(placement, excluded, holders, neededCopies(), now);
-  if (needed.size() < neededCopies() || !hasRoomForSpares(now)) return needed;
+  if (needed.size() < neededCopies() || !roomForSpares_) return needed;
   placement.purpose = CopyPurpose::spare;
   return choose(placement, excluded, needed, neededCopies() + 1, now);
 }
@@ -80,13 +86,18 @@
   std::set<string> names;
   for (StoreRef const& store : liveStores(now)) {
     fleet.stores.push_back(stores_.at(store.id).load);
+    fleet.live.push_back(store.id);
     names.insert(store.name);
   }
   // What was lost lately is one of the losses to survive; what is long gone has no part in them.
+  // Its copies are due on the others.
   std::set<string> lost;
-  for (auto const& [id, status] : stores_)
-    if (!names.contains(status.ref.name) && now - status.heardAt < settings_.bounds.catchUp)
-      lost.insert(status.ref.name);
+  for (auto const& [id, status] : stores_) {
+    bool const live = std::any_of(fleet.live.begin(), fleet.live.end(), [&](NodeId other) { return other == id; });
+    if (live || now - status.heardAt > settings_.bounds.catchUp) continue;
+    fleet.lostBytes += status.load.used + status.load.growth;
+    if (!names.contains(status.ref.name)) lost.insert(status.ref.name);
+  }
   std::size_t const survive = static_cast<std::size_t>(settings_.surviveMachines);
   fleet.lossesToCome = survive - std::min(survive, lost.size());
   fleet.neededCopies = neededCopies();
@@ -94,14 +105,14 @@
   return fleet;
 }
 
-bool LotCoordinator::hasRoomForSpares(TimePoint now) const {
-  std::uint64_t taken = 0, limits = 0;
+void LotCoordinator::noteRoomForSpares(TimePoint now) {
+  double taken = 0, limits = 0;
   for (StoreLoad const& store : fleetLoad(now).stores) {
-    if (!store.tells()) return true;
-    taken += store.used + store.growth;
-    limits += store.limit;
+    taken += static_cast<double>(store.used + store.growth);
+    limits += static_cast<double>(store.limit);
   }
-  return static_cast<double>(taken) <= maxLoadForSpares * static_cast<double>(limits);
+  roomForSpares_ = taken <= maxLoadForSpares * limits;
+  mustTrimSpares_ = taken > maxLoadToKeepSpares * limits;
 }
 
 Task<Acknowledgement> LotCoordinator::fence(FenceStore request) {
@@ -119,7 +130,9 @@
     LotStatus& lot = lots_[progress.key()];
     lot.finishedTokens = std::max(lot.finishedTokens, progress.finishedTokens);
     lot.listedResults = std::max(lot.listedResults, progress.listedResults);
-    if (progress.final) lot.finalStamp = std::max(lot.finalStamp, progress.stamp);
+    if (!progress.final || progress.stamp < lot.finalStamp) continue;
+    lot.finalStamp = progress.stamp;
+    lot.finalResults = progress.listedResults;
   }
   for (HolderFailure const& failure : heartbeat.failures) {
     if (!driver_.consensus().owns(keyspaceOf(failure.host))) continue;
--- a/segments/messages.hpp
+++ b/segments/messages.hpp
@@ -105,7 +105,8 @@
   bool known = false;
   GenerationStamp stamp;
   std::uint64_t results = 0;
-  MSGPACK_DEFINE(known, stamp, results)
+  NodeId self;  ///< the disk that answers
+  MSGPACK_DEFINE(known, stamp, results, self)
 };
 
 /// Recovery: asks for stamp and length of a replica, and stops appends to it until a fresh stamp comes.
--- a/segments/replica_table.cpp
+++ b/segments/replica_table.cpp
@@ -5,6 +5,9 @@
 namespace tealshelf {
 
 namespace {
+/// Bytes that a replica's record takes on the disk beside its items and results, and a result beside its own.
+constexpr std::size_t recordOverhead = 512, resultOverhead = 8;
+
 SegmentRecord recordOf(SegmentRecordKind kind, LotKey const& key, GenerationStamp stamp, std::uint64_t position = 0) {
   SegmentRecord record;
   record.kind = kind;
@@ -59,11 +62,17 @@
 }  // namespace
 
 std::size_t Replica::bytes() const {
-  std::size_t sum = items.size();
-  for (string const& result : results) sum += result.size();
+  std::size_t sum = recordOverhead + items.size();
+  for (string const& result : results) sum += resultOverhead + result.size();
   return sum;
 }
 
+Replica& ReplicaTable::findOrAdd(LotKey const& key) {
+  auto const [replica, added] = replicas_.try_emplace(key);
+  if (added) bytes_ += replica->second.bytes();
+  return replica->second;
+}
+
 void ReplicaTable::erase(std::map<LotKey, Replica>::iterator replica) {
   bytes_ -= replica->second.bytes();
   replicas_.erase(replica);
@@ -77,7 +86,7 @@
     return;
   }
   if (record.kind == SegmentRecordKind::create) {
-    Replica& replica = replicas_[record.key()];
+    Replica& replica = findOrAdd(record.key());
     change(replica, [&] {
       replica = Replica{record.lot,   std::move(record.items), std::move(record.results), false, record.intact, false,
                         record.sealed};
@@ -109,7 +118,7 @@
   }
   bool const sealed = lot.isSealed();
   if (sealed) items = withoutBodies(items);
-  Replica& replica = replicas_[lot.key()];
+  Replica& replica = findOrAdd(lot.key());
   change(replica, [&] { replica = Replica{lot, std::move(items), std::move(results), true, true, false, sealed}; });
   records_.push_back(serialize(creationOf(replica)));
 }
@@ -135,7 +144,7 @@
   if (found == replicas_.end() || !found->second.intact) return InspectReplicaReply{};
   Replica& replica = found->second;
   replica.underRecovery = true;
-  return InspectReplicaReply{true, replica.lot.stamp, replica.results.size()};
+  return InspectReplicaReply{true, replica.lot.stamp, replica.results.size(), {}};
 }
 
 void ReplicaTable::settle(LotKey const& key, GenerationStamp oldStamp, GenerationStamp newStamp, std::uint64_t length) {
--- a/segments/replica_table.hpp
+++ b/segments/replica_table.hpp
@@ -77,6 +77,7 @@
     apply();
     bytes_ += replica.bytes();
   }
+  Replica& findOrAdd(LotKey const& key);
   void erase(std::map<LotKey, Replica>::iterator replica);
 
   std::map<LotKey, Replica> replicas_;
