--- a/apps/daemon.cpp
+++ b/apps/daemon.cpp
@@ -1,5 +1,6 @@
 #include "apps/daemon.hpp"
 
+#include "base/invariant_metrics.hpp"
 #include "wire/metrics_server.hpp"
 #include "wire/tasks.hpp"
 
@@ -77,6 +78,7 @@
     asio::signal_set endSignals(io, SIGTERM, SIGINT), hangUpSignals(io, SIGHUP);
     Daemon daemon;
     start(io, settings, daemon);
+    InvariantMetrics const invariantMetrics;
     std::optional<MetricsServer> metricsServer;
     if (options.metricsPort)
       metricsServer.emplace(io, Address{settings.ip, options.metricsPort}, 5 * settings.bounds.inTouch, metrics());
--- a/lots/lot_coordinator.cpp
+++ b/lots/lot_coordinator.cpp
@@ -63,6 +63,10 @@
 
 /// What must hold between two records of a lot that follow each other.
 void LotCoordinator::checkChange(LotRecord const& next) const {
+  std::set<NodeId> holders;
+  for (StoreRef const& holder : next.holders) holders.insert(holder.id);
+  bool const eachOnce = !holders.empty() && holders.size() == next.holders.size();
+  checkInvariant(Invariant::recordNamesHolders, eachOnce, [&] { return next.id; });
   std::optional<LotRecord> const last = load(next.key());
   if (!last) return;
   checkInvariant(Invariant::recordStampRises, next.stamp >= last->stamp, [&] { return next.id; });
@@ -91,7 +95,11 @@
 /// Stamps rise over handovers without a write of their own, as the owner's epoch is their upper half.
 GenerationStamp LotCoordinator::freshStamp(string const& host) {
   std::uint64_t const epoch = driver_.consensus().epochOf(keyspaceOf(host)).number;
-  return GenerationStamp((epoch << 32) | (++stampCounter_ & 0xffffffffu));
+  GenerationStamp const stamp((epoch << 32) | (++stampCounter_ & 0xffffffffu));
+  GenerationStamp& last = lastStamps_[host];
+  checkInvariant(Invariant::freshStampIsNew, stamp > last, [&] { return host + " " + hex(stamp.value); });
+  last = stamp;
+  return stamp;
 }
 
 bool LotCoordinator::mayBeAccepted(LotKey const& key, Ms within) const {
--- a/lots/lot_coordinator.hpp
+++ b/lots/lot_coordinator.hpp
@@ -202,6 +202,7 @@
   std::uint64_t processId_ = randomId();
   std::uint64_t revision_ = 0;
   std::uint64_t stampCounter_ = 0;
+  std::map<string, GenerationStamp> lastStamps_;  ///< given out by this process, by host
   LeaseGrants leases_{settings_.bounds.inTouch / 5, startedAt_};
   std::map<NodeId, StoreStatus> stores_;
   std::map<LotKey, LotStatus> lots_;
--- a/lots/lot_upkeep.cpp
+++ b/lots/lot_upkeep.cpp
@@ -40,6 +40,9 @@
     // The spare copy of a lot that goes on isn't given up for room.
     copies.needed += lot.isSealed() ? std::min(lot.holders.size(), neededCopies()) : lot.holders.size();
     if (isForgettable(lot, status, now)) {
+      bool const unfinished =
+          lot.state == LotState::accepted && !lot.isSealed() && status.listedResults < lot.itemCount;
+      checkInvariant(Invariant::acceptedRecordIsKept, !unfinished, [&] { return lot.id; });
       deletions.push_back(KeyChange{id, "", true});
       continue;
     }
--- a/tests/lots/gone_disk_test.cpp
+++ b/tests/lots/gone_disk_test.cpp
@@ -5,7 +5,8 @@
 TEST_GROUP(goneDisk){};
 
 /// Of three holders one comes back with an empty disk, and another is silent for a while. The silent one still has its
-/// copy, so the record goes on naming it: with fewer holders than survive the losses to come it would count for nothing.
+/// copy, so the record goes on naming it: with fewer holders than survive the losses to come it would count for
+/// nothing.
 TEST(goneDisk, aHolderWithoutItsDiskIsCountedOnce) {
   StoreFleet fleet("/tmp/tealshelf-gone-disk", 3, 2, 17860);
   CHECK(fleet.runUntil([&fleet] { return fleet.submit("lot", 1000) == 0; }, Ms(20000)));
