--- a/lots/lot_coordinator.cpp
+++ b/lots/lot_coordinator.cpp
@@ -144,14 +144,14 @@
   LotRecord lot = request.lot;
   lot.sentAtMs = known ? known->sentAtMs : wallClockMs();
   std::set<NodeId> const excluded(request.excluded.begin(), request.excluded.end());
+  std::optional<Error> refusal;
   try {
     checkQuota(lot, request.maxQueuedTokens);
     lot.holders = chooseForNewLot(lot, excluded, static_cast<double>(request.itemBytes));
   } catch (Error const& error) {
-    // A refusal promises that nothing runs, which can't be said while an earlier try may still be accepted.
-    if (known && mayBeAccepted(key, settings_.bounds.inTouch)) throw Error(ErrorCode::noQuorum, error.what());
-    throw;
+    refusal = error;
   }
+  if (refusal) co_return co_await refuse(key, *refusal);
   lot.state = LotState::opening;
   lot.stamp = freshStamp(lot.host);
   lots_[key].openedAt = Clock::now();
@@ -177,6 +177,16 @@
   return holders;
 }
 
+/// A refusal promises that nothing runs. That can't be said by a node that was overtaken, as another may have accepted
+/// an earlier try, nor while one may still be accepted here.
+Task<OpenLotReply> LotCoordinator::refuse(LotKey key, Error refusal) {
+  co_await confirmOwnership(key.host);
+  std::optional<LotRecord> const known = load(key);
+  if (known && known->state != LotState::opening) co_return OpenLotReply{true, *known};
+  if (known && mayBeAccepted(key, settings_.bounds.inTouch)) throw Error(ErrorCode::noQuorum, refusal.what());
+  throw refusal;
+}
+
 Task<Acknowledgement> LotCoordinator::accept(AcceptLot request) {
   std::optional<Acknowledgement> const forwarded = co_await forward(request.host, request);
   if (forwarded) co_return *forwarded;
--- a/lots/lot_coordinator.hpp
+++ b/lots/lot_coordinator.hpp
@@ -67,6 +67,7 @@
 
   // Calls of edge nodes: lot_coordinator.cpp.
   Task<OpenLotReply> open(OpenLot request);
+  Task<OpenLotReply> refuse(LotKey key, Error refusal);
   Task<Acknowledgement> accept(AcceptLot request);
   Task<FindLotReply> find(FindLot request);
   Task<FindLotReply> end(EndLot request);
--- a/lots/lot_recovery.cpp
+++ b/lots/lot_recovery.cpp
@@ -71,7 +71,7 @@
   for (;;) {
     vector<StoreRef> const chosen = chooseWithSpare(placement, excluded, copies.holders, Clock::now());
     if (chosen.size() <= copies.holders.size()) co_return copies;
-    StoreRef const target = chosen[copies.holders.size()];
+    StoreRef const& target = chosen[copies.holders.size()];
     request.source = sources[(copies.made + copies.refused) % sources.size()].address;
     try {
       co_await rpc_.call(target.address, request, settings_.bounds.inTouch / 2);
