--- a/tests/lots/admission_after_loss_test.cpp
+++ b/tests/lots/admission_after_loss_test.cpp
@@ -34,7 +34,7 @@
   // So full that no spare copies are made; the store that will be lost holds nothing but copies of lots.
   for (std::size_t store = 1; store < 4; ++store) CHECK(putFiller(fleet, store, 1600u << 10));
   fleet.runUntil([] { return false; }, Ms(1000));
-  std::size_t accepted = 0, onLost = 0, refusedInARow = 0;
+  std::size_t onLost = 0, refusedInARow = 0;
   for (int number = 0; number < 60 && refusedInARow < 4; ++number) {
     string const id = hex(hash64(std::to_string(number)));
     bool const taken = fleet.submit(id, lotBytes) == 0;
@@ -43,7 +43,6 @@
       fleet.runUntil([] { return false; }, Ms(300));
       continue;
     }
-    ++accepted;
     std::optional<LotRecord> const lot = fleet.find(id);
     CHECK(lot.has_value());
     for (StoreRef const& holder : lot->holders) onLost += holder.name == "store-0";
--- a/tests/lots/full_stores_test.cpp
+++ b/tests/lots/full_stores_test.cpp
@@ -10,7 +10,7 @@
 vector<string> fill(StoreFleet& fleet) {
   vector<string> accepted;
   fleet.runUntil([&fleet] { return fleet.submit("first", lotBytes) == 0; }, Ms(20000));
-  accepted.push_back("first");
+  accepted.emplace_back("first");
   for (int number = 0; number < lotsAtMost; ++number) {
     string const id = "lot-" + std::to_string(number);
     if (fleet.submit(id, lotBytes) == 0) accepted.push_back(id);
