control: registries are compared by bucket; starting nodes are introduced

Cause, from the counters: a control node that had started sent its whole registry of workers to every other one in each heartbeat for half of inTouch, and every one answered alike; a message on one worker carried no digest, was taken for another registry and brought the whole one too. A starting data-plane node asked seeds in other zones for everything, two or three times.

A starting node asks any control node for an introduction, its zone's nodes and the members, and gets configuration and workers from a relay or control node of its zone, four at once at the most.

--- a/consensus/consensus_driver.cpp
+++ b/consensus/consensus_driver.cpp
@@ -8,8 +8,6 @@
 namespace {
 /// The part of the disk's space that the control log may use.
 constexpr double logShare = 0.6;
-/// After so many heartbeats in a row with another registry, the whole registry is sent.
-constexpr int maxRegistryMismatches = 2;
 
 NodeId ownNodeId(Settings const& settings) {
   if (settings.dataFolder.empty()) return NodeId(randomId());
@@ -67,11 +65,7 @@
     consensus_.installMembership(message.membership, false);
   consensus_.receiveHeartbeat(heartbeat, now);
   peers_[heartbeat.sender.id] = PeerHeartbeat{heartbeat, now};
-  if (onHeartbeat) {
-    bool const differs = onHeartbeat(message);
-    int& mismatches = links_[heartbeat.sender.ip].registryMismatches;
-    mismatches = differs ? mismatches + 1 : 0;
-  }
+  if (onHeartbeat) onHeartbeat(message);
   consensus_.tick(now);
   flush();
   answerUnheardPeer(heartbeat, now);
@@ -186,11 +180,11 @@
   sendHeartbeats();
 }
 
-HeartbeatMessage ConsensusDriver::makeHeartbeat(MembershipNumber known, bool wholeRegistry) {
+HeartbeatMessage ConsensusDriver::makeHeartbeat(MembershipNumber known, bool isExtra) {
   HeartbeatMessage message;
   message.heartbeat = consensus_.heartbeat(Clock::now());
   if (leaving_) message.heartbeat.holdsAllKeys = false;
-  if (fillHeartbeat) fillHeartbeat(message, wholeRegistry);
+  if (fillHeartbeat) fillHeartbeat(message, isExtra);
   if (known < consensus_.membership().number) message.membership = consensus_.membership();
   return message;
 }
@@ -210,15 +204,8 @@
 void ConsensusDriver::sendHeartbeats() {
   TimePoint const now = Clock::now();
   MembershipNumber const present = consensus_.membership().number;
-  HeartbeatMessage changesOnly = makeHeartbeat(present, false);
-  std::optional<HeartbeatMessage> whole;
+  HeartbeatMessage message = makeHeartbeat(present, false);
   for (auto const& [ip, known] : heartbeatReceivers(now)) {
-    // The whole registry goes to those that lately had another one, and to all after a start.
-    int& mismatches = links_[ip].registryMismatches;
-    bool const sendsWhole = mismatches >= maxRegistryMismatches || now - startedAt_ < settings_.bounds.inTouch / 2;
-    if (sendsWhole) mismatches = 0;
-    if (sendsWhole && !whole) whole = makeHeartbeat(present, true);
-    HeartbeatMessage& message = sendsWhole ? *whole : changesOnly;
     message.membership = known < present ? consensus_.membership() : Membership();
     sendHeartbeat(ip, message);
   }
--- a/consensus/consensus_driver.hpp
+++ b/consensus/consensus_driver.hpp
@@ -41,10 +41,11 @@
   /// Writes and sends what the consensus has put out.
   void flush();
 
-  /// Called for each heartbeat that comes in, with what it carries; true if the registries differ.
-  std::function<bool(HeartbeatMessage const&)> onHeartbeat;
-  /// Fills in the workers and nodes that a heartbeat shall carry.
-  std::function<void(HeartbeatMessage&, bool wholeRegistry)> fillHeartbeat;
+  /// Called for each heartbeat that comes in, with what it carries.
+  std::function<void(HeartbeatMessage const&)> onHeartbeat;
+  /// Fills in the workers and nodes that a heartbeat shall carry. `isExtra`: it goes to one node beside the periodic
+  /// ones, and nothing that it carries counts as told to the others.
+  std::function<void(HeartbeatMessage&, bool isExtra)> fillHeartbeat;
   /// Called whenever the control state may have changed.
   std::function<void()> onChange;
 
@@ -61,14 +62,13 @@
   /// What is known of the exchange of heartbeats with an address.
   struct HeartbeatLink {
     bool awaitsReply = false;
-    int registryMismatches = 0;  ///< heartbeats in a row that came with another registry
-    TimePoint answeredAt;        ///< when a heartbeat was last sent back at once
+    TimePoint answeredAt;  ///< when a heartbeat was last sent back at once
   };
 
   void replayLog();
   HeartbeatReply receiveHeartbeat(HeartbeatMessage const& message);
   void answerUnheardPeer(Heartbeat const& heartbeat, TimePoint now);
-  HeartbeatMessage makeHeartbeat(MembershipNumber known, bool wholeRegistry);
+  HeartbeatMessage makeHeartbeat(MembershipNumber known, bool isExtra);
   /// The addresses of heartbeats, and the membership that each is known to have.
   std::map<string, MembershipNumber> heartbeatReceivers(TimePoint now) const;
   void sendHeartbeat(string const& ip, HeartbeatMessage const& message);
@@ -91,7 +91,6 @@
   std::map<NodeId, PeerHeartbeat> peers_;
   std::map<string, HeartbeatLink> links_;  ///< by address
   std::set<string> announcedOwnerships_;
-  TimePoint startedAt_ = Clock::now();
   MembershipManager membership_;
 };
 
--- a/consensus/control_messages.hpp
+++ b/consensus/control_messages.hpp
@@ -28,8 +28,8 @@
   Heartbeat heartbeat;
   Membership membership;
   vector<Worker> workers;
-  bool wholeRegistry = false;        ///< all workers are carried, not only changes
-  std::uint64_t registryDigest = 0;  ///< of the registry of workers, so that a gap is noticed
+  bool wholeRegistry = false;        ///< all workers are carried; only releases before 0.2 say so
+  std::uint64_t registryDigest = 0;  ///< of the registry of workers, so that a gap is noticed; 0 if it isn't told
   std::uint64_t nodesDigest = 0;     ///< of the data-plane nodes that ask at this control node
   bool carriesNodes = false;
   vector<DataNode> nodes;
--- a/control/control_node.cpp
+++ b/control/control_node.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 constexpr std::uint64_t maxCallBytes = 16u << 20;
-/// Prefix of members in the published table.
-string const memberPrefix = "m/";
 }  // namespace
 
 ControlNode::ControlNode(asio::io_context& io, Settings const& settings)
@@ -32,10 +30,10 @@
     return UpdatePublisher::Proof{healthy, 0, driver_.consensus().majorityContact(Clock::now())};
   };
   workers_.onChange = [this] { publish(); };
-  driver_.onHeartbeat = [this](HeartbeatMessage const& message) { return onHeartbeat(message); };
-  driver_.fillHeartbeat = [this](HeartbeatMessage& message, bool whole) {
-    workers_.fillHeartbeat(message, whole);
-    nodes_.fillHeartbeat(message, whole);
+  driver_.onHeartbeat = [this](HeartbeatMessage const& message) { onHeartbeat(message); };
+  driver_.fillHeartbeat = [this](HeartbeatMessage& message, bool isExtra) {
+    workers_.fillHeartbeat(message, isExtra);
+    nodes_.fillHeartbeat(message, isExtra);
   };
   driver_.onChange = [this] { onControlStateChange(); };
   lots_.retiringStores = [this] { return RetirementHandler::retiringStores(driver_.consensus()); };
@@ -47,6 +45,8 @@
   driver_.start(rpcServer_);
   lots_.start(rpcServer_);
   rpcServer_.on<UpdateRequest>([this](UpdateRequest request) { return publisher_.serve(std::move(request)); });
+  rpcServer_.on<CompareRegistry>(
+      [this](CompareRegistry request) -> Task<RegistryDifference> { co_return workers_.differenceFor(request); });
   rpcServer_.on<ForwardedCall>([this](ForwardedCall call) -> Task<CallReply> {
     if (call.budgetMs <= 0) call.budgetMs = callBudgetMs();
     co_return co_await route(std::move(call));
@@ -102,13 +102,12 @@
   }
 }
 
-/// Takes in what another control node says of workers and data-plane nodes; true if the registries differ.
-bool ControlNode::onHeartbeat(HeartbeatMessage const& message) {
+/// Takes in what another control node says of workers and data-plane nodes.
+void ControlNode::onHeartbeat(HeartbeatMessage const& message) {
   TimePoint const now = Clock::now();
   bool const changed = workers_.receive(message, now);
   nodes_.receive(message, now);
   if (changed) publish();
-  return !message.wholeRegistry && workers_.differsFrom(message);
 }
 
 void ControlNode::onControlStateChange() {
@@ -128,15 +127,16 @@
 void ControlNode::publishMembers() {
   Membership const& membership = driver_.consensus().membership();
   publishedMembership_ = membership.number;
+  string const prefix(memberRowPrefix);
   std::set<string> present;
   for (Member const& member : membership.members) {
-    string const key = memberPrefix + hex(member.id.value);
+    string const key = prefix + hex(member.id.value);
     publisher_.common.put(key, serialize(member));
     present.insert(key);
   }
   vector<string> former;
   Values const& rows = publisher_.common.rows();
-  for (auto row = rows.lower_bound(memberPrefix); row != rows.end() && row->first.starts_with(memberPrefix); ++row)
+  for (auto row = rows.lower_bound(prefix); row != rows.end() && row->first.starts_with(prefix); ++row)
     if (!present.contains(row->first)) former.push_back(row->first);
   for (string const& key : former) publisher_.common.erase(key);
 }
--- a/control/control_node.hpp
+++ b/control/control_node.hpp
@@ -24,7 +24,7 @@
   /// Time in which a call is answered; its caller turns to another node soon after.
   std::int64_t callBudgetMs() const { return (settings_.bounds.confirmWithin / 5).count(); }
   Task<void> sweepLoop();
-  bool onHeartbeat(HeartbeatMessage const& message);
+  void onHeartbeat(HeartbeatMessage const& message);
   void onControlStateChange();
   /// Brings the published table up to the registry and the membership, and tells those who ask.
   void publish();
--- a/control/messages.hpp
+++ b/control/messages.hpp
@@ -1,7 +1,7 @@
 #pragma once
-#include "wire/rpc.hpp"
+#include "fleet/nodes.hpp"
 
-/// Calls of workers and operators, handed on between control nodes.
+/// Calls between control nodes on what workers and operators told them.
 namespace tealshelf {
 
 /// Answer to a call of a worker or an operator.
@@ -21,4 +21,20 @@
   MSGPACK_DEFINE(verb, path, ifMatch, body, hops, budgetMs)
 };
 
+/// The part of a registry of workers that differs from the asker's.
+struct RegistryDifference {
+  bool isComplete = false;        ///< false: the answerer may itself lack workers of these buckets
+  vector<std::uint32_t> buckets;  ///< in which the registries differ
+  vector<Worker> workers;         ///< all that the answerer has in them
+  MSGPACK_DEFINE(isComplete, buckets, workers)
+};
+
+/// Asks for what differs from the asker's registry of workers.
+struct CompareRegistry {
+  using Reply = RegistryDifference;
+  static constexpr RpcMethod method = RpcMethod::compareRegistry;
+  vector<std::uint64_t> buckets;  ///< digests, see RegistryDigest
+  MSGPACK_DEFINE(buckets)
+};
+
 }  // namespace tealshelf
--- a/control/node_directory.cpp
+++ b/control/node_directory.cpp
@@ -15,16 +15,16 @@
   if (message.carriesNodes) peer.nodes = message.nodes;
 }
 
-void NodeDirectory::fillHeartbeat(HeartbeatMessage& message, bool whole) {
+void NodeDirectory::fillHeartbeat(HeartbeatMessage& message, bool isExtra) {
   vector<DataNode> const here = publisher_.recentNodes(Clock::now());
   message.nodesDigest = RelayTopology::digest(here);
   if (message.nodesDigest != sentDigest_) {
     sentDigest_ = message.nodesDigest;
     heartbeatsSinceChange_ = 0;
   }
-  message.carriesNodes =
-      whole || heartbeatsSinceChange_ < heartbeatsAfterChange || heartbeatsSinceChange_ % heartbeatsBetweenRepeats == 0;
-  if (!whole) ++heartbeatsSinceChange_;
+  message.carriesNodes = isExtra || heartbeatsSinceChange_ < heartbeatsAfterChange ||
+                         heartbeatsSinceChange_ % heartbeatsBetweenRepeats == 0;
+  if (!isExtra) ++heartbeatsSinceChange_;
   if (message.carriesNodes) message.nodes = here;
 }
 
--- a/control/node_directory.hpp
+++ b/control/node_directory.hpp
@@ -11,7 +11,7 @@
   /// Takes in what another control node says of who asks there.
   void receive(HeartbeatMessage const& message, TimePoint now);
   /// Adds who asks here to a heartbeat, when that is due.
-  void fillHeartbeat(HeartbeatMessage& message, bool whole);
+  void fillHeartbeat(HeartbeatMessage& message, bool isExtra);
   /// Brings the published lists of the zones' nodes up to date.
   void publish();
 
--- a/control/worker_directory.cpp
+++ b/control/worker_directory.cpp
@@ -8,17 +8,10 @@
 namespace {
 /// The part of the disk's space that the log of workers may use.
 constexpr double logShare = 0.15;
-/// Prefix of workers in the published table.
-string const rowPrefix = "w/";
-
-/// A worker without what changes with each heartbeat and is of no use to the data plane.
-Worker publishedForm(Worker worker) {
-  worker.callCount = 0;
-  worker.warmupLeftMs = 0;
-  worker.registrar = NodeId();
-  worker.ejectionRevision = 0;
-  return worker;
-}
+
+/// After so many heartbeats in a row with another registry, what differs is fetched: changes that are under way make
+/// registries differ for a moment.
+constexpr int maxMismatches = 2;
 }  // namespace
 
 WorkerDirectory::WorkerDirectory(asio::io_context& io, Settings const& settings, RpcClient& rpc,
@@ -56,9 +49,9 @@
   recordChanges();
   for (Worker const& worker : registry_.changedSince(publishedRevision_)) {
     if (worker.removed)
-      publisher_.common.erase(rowPrefix + worker.id);
+      publisher_.common.erase(string(workerRowPrefix) + worker.id);
     else
-      publisher_.common.put(rowPrefix + worker.id, serialize(publishedForm(worker)));
+      publisher_.common.put(string(workerRowPrefix) + worker.id, serialize(publishedForm(worker)));
   }
   publishedRevision_ = registry_.revision();
 }
@@ -154,27 +147,72 @@
     changed = registry_.mergeAll(message.workers, from, now);
   else
     for (Worker const& worker : message.workers) changed = registry_.merge(worker, now) || changed;
-  bool const sameAsHere = message.wholeRegistry || !differsFrom(message);
-  if (sameAsHere && mergedFrom_.insert(from).second) changed = true;
+  if (message.wholeRegistry || isSameAs(message)) {
+    mismatches_.erase(from);
+    changed = mergedFrom_.insert(from).second || changed;
+  } else if (message.registryDigest) {
+    noteDifference(message.heartbeat.sender, now);
+  }
   outliers_.receiveReport(from, message.tallies, now);
   return changed;
 }
 
-bool WorkerDirectory::differsFrom(HeartbeatMessage const& message) const {
-  return message.registryDigest != publisher_.common.digest();
+bool WorkerDirectory::isSameAs(HeartbeatMessage const& message) const {
+  return message.registryDigest == registry_.digest().total();
 }
 
-void WorkerDirectory::fillHeartbeat(HeartbeatMessage& message, bool whole) {
+void WorkerDirectory::noteDifference(Member const& sender, TimePoint now) {
+  // A node that begins fetches at once, from one after the other; later one fetch in a while heals what was lost.
+  bool const begins = !isComplete();
+  int const mismatches = ++mismatches_[sender.id];
+  bool const rests = now - fetchedAt_ < 4 * driver_.heartbeatPeriod();
+  if (fetching_ || (!begins && (rests || mismatches < maxMismatches))) return;
+  mismatches_.erase(sender.id);
+  fetching_ = true;
+  spawnTask(io_, "registry", fetchDifference(sender));
+}
+
+Task<void> WorkerDirectory::fetchDifference(Member sender) {
+  CompareRegistry const request{registry_.digest().buckets()};
+  RegistryDifference difference;
+  bool answered = true;
+  try {
+    difference = co_await rpc_.call(settings_.controlAddress(sender.ip), request, settings_.bounds.inTouch / 4);
+  } catch (Error const& error) {
+    logDebug("workers", string("a registry wasn't told: ") + error.what());
+    answered = false;
+  }
   TimePoint const now = Clock::now();
-  // Before its own registry can be complete, a node doesn't call it whole.
-  message.wholeRegistry = whole && (registry_.size() || isComplete());
-  if (message.wholeRegistry)
-    message.workers = registry_.present();
-  else if (!whole)
-    message.workers = registry_.takeTransitions();
+  fetching_ = false;
+  fetchedAt_ = now;
+  if (!answered) co_return;
+  bool changed = false;
+  if (difference.isComplete) {
+    std::set<std::uint32_t> const buckets(difference.buckets.begin(), difference.buckets.end());
+    changed = registry_.mergeBuckets(difference.workers, buckets, sender.id, now);
+    changed = mergedFrom_.insert(sender.id).second || changed;
+  } else {
+    for (Worker const& worker : difference.workers) changed = registry_.merge(worker, now) || changed;
+  }
+  if (changed) onChange();
+}
+
+RegistryDifference WorkerDirectory::differenceFor(CompareRegistry const& request) const {
+  std::set<std::uint32_t> const buckets = registry_.digest().differingFrom(request.buckets);
+  RegistryDifference difference;
+  // Before its own registry can be complete, a node doesn't call it so.
+  difference.isComplete = registry_.size() || isComplete();
+  difference.buckets.assign(buckets.begin(), buckets.end());
+  difference.workers = registry_.presentIn(buckets);
+  return difference;
+}
+
+void WorkerDirectory::fillHeartbeat(HeartbeatMessage& message, bool isExtra) {
+  TimePoint const now = Clock::now();
+  if (!isExtra) message.workers = registry_.takeTransitions();
   outliers_.record(publisher_.takeTallies(), now);
   message.tallies = outliers_.report(now);
-  message.registryDigest = publisher_.common.digest();
+  message.registryDigest = registry_.digest().total();
 }
 
 bool WorkerDirectory::evaluateOutliers() {
--- a/control/worker_directory.hpp
+++ b/control/worker_directory.hpp
@@ -17,11 +17,12 @@
   /// No more heartbeats are directed to this node.
   void stop() { stopping_ = true; }
 
-  /// Takes in what another control node says of workers; true if something changed.
+  /// Takes in what another control node says of workers; true if something changed. If its registry stays another one
+  /// than this, what differs is fetched from it.
   bool receive(HeartbeatMessage const& message, TimePoint now);
-  void fillHeartbeat(HeartbeatMessage& message, bool whole);
-  /// True if a heartbeat came from a node whose registry differs from this one.
-  bool differsFrom(HeartbeatMessage const& message) const;
+  void fillHeartbeat(HeartbeatMessage& message, bool isExtra);
+  /// What this registry has in the buckets in which the asker's differs.
+  RegistryDifference differenceFor(CompareRegistry const& request) const;
 
   /// Puts changed workers on the disk, without waiting, and in the published table.
   void publishRows();
@@ -50,6 +51,11 @@
   Task<void> tellMajority(Worker worker);
   /// Where the next heartbeats of a worker should go: a control node of its zone if there is one.
   std::optional<Address> registrarFor(Worker const& worker) const;
+  /// True if this registry and that of a heartbeat's sender are the same.
+  bool isSameAs(HeartbeatMessage const& message) const;
+  /// Notes that a sender's registry differs, and has the difference fetched once that is due.
+  void noteDifference(Member const& sender, TimePoint now);
+  Task<void> fetchDifference(Member sender);
   void replayLog();
   void recordChanges();
   NodeId self() const { return driver_.consensus().self().id; }
@@ -61,8 +67,11 @@
   UpdatePublisher& publisher_;
   WorkerRegistry registry_;
   OutlierDetector outliers_;
-  std::unique_ptr<DurableLog> log_;  ///< null without a disk
-  std::set<NodeId> mergedFrom_;      ///< nodes whose whole registry was taken in
+  std::unique_ptr<DurableLog> log_;   ///< null without a disk
+  std::set<NodeId> mergedFrom_;       ///< nodes whose whole registry was taken in
+  std::map<NodeId, int> mismatches_;  ///< heartbeats in a row with another registry
+  bool fetching_ = false;             ///< a difference is being fetched
+  TimePoint fetchedAt_;
   std::uint64_t publishedRevision_ = 0;
   std::uint64_t recordedRevision_ = 0;
   bool stopping_ = false;
--- a/tests/control/worker_directory_test.cpp
+++ b/tests/control/worker_directory_test.cpp
@@ -24,6 +24,15 @@
     for (std::size_t n = 0; n < nodeCount; ++n) nodes_.push_back(std::make_unique<Node>(settingsOf(n)));
     for (std::unique_ptr<Node> const& node : nodes_) node->control.start();
   }
+  /// Starts a node again with its control state, but without its log of workers.
+  void restartWithoutWorkers(std::size_t node) {
+    Settings settings = nodes_[node]->settings;
+    settings.firstBoot = false;
+    nodes_[node].reset();
+    std::filesystem::remove_all(settings.dataFolder + "/workers");
+    nodes_[node] = std::make_unique<Node>(settings);
+    nodes_[node]->control.start();
+  }
 
   /// From now on it hears and says nothing; its connections stay.
   void freeze(std::size_t node) { nodes_[node]->frozen = true; }
@@ -43,6 +52,22 @@
       if (call(node, "PUT", path, body) == status) return true;
     return false;
   }
+  /// Asks a node for its registry until it names a worker; false if it never does.
+  bool getsToKnow(std::size_t node, string const& id) {
+    RpcClient rpc(client_, Ms(2000));
+    TimePoint const end = Clock::now() + limit;
+    bool known = false;
+    while (!known && Clock::now() < end) {
+      bool ended = false;
+      asio::co_spawn(client_, rpc.call(nodes_[node]->settings.controlAddress(ip(node)), CompareRegistry(), Ms(1000)),
+                     [&](std::exception_ptr failure, RegistryDifference difference) {
+                       ended = true;
+                       for (Worker const& worker : difference.workers) known = known || (!failure && worker.id == id);
+                     });
+      runUntil([&ended] { return ended; });
+    }
+    return known;
+  }
 
  private:
   static constexpr Ms limit{20000};
@@ -129,3 +154,11 @@
   plane.freeze(2);
   LONGS_EQUAL(200, plane.call(0, "PUT", worker, workerIn("draining", 2)));
 }
+TEST(workerDirectory, aNodeThatLostItsRegistryFetchesIt) {
+  ControlPlane plane;
+  CHECK(plane.callUntil(200, 0, worker, workerIn("ready", 1)));
+  CHECK(plane.callUntil(200, 1, "/servers/i-2", workerIn("ready", 1)));
+  plane.restartWithoutWorkers(2);
+  CHECK(plane.getsToKnow(2, "i-1"));
+  CHECK(plane.getsToKnow(2, "i-2"));
+}
--- a/tests/formats_test.cpp
+++ b/tests/formats_test.cpp
@@ -347,16 +347,23 @@
   request.carriesNodes = true;
   request.nodes = {dataNode()};
   request.tallies = {{"i", 1, 2}};
+  request.isIntroduction = true;
   expectBytes(
-      "9b0295a16ea17aa46564676592a831302e302e302e31cd1deecd012c05c301020304c39195a16ea17aa46564676592a8"
-      "31302e302e302e31cd1deecd012c9193a1690102",
+      "9c0295a16ea17aa46564676592a831302e302e302e31cd1deecd012c05c301020304c39195a16ea17aa46564676592a8"
+      "31302e302e302e31cd1deecd012c9193a1690102c3",
       request);
   UpdateReply reply;
   reply.healthy = true;
   reply.configuration = "c";
   reply.common = "x";
   reply.commonDigest = 4;
-  expectBytes("9c02c3c200000000a163a178a00400", reply);
+  reply.members = {{"k", "v", false}};
+  expectBytes("9d02c3c200000000a163a178a004009193a16ba176c2", reply);
+  expectBytes("9191cd012c", CompareRegistry{{300}});
+  RegistryDifference difference;
+  difference.isComplete = true;
+  difference.buckets = {7};
+  expectBytes("93c3910790", difference);
 }
 
 TEST(formats, framesAndLogFiles) {
--- a/tests/updates/updates_test.cpp
+++ b/tests/updates/updates_test.cpp
@@ -211,6 +211,64 @@
   LONGS_EQUAL(2, publisher.configurationVersion());
 }
 
+TEST(updates, aStartingNodeIsToldWhomToAskAndGetsTheTablesThere) {
+  asio::io_context io;
+  Settings settings;
+  UpdatePublisher control(io, settings, 0), publisher(io, settings, 0);
+  TimePoint const t = TimePoint() + std::chrono::hours(1);
+  control.proof = [&] { return UpdatePublisher::Proof{true, 0, t}; };
+  control.setConfiguration(2, "two");
+  control.common.put("w/a", "a worker");
+  Member const member{NodeId(1), "c", "10.0.0.9", "z", false};
+  control.common.put(string(memberRowPrefix) + "1", serialize(member));
+  for (int number = 0; number < 20; ++number) {
+    DataNode const node{"n" + std::to_string(number), "z", "edge", {"10.0.0." + std::to_string(number), 2}, 300};
+    control.zones["z"].put(node.name, serialize(node));
+  }
+  UpdateSubscriber subscriber(
+      DataNode{"self", "z", "edge", {"10.0.0.99", 2}, 300}, UpdateSubscriber::Timeouts::of(settings.bounds),
+      {{"10.0.0.77", 1}},
+      [](string const& ip) {
+        return Address{ip, 1};
+      },
+      publisher);
+  UpdateSubscriber::Plan const first = subscriber.firstPlan({"10.0.0.77", 1}, t);
+  CHECK(first.request.isIntroduction);
+  UpdateReply const reply = *control.answerIfDue(first.request, t, t, false);
+  CHECK(reply.common.empty() && reply.configuration.empty());
+  LONGS_EQUAL(1, reply.members.size());
+  CHECK(subscriber.receive(first, reply, t, t));
+  CHECK(subscriber.isIntroduced());
+  // A relay of the zone is asked for the rest, then control in the zone, and the seed last.
+  vector<Address> const sources = subscriber.firstSources(t);
+  LONGS_EQUAL(4, sources.size());
+  CHECK(sources[0].port == 2 && sources[1].port == 2);
+  CHECK((sources[2] == Address{"10.0.0.9", 1}));
+  CHECK((sources[3] == Address{"10.0.0.77", 1}));
+  UpdateSubscriber::Plan const second = subscriber.firstPlan(sources[2], t);
+  CHECK_FALSE(second.request.isIntroduction);
+  CHECK(subscriber.receive(second, *control.answerIfDue(second.request, t, t, false), t, t));
+  LONGS_EQUAL(2, publisher.configurationVersion());
+  LONGS_EQUAL(2, publisher.common.rows().size());
+}
+TEST(updates, anIntroductionOfANodeThatIsNotHealthyIsNotTaken) {
+  asio::io_context io;
+  Settings settings;
+  UpdatePublisher publisher(io, settings, 0);
+  TimePoint const t = TimePoint() + std::chrono::hours(1);
+  UpdateSubscriber subscriber(
+      DataNode{"self", "z", "edge", {"10.0.0.99", 2}, 300}, UpdateSubscriber::Timeouts::of(settings.bounds),
+      {{"10.0.0.77", 1}},
+      [](string const& ip) {
+        return Address{ip, 1};
+      },
+      publisher);
+  UpdateSubscriber::Plan const first = subscriber.firstPlan({"10.0.0.77", 1}, t);
+  UpdateReply unhealthy;
+  CHECK_FALSE(subscriber.receive(first, unhealthy, t, t));
+  CHECK_FALSE(subscriber.isIntroduced());
+}
+
 TEST(updates, aFleetWithRelaysConverges) {
   for (std::uint64_t s = 1; s <= seeds(); ++s) {
     string const b = play(s, {});
--- a/updates/fleet_view.cpp
+++ b/updates/fleet_view.cpp
@@ -5,7 +5,8 @@
 namespace tealshelf {
 
 namespace {
-constexpr string_view workerPrefix = "w/";  ///< of the keys of workers
+/// First requests that are under way at once: whoever is asked may answer with everything.
+constexpr std::size_t maxFirstRequests = 4;
 
 vector<Address> controlSeeds(Settings const& settings) {
   vector<Address> seeds;
@@ -27,7 +28,8 @@
       publisher_(io, settings, 2 * RelayTopology::fanOut),
       subscriber_(
           selfOf(settings, std::move(role), std::move(address)), UpdateSubscriber::Timeouts::of(settings.bounds),
-          controlSeeds(settings), [&settings](string const& ip) { return settings.controlAddress(ip); }, publisher_) {
+          controlSeeds(settings), [&settings](string const& ip) { return settings.controlAddress(ip); }, publisher_),
+      firstAnswer_(io) {
   publisher_.proof = [this] { return subscriber_.proof(Clock::now()); };
   subscriber_.onRow = [this](TableRow const& row) { applyRow(row); };
 }
@@ -38,9 +40,9 @@
 }
 
 void FleetView::applyRow(TableRow const& row) {
-  if (!row.key.starts_with(workerPrefix)) return;
+  if (!row.key.starts_with(workerRowPrefix)) return;
   ++revision_;
-  string const id = row.key.substr(workerPrefix.size());
+  string const id = row.key.substr(workerRowPrefix.size());
   if (row.removed)
     workers_.erase(id);
   else
@@ -77,31 +79,44 @@
   if (good && hasUpdates && publisher_.heldRequests()) publisher_.notifyAfter(Ms(0));
   if (onUpdate && hasUpdates) onUpdate();
   // A source that answers early with nothing must not be asked in a tight loop.
-  bool const emptyAndEarly = !hasUpdates && !reply.wantsNodes && Ms(reply.heldMs) < plan.hold / 2;
+  bool const isEmpty = !hasUpdates && !reply.wantsNodes && !plan.request.isIntroduction;
+  bool const emptyAndEarly = isEmpty && Ms(reply.heldMs) < plan.hold / 2;
   if (good && emptyAndEarly) co_await sleepFor(settings_.bounds.inTouch / 200);
   co_return good;
 }
 
-Task<void> FleetView::askFirst(Address control) {
-  askedFirst_.insert(control);
+Task<void> FleetView::askFirst(Address source) {
+  askedFirst_.insert(source);
   try {
-    co_await carryOut(subscriber_.firstPlan(control, Clock::now()));
+    co_await carryOut(subscriber_.firstPlan(source, Clock::now()));
   } catch (Error const& error) {
     logDebug("updates", error.what());
+    subscriber_.noteFailed(source, Clock::now());
   }
-  askedFirst_.erase(control);
+  askedFirst_.erase(source);
+  firstAnswer_.cancel();
+}
+
+Task<void> FleetView::pauseFirst(Ms limit) {
+  firstAnswer_.expires_after(limit);
+  error_code ignored;
+  co_await firstAnswer_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
 Task<void> FleetView::getFirstConfiguration() {
   while (!configuration_) {
-    vector<Address> const controls = controlAddresses();
-    for (Address const& control : controls) {
-      if (configuration_) break;
-      if (askedFirst_.contains(control)) continue;
-      spawnTask(io_, "first updates", askFirst(control));
-      co_await sleepFor(settings_.bounds.inTouch / 200);
+    bool const introduced = subscriber_.isIntroduced();
+    vector<Address> const sources = subscriber_.firstSources(Clock::now());
+    for (Address const& source : sources) {
+      if (configuration_ || subscriber_.isIntroduced() != introduced) break;
+      if (askedFirst_.contains(source) || askedFirst_.size() >= maxFirstRequests) continue;
+      spawnTask(io_, "first updates", askFirst(source));
+      // Introductions are small; everything is asked for a second time only if it takes long.
+      co_await pauseFirst(settings_.bounds.inTouch / (introduced ? 50 : 200));
     }
-    co_await sleepFor(settings_.bounds.inTouch / 100);
+    // Sources that fail at once must not be asked in a tight loop.
+    bool const nothingCame = !configuration_ && subscriber_.isIntroduced() == introduced;
+    if (nothingCame) co_await sleepFor(settings_.bounds.inTouch / 100);
   }
 }
 
--- a/updates/fleet_view.hpp
+++ b/updates/fleet_view.hpp
@@ -45,10 +45,12 @@
  private:
   bool knowsFleetWithin(Ms age) const { return configuration_ && Clock::now() - subscriber_.provenAt() < age; }
   Task<void> updateLoop();
-  /// Asks the control nodes that are known, one after the other without waiting, until the first configuration is
-  /// there.
+  /// Asks the sources that are known, one after the other and a few at once, until the first configuration is there:
+  /// first control nodes for an introduction, then the nearest for everything.
   Task<void> getFirstConfiguration();
-  Task<void> askFirst(Address control);
+  Task<void> askFirst(Address source);
+  /// Waits, but no longer than until an answer to a first request came.
+  Task<void> pauseFirst(Ms limit);
   /// Sends a planned request and takes its reply; true if its source may be asked on.
   Task<bool> carryOut(UpdateSubscriber::Plan plan);
   void installConfiguration();
@@ -63,7 +65,8 @@
   std::map<string, Worker> workers_;
   mutable std::map<string, vector<Worker const*>> workersByService_;  ///< of the revision below
   mutable std::uint64_t workersByServiceRevision_ = 0;
-  std::set<Address> askedFirst_;  ///< control nodes with a first request under way
+  std::set<Address> askedFirst_;  ///< sources with a first request under way
+  asio::steady_timer firstAnswer_;
   TimePoint talliesSentAt_;
   std::uint64_t revision_ = 1;
   std::uint64_t requestsSent_ = 0;
--- a/updates/messages.hpp
+++ b/updates/messages.hpp
@@ -1,11 +1,15 @@
 #pragma once
 #include "fleet/nodes.hpp"
+#include "updates/versioned_table.hpp"
 
 /// Calls by which data-plane nodes ask for updates.
 namespace tealshelf {
 
 /// Format of the updates; a subscriber with another one is refused.
 constexpr int updateFormat = 2;
+/// Prefixes of the keys in the common table: workers and members of the control plane.
+constexpr string_view workerRowPrefix = "w/";
+constexpr string_view memberRowPrefix = "m/";
 
 /// Answer of a control node or a relay to a request for updates.
 struct UpdateReply {
@@ -19,8 +23,9 @@
   string configuration;  ///< empty if the subscriber has it
   string common, zone;   ///< serialized TableDeltas; empty if the subscriber is up to date
   std::uint64_t commonDigest = 0, zoneDigest = 0;
+  vector<TableRow> members;  ///< only in answers to introductions
   MSGPACK_DEFINE(format, healthy, wantsNodes, depth, proofAgeMs, heldMs, configurationVersion, configuration, common,
-                 zone, commonDigest, zoneDigest)
+                 zone, commonDigest, zoneDigest, members)
 };
 
 /// Asks for updates with the versions that the subscriber has; held until there are some.
@@ -36,8 +41,11 @@
   bool carriesNodes = false;
   vector<DataNode> nodes;
   vector<WorkerTally> tallies;  ///< how requests at workers went since the last request, here and at the nodes
+  /// The subscriber only wants to know whom to ask: the nodes of its zone and the members. Everything else it gets
+  /// from a node near it.
+  bool isIntroduction = false;
   MSGPACK_DEFINE(format, self, holdMs, isFirst, configurationVersion, commonDigest, zoneDigest, nodesDigest,
-                 carriesNodes, nodes, tallies)
+                 carriesNodes, nodes, tallies, isIntroduction)
 };
 
 }  // namespace tealshelf
--- a/updates/update_publisher.cpp
+++ b/updates/update_publisher.cpp
@@ -102,7 +102,7 @@
                           zone.digest() != request.zoneDigest || reply.wantsNodes;
   bool const timeIsUp = now >= receivedAt + holdOf(request);
   // An unhealthy node answers at once, but for subscribers that have nothing better to ask yet.
-  bool const due = timeIsUp || (reply.healthy ? hasUpdates : !request.isFirst);
+  bool const due = timeIsUp || (reply.healthy ? hasUpdates || request.isIntroduction : !request.isFirst);
   if (!due) return std::nullopt;
   std::int64_t const proofAgeMs = std::chrono::duration_cast<Ms>(now - present.provenAt).count();
   reply.proofAgeMs = std::clamp<std::int64_t>(proofAgeMs, 0, maxProofAgeMs);
@@ -110,16 +110,29 @@
   reply.configurationVersion = configurationVersion_;
   reply.commonDigest = common.digest();
   reply.zoneDigest = zone.digest();
-  if (reply.healthy) {
+  if (reply.healthy && request.isIntroduction) {
+    introduce(request, reply);
+  } else if (reply.healthy) {
     if (newConfiguration) reply.configuration = configuration_;
     if (reply.commonDigest != request.commonDigest) reply.common = serializedDelta(common, request.commonDigest);
     if (reply.zoneDigest != request.zoneDigest) reply.zone = serializedDelta(zone, request.zoneDigest);
   }
   ++repliesSent_;
+  for (TableRow const& member : reply.members) bytesSent_ += member.key.size() + member.value.size();
   bytesSent_ += reply.configuration.size() + reply.common.size() + reply.zone.size() + replyOverhead;
   return reply;
 }
 
+void UpdatePublisher::introduce(UpdateRequest const& request, UpdateReply& reply) {
+  if (reply.zoneDigest != request.zoneDigest)
+    reply.zone = serializedDelta(zones[request.self.zone], request.zoneDigest);
+  string const prefix(memberRowPrefix);
+  for (auto row = common.rows().lower_bound(prefix); row != common.rows().end(); ++row) {
+    if (!row->first.starts_with(prefix)) break;
+    reply.members.push_back({row->first, row->second, false});
+  }
+}
+
 Task<UpdateReply> UpdatePublisher::serve(UpdateRequest request) {
   if (request.format != updateFormat)
     throw Error(ErrorCode::badMessage, "format of updates " + std::to_string(request.format));
--- a/updates/update_sources.cpp
+++ b/updates/update_sources.cpp
@@ -51,6 +51,13 @@
   failure.restsUntil = now + rest + Ms(static_cast<std::int64_t>(jitter));
 }
 
+vector<Address> UpdateSources::inOrder(TimePoint now) const {
+  vector<Address> sources = parents_;
+  sources.insert(sources.end(), controls_.begin(), controls_.end());
+  std::stable_partition(sources.begin(), sources.end(), [&](Address const& source) { return !rests(source, now); });
+  return sources;
+}
+
 vector<Address> UpdateSources::controlAddresses(TimePoint now) const {
   vector<Address> controls = controls_;
   std::stable_partition(controls.begin(), controls.end(), [&](Address const& control) { return !rests(control, now); });
--- a/updates/update_sources.hpp
+++ b/updates/update_sources.hpp
@@ -16,6 +16,8 @@
   bool isParent(Address const& source) const;
   void noteAnswered(Address const& source) { failures_.erase(source); }
   void noteFailed(Address const& source, TimePoint now);
+  /// All in the order of preference, those that rest last.
+  vector<Address> inOrder(TimePoint now) const;
   /// Control nodes, those that rest last.
   vector<Address> controlAddresses(TimePoint now) const;
 
--- a/updates/update_subscriber.cpp
+++ b/updates/update_subscriber.cpp
@@ -7,7 +7,6 @@
 namespace {
 /// After one relay and one in reserve comes control, so that a zone that lost its relays is not late.
 constexpr std::size_t maxParents = 2;
-constexpr char memberKey = 'm';  ///< with which the keys of members begin
 }  // namespace
 
 UpdateSubscriber::UpdateSubscriber(DataNode self, Timeouts timeouts, vector<Address> seeds,
@@ -87,6 +86,8 @@
   plan.hold = timeouts_.inTouch / 8;
   plan.limit = plan.hold + timeouts_.inTouch / 10;
   plan.request = makeRequest(now, plan.hold, true);
+  plan.request.isIntroduction = !isIntroduced_;
+  plan.fromParent = sources_.isParent(plan.source);
   return plan;
 }
 
@@ -97,11 +98,29 @@
     members_[row.key] = deserialize<Member>(row.value);
 }
 
+bool UpdateSubscriber::receiveIntroduction(Plan const& plan, UpdateReply const& reply, TimePoint now) {
+  if (!reply.healthy) {
+    sources_.noteFailed(plan.source, now);
+    return false;
+  }
+  sources_.noteAnswered(plan.source);
+  if (isIntroduced_) return true;
+  isIntroduced_ = true;
+  if (!reply.zone.empty())
+    publisher_.zones[self_.zone].apply(deserialize<TableDelta>(reply.zone), [](TableRow const&) {});
+  for (TableRow const& row : reply.members) applyMemberRow(row);
+  arrangeSources();
+  return true;
+}
+
 bool UpdateSubscriber::receive(Plan const& plan, UpdateReply const& reply, TimePoint sentAt, TimePoint now) {
+  // A release that knows no introductions answers with everything.
+  if (plan.request.isIntroduction && reply.common.empty()) return receiveIntroduction(plan, reply, now);
+  isIntroduced_ = true;
   bool nodesChanged = false;
   sendsNodes_ = reply.wantsNodes;
   auto const onCommonChange = [&](TableRow const& row) {
-    if (row.key[0] == memberKey) {
+    if (row.key.starts_with(memberRowPrefix)) {
       nodesChanged = true;
       applyMemberRow(row);
     }
--- a/updates/update_subscriber.hpp
+++ b/updates/update_subscriber.hpp
@@ -33,8 +33,13 @@
   std::function<void(TableRow const&)> onRow;
 
   Plan plan(TimePoint now);
-  /// The request with which a node that knows nothing begins, at any control node.
+  /// The request with which a node that has no configuration yet begins: an introduction at any control node, then all
+  /// that it lacks at a node near it.
   Plan firstPlan(Address source, TimePoint now);
+  /// True once the node knows whom to ask.
+  bool isIntroduced() const { return isIntroduced_; }
+  /// Whom to ask while there is no configuration yet, in order.
+  vector<Address> firstSources(TimePoint now) const { return sources_.inOrder(now); }
   /// Takes a reply; true if its sender may be asked on.
   bool receive(Plan const& plan, UpdateReply const& reply, TimePoint sentAt, TimePoint now);
   /// No reply came in time.
@@ -54,6 +59,7 @@
   vector<Address> controlsByDistance() const;
   UpdateRequest makeRequest(TimePoint now, Ms hold, bool isFirst);
   void applyMemberRow(TableRow const& row);
+  bool receiveIntroduction(Plan const& plan, UpdateReply const& reply, TimePoint now);
 
   DataNode self_;
   Timeouts timeouts_;
@@ -64,6 +70,7 @@
   UpdateSources sources_;
   std::map<string, Member> members_;  ///< by the key of their row
   bool isRelay_ = false;
+  bool isIntroduced_ = false;
   bool sendsNodes_ = false;  ///< the list of nodes that ask here was wanted
 };
 
--- a/workers/worker_registry.cpp
+++ b/workers/worker_registry.cpp
@@ -22,7 +22,10 @@
 
 bool WorkerRegistry::insert(Worker const& worker, TimePoint now) {
   if (worker.lost) return false;
-  rows_[worker.id] = Row{worker, now, ++revision_, false};
+  Row& row = rows_[worker.id];
+  row.worker = worker;
+  row.heardAt = now;
+  noteChange(row);
   if (worker.registrar == self_) transitions_.push_back(worker);
   return true;
 }
@@ -64,7 +67,27 @@
   return changed;
 }
 
+void WorkerRegistry::noteChange(Row& row) {
+  row.revision = ++revision_;
+  bool const isPresent = !row.lost && !row.worker.removed;
+  digest_.subtract(row.worker.id, row.hash);
+  row.hash = isPresent ? RegistryDigest::hashOf(row.worker) : 0;
+  digest_.add(row.worker.id, row.hash);
+}
+
 bool WorkerRegistry::mergeAll(vector<Worker> const& workers, NodeId from, TimePoint now) {
+  return mergeNamed(workers, from, now, [](string const&) { return true; });
+}
+
+bool WorkerRegistry::mergeBuckets(vector<Worker> const& workers, std::set<std::uint32_t> const& buckets, NodeId from,
+                                  TimePoint now) {
+  return mergeNamed(workers, from, now, [&buckets](string const& id) {
+    return buckets.contains(static_cast<std::uint32_t>(RegistryDigest::bucketOf(id)));
+  });
+}
+
+bool WorkerRegistry::mergeNamed(vector<Worker> const& workers, NodeId from, TimePoint now,
+                                std::function<bool(string const&)> const& covers) {
   bool changed = false;
   std::set<string> named;
   for (Worker const& worker : workers) {
@@ -72,7 +95,8 @@
     changed = merge(worker, now) || changed;
   }
   for (auto& [id, row] : rows_) {
-    if (row.lost || row.worker.removed || row.worker.registrar != from || named.contains(id)) continue;
+    bool const isItsOwn = !row.lost && !row.worker.removed && row.worker.registrar == from;
+    if (!isItsOwn || named.contains(id) || !covers(id)) continue;
     row.lost = true;
     noteChange(row);
     changed = true;
@@ -130,6 +154,14 @@
   return workers;
 }
 
+vector<Worker> WorkerRegistry::presentIn(std::set<std::uint32_t> const& buckets) const {
+  vector<Worker> workers;
+  for (auto const& [id, row] : rows_)
+    if (!row.lost && buckets.contains(static_cast<std::uint32_t>(RegistryDigest::bucketOf(id))))
+      workers.push_back(row.worker);
+  return workers;
+}
+
 Worker const* WorkerRegistry::find(string const& id) const {
   auto const found = rows_.find(id);
   return found == rows_.end() ? nullptr : &found->second.worker;
--- a/workers/worker_registry.hpp
+++ b/workers/worker_registry.hpp
@@ -1,5 +1,5 @@
 #pragma once
-#include "fleet/nodes.hpp"
+#include "workers/registry_digest.hpp"
 
 namespace tealshelf {
 
@@ -14,7 +14,9 @@
 
   /// Takes a worker in, by its own heartbeat or another node's word; true if data-plane nodes should hear of it.
   bool merge(Worker const& worker, TimePoint now);
-  /// Takes the whole registry of another control node in: what it should hear but doesn't name is lost.
+  /// Takes in all that another control node has in some buckets: what it should hear there but doesn't name is lost.
+  bool mergeBuckets(vector<Worker> const& workers, std::set<std::uint32_t> const& buckets, NodeId from, TimePoint now);
+  /// The same for its whole registry.
   bool mergeAll(vector<Worker> const& workers, NodeId from, TimePoint now);
   void setEjected(string const& id, bool ejected);
   /// Another control node lives, and so do the workers that it hears.
@@ -30,6 +32,10 @@
   /// Workers that changed after a revision, without the lost ones; the removed ones stand in it so that they don't come
   /// back.
   vector<Worker> present(std::uint64_t sinceRevision = 0) const;
+  /// The present ones in some buckets.
+  vector<Worker> presentIn(std::set<std::uint32_t> const& buckets) const;
+  /// Digest of what data-plane nodes are told; the same at nodes that know the same.
+  RegistryDigest const& digest() const { return digest_; }
   /// Transitions since the last call, for the other control nodes.
   vector<Worker> takeTransitions() { return std::exchange(transitions_, {}); }
   std::uint64_t revision() const { return revision_; }
@@ -40,16 +46,21 @@
     Worker worker;
     TimePoint heardAt;
     std::uint64_t revision = 0;
+    std::uint64_t hash = 0;  ///< what the worker adds to the digest; 0 once it is lost or has ended
     bool lost = false;
   };
   bool insert(Worker const& worker, TimePoint now);
   bool update(Row& row, Worker const& worker, TimePoint now);
   bool markLost(Row& row, Worker const& report);
-  void noteChange(Row& row) { row.revision = ++revision_; }
+  bool mergeNamed(vector<Worker> const& workers, NodeId from, TimePoint now,
+                  std::function<bool(string const&)> const& covers);
+  /// Gives a row a new revision and brings the digest up to it.
+  void noteChange(Row& row);
 
   Ms lostAfter_;
   NodeId self_;
   std::map<string, Row> rows_;
+  RegistryDigest digest_;
   vector<Worker> transitions_;
   std::uint64_t revision_ = 0;
 };
