edge: placements of long shared prefixes are told per prefix and site; two commands

Cause: nobody could tell whether a long prompt was sent to the site that keeps its prefix or read again, and token counts of a prompt were added up without a bound, so that a client could make a worker look empty or full. Change: LoadBalancer::pick tells the worker that should keep the prefix, the choice (kept here, carried, computed here or elsewhere), the reason and both costs; PrefixReport keeps them per prefix and site, 1,024 prefixes at the most; PromptPrefix bounds what a header may claim. The commands tealshelf-control-plane prefixes and traffic print them. No choice is changed by it.

--- a/apps/control_plane.cpp
+++ b/apps/control_plane.cpp
@@ -1,4 +1,5 @@
 #include "apps/daemon.hpp"
+#include "apps/status_reader.hpp"
 #include "control/control_node.hpp"
 
 int main(int argc, char** argv) {
@@ -10,8 +11,10 @@
   DaemonOptions options;
   addOptions(app, options);
   app.add_subcommand("serve", "serve workers, operators and the other nodes");
+  addStatusCommands(app);
   app.require_subcommand(1);
   CLI11_PARSE(app, argc, argv);
+  if (!app.got_subcommand("serve")) return 0;
   return runDaemon(options, [&](asio::io_context& io, Settings const& settings, Daemon& daemon) {
     std::shared_ptr<ControlNode> const node = std::make_shared<ControlNode>(io, settings);
     node->start();
--- a/apps/daemon.cpp
+++ b/apps/daemon.cpp
@@ -1,7 +1,6 @@
 #include "apps/daemon.hpp"
 
 #include "base/invariant_metrics.hpp"
-#include "wire/metrics_server.hpp"
 #include "wire/rpc_traffic.hpp"
 #include "wire/tasks.hpp"
 
@@ -92,7 +91,8 @@
     InvariantMetrics const invariantMetrics;
     std::optional<MetricsServer> metricsServer;
     if (options.metricsPort)
-      metricsServer.emplace(io, Address{settings.ip, options.metricsPort}, 5 * settings.bounds.inTouch, metrics());
+      metricsServer.emplace(io, Address{settings.ip, options.metricsPort}, 5 * settings.bounds.inTouch, metrics(),
+                            daemon.pages);
     endSignals.async_wait([&](error_code error, int) {
       if (error) return;
       logInfo("run", "told to end");
--- a/apps/daemon.hpp
+++ b/apps/daemon.hpp
@@ -1,5 +1,5 @@
 #pragma once
-#include "base/tealshelf.hpp"
+#include "wire/metrics_server.hpp"
 
 #include <CLI/CLI.hpp>
 
@@ -12,6 +12,7 @@
   std::function<void()> stop;    ///< takes no new work
   std::function<bool()> isIdle;  ///< true once nothing is under way
   Ms minStopTime{0};             ///< waits at least so long
+  StatusPages pages;             ///< served beside the metrics
 };
 
 /// What the command line of a daemon tells.
--- a/apps/data_plane.cpp
+++ b/apps/data_plane.cpp
@@ -10,6 +10,7 @@
   node->start();
   daemon.stop = [node] { node->stop(); };
   daemon.isIdle = [node] { return node->activeRequests() == 0; };
+  daemon.pages[string(prefixesPath)] = [node] { return node->prefixes().json(); };
   daemon.minStopTime = settings.bounds.grace / 4;
 }
 
--- /dev/null
+++ b/apps/status_reader.cpp
@@ -0,0 +1,216 @@
+#include "apps/status_reader.hpp"
+
+#include "base/settings.hpp"
+#include "traffic/prefix_report.hpp"
+#include "wire/metrics_server.hpp"
+
+#include <rapidjson/document.h>
+
+#include <iomanip>
+#include <iostream>
+#include <sstream>
+
+namespace tealshelf {
+
+namespace {
+constexpr int exitBadArguments = 2, exitFailure = 3;
+constexpr Ms answerLimit{5000};
+constexpr std::uint64_t maxAnswerBytes = 64u << 20;
+
+/// Gets a page over HTTP; throws ErrorCode::notConnected if there is no good answer in time.
+string getPage(Address const& from, string const& path) {
+  asio::io_context io;
+  beast::tcp_stream stream(io);
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(maxAnswerBytes);
+  bool done = false;
+  asio::co_spawn(
+      io,
+      [&]() -> asio::awaitable<void> {
+        stream.expires_after(answerLimit);
+        co_await stream.async_connect(endpointOf(from), asio::use_awaitable);
+        http::request<http::empty_body> request(http::verb::get, path, 11);
+        request.set(http::field::host, from.ip);
+        co_await http::async_write(stream, request, asio::use_awaitable);
+        beast::flat_buffer buffer;
+        co_await http::async_read(stream, buffer, parser, asio::use_awaitable);
+        done = true;
+      },
+      [](std::exception_ptr) {});
+  io.run();
+  if (!done || parser.get().result() != http::status::ok) throw Error(ErrorCode::notConnected, from.text() + path);
+  return std::move(parser.get().body());
+}
+
+/// Cells in rows, printed with columns of equal width.
+class Table {
+ public:
+  explicit Table(vector<string> head) { add(std::move(head)); }
+  void add(vector<string> row) { rows_.push_back(std::move(row)); }
+  string text() const {
+    vector<std::size_t> widths;
+    for (vector<string> const& row : rows_)
+      for (std::size_t column = 0; column < row.size(); ++column) {
+        if (widths.size() <= column) widths.push_back(0);
+        widths[column] = std::max(widths[column], row[column].size());
+      }
+    std::ostringstream out;
+    for (vector<string> const& row : rows_) {
+      for (std::size_t column = 0; column < row.size(); ++column) {
+        bool const isLast = column + 1 == row.size();
+        if (isLast)
+          out << row[column];
+        else
+          out << std::left << std::setw(static_cast<int>(widths[column] + 2)) << row[column];
+      }
+      out << "\n";
+    }
+    return out.str();
+  }
+
+ private:
+  vector<vector<string>> rows_;
+};
+
+string rounded(double number) {
+  std::ostringstream out;
+  out << std::fixed << std::setprecision(1) << number;
+  return out.str();
+}
+
+rapidjson::Document parseReport(string const& json) {
+  rapidjson::Document report;
+  report.Parse(json.data(), json.size());
+  if (report.HasParseError() || !report.IsArray()) throw Error(ErrorCode::badMessage, "the report of prefixes");
+  return report;
+}
+
+string textIn(rapidjson::Value const& object, char const* name) {
+  if (!object.IsObject() || !object.HasMember(name) || !object[name].IsString()) return "";
+  return string(object[name].GetString(), object[name].GetStringLength());
+}
+
+double numberIn(rapidjson::Value const& object, char const* name) {
+  bool const isThere = object.IsObject() && object.HasMember(name) && object[name].IsNumber();
+  return isThere ? object[name].GetDouble() : 0;
+}
+
+/// The elements of an array; none if there is no such array.
+vector<rapidjson::Value const*> elementsIn(rapidjson::Value const& object, char const* name) {
+  vector<rapidjson::Value const*> elements;
+  if (!object.IsObject() || !object.HasMember(name) || !object[name].IsArray()) return elements;
+  for (rapidjson::Value const& element : object[name].GetArray()) elements.push_back(&element);
+  return elements;
+}
+
+string wholeNumber(double number) {
+  return std::to_string(static_cast<std::uint64_t>(std::max(0.0, number)));
+}
+
+/// Runs a command; errors become one line and an exit status.
+void runCommand(std::function<string()> const& command) {
+  try {
+    std::cout << command();
+  } catch (Error const& error) {
+    std::cerr << error.what() << "\n";
+    throw CLI::RuntimeError(error.code() == ErrorCode::badArguments ? exitBadArguments : exitFailure);
+  }
+}
+}  // namespace
+
+Address addressArgument(string const& text) {
+  std::optional<Address> address = parseAddress(text);
+  if (!address) throw Error(ErrorCode::badArguments, "not an IP:PORT: " + text);
+  return std::move(*address);
+}
+
+vector<MetricSample> samplesOf(string const& metricsText, string const& name) {
+  vector<MetricSample> samples;
+  std::istringstream lines(metricsText);
+  string line;
+  while (std::getline(lines, line)) {
+    if (!line.starts_with(name + "{")) continue;
+    std::size_t const end = line.rfind('}');
+    if (end == string::npos) continue;
+    MetricSample sample;
+    for (string const& label : split(line.substr(name.size() + 1, end - name.size() - 1), ',')) {
+      std::size_t const equals = label.find("=\"");
+      if (equals != string::npos && label.ends_with('"'))
+        sample.labels[label.substr(0, equals)] = label.substr(equals + 2, label.size() - equals - 3);
+    }
+    sample.value = std::strtod(line.c_str() + end + 1, nullptr);
+    samples.push_back(std::move(sample));
+  }
+  return samples;
+}
+
+string trafficTable(string const& metricsText) {
+  vector<MetricSample> bytes = samplesOf(metricsText, "tealshelf_rpc_bytes_total");
+  std::map<std::map<string, string>, double> messages;
+  for (MetricSample const& sample : samplesOf(metricsText, "tealshelf_rpc_messages_total"))
+    messages[sample.labels] = sample.value;
+  std::sort(bytes.begin(), bytes.end(),
+            [](MetricSample const& left, MetricSample const& right) { return left.value > right.value; });
+  Table table({"direction", "kind", "peer zone", "messages", "bytes"});
+  for (MetricSample& sample : bytes)
+    table.add({sample.labels["direction"], sample.labels["kind"], sample.labels["peer_zone"],
+               wholeNumber(messages[sample.labels]), wholeNumber(sample.value)});
+  return table.text();
+}
+
+string prefixTable(string const& reportJson) {
+  rapidjson::Document const report = parseReport(reportJson);
+  Table table({"prefix", "tokens", "keeper", "keeper zone", "site", "kept here", "carried", "computed here",
+               "computed elsewhere", "first output ms"});
+  for (rapidjson::Value const& prefix : report.GetArray())
+    for (rapidjson::Value const* const site : elementsIn(prefix, "sites")) {
+      vector<string> row = {textIn(prefix, "prefix"), wholeNumber(numberIn(prefix, "tokens")), textIn(prefix, "keeper"),
+                            textIn(prefix, "keeperZone"), textIn(*site, "zone")};
+      for (std::size_t choice = 0; choice < prefixChoices; ++choice)
+        row.push_back(wholeNumber(numberIn(*site, nameOf(static_cast<PrefixChoice>(choice)).data())));
+      row.push_back(rounded(numberIn(*site, "firstOutputMs")));
+      table.add(std::move(row));
+    }
+  return table.text();
+}
+
+string prefixChoicesTable(string const& reportJson, string const& prefix) {
+  rapidjson::Document const report = parseReport(reportJson);
+  for (rapidjson::Value const& candidate : report.GetArray()) {
+    if (textIn(candidate, "prefix") != prefix) continue;
+    Table table({"choice", "reason", "worker", "site", "cost at keeper", "cost there", "first output ms"});
+    for (rapidjson::Value const* const choice : elementsIn(candidate, "last"))
+      table.add({textIn(*choice, "choice"), textIn(*choice, "reason"), textIn(*choice, "worker"),
+                 textIn(*choice, "zone"), rounded(numberIn(*choice, "keeperCost")),
+                 rounded(numberIn(*choice, "chosenCost")), wholeNumber(numberIn(*choice, "firstOutputMs"))});
+    return table.text();
+  }
+  throw Error(ErrorCode::badArguments, "no such prefix: " + prefix);
+}
+
+void addStatusCommands(CLI::App& app) {
+  struct Options {
+    string at, why;
+    bool json = false;
+  };
+  std::shared_ptr<Options> const options = std::make_shared<Options>();
+  char const* const atHelp = "IP:PORT where the process serves its metrics";
+  CLI::App* const traffic = app.add_subcommand("traffic", "print what a process exchanged with others, by bytes");
+  traffic->add_option("--at", options->at, atHelp)->required();
+  traffic->callback([options] {
+    runCommand([options] { return trafficTable(getPage(addressArgument(options->at), string(metricsPath))); });
+  });
+  CLI::App* const prefixes = app.add_subcommand("prefixes", "print how an edge placed requests with shared prefixes");
+  prefixes->add_option("--at", options->at, atHelp)->required();
+  CLI::Option* const json = prefixes->add_flag("--json", options->json, "the whole report as JSON");
+  prefixes->add_option("--why", options->why, "the last choices for one prefix")->excludes(json);
+  prefixes->callback([options] {
+    runCommand([options] {
+      string const report = getPage(addressArgument(options->at), string(prefixesPath));
+      if (options->json) return report + "\n";
+      return options->why.empty() ? prefixTable(report) : prefixChoicesTable(report, options->why);
+    });
+  });
+}
+
+}  // namespace tealshelf
--- /dev/null
+++ b/apps/status_reader.hpp
@@ -0,0 +1,32 @@
+#pragma once
+#include "base/tealshelf.hpp"
+
+#include <CLI/CLI.hpp>
+
+/// Commands that ask a running process for its figures and print them.
+namespace tealshelf {
+
+/// Reads IP:PORT; throws ErrorCode::badArguments if it is anything else.
+Address addressArgument(string const& text);
+
+/// One series of metrics in the text format of Prometheus.
+struct MetricSample {
+  std::map<string, string> labels;
+  double value = 0;
+};
+/// The samples of one metric; lines that can't be read are left out.
+vector<MetricSample> samplesOf(string const& metricsText, string const& name);
+
+/// A table of the messages between own processes, by bytes, the largest first.
+string trafficTable(string const& metricsText);
+/// A table of how an edge placed requests with long shared prefixes; throws ErrorCode::badMessage if the report can't
+/// be read.
+string prefixTable(string const& reportJson);
+/// The last choices for one prefix; throws ErrorCode::badArguments if the report doesn't name it.
+string prefixChoicesTable(string const& reportJson, string const& prefix);
+
+/// Adds the commands `traffic` and `prefixes` to a command line. They print to standard output and end the process with
+/// 0, 2 for bad arguments, or 3 if nothing answered.
+void addStatusCommands(CLI::App& app);
+
+}  // namespace tealshelf
--- a/edge/edge_node.hpp
+++ b/edge/edge_node.hpp
@@ -16,6 +16,8 @@
   void stop();
   /// How many requests are under way, those that are still being read too.
   std::size_t activeRequests() const { return *activeRequests_; }
+  /// How requests with long shared prefixes were placed.
+  PrefixReport const& prefixes() const { return forwarder_.prefixes(); }
   /// Requests that this node itself failed at. Must stay 0: each that was read whole has its answer, or a part of it,
   /// once it was handled; what breaks that is logged, counted and answered with 502.
   std::uint64_t failedRequests() const { return failedRequests_; }
--- a/edge/request_forwarder.cpp
+++ b/edge/request_forwarder.cpp
@@ -50,30 +50,31 @@
   RetryState retries(client);
   NextStep next = NextStep::tryAnother;
   while (next == NextStep::tryAnother && retries.sends < plan.tries && Clock::now() < plan.deadline) {
-    Worker const* const worker = co_await nextWorker(client, plan, retries);
-    if (!worker || retries.watch.clientIsGone()) break;
+    Pick const pick = co_await nextWorker(client, plan, retries);
+    if (!pick.worker || retries.watch.clientIsGone()) break;
     // The list of workers may change while the request is under way.
-    Worker const target = *worker;
-    next = co_await tryWorker(client, request, plan, target, retries);
+    Worker const target = *pick.worker;
+    next = co_await tryWorker(client, request, plan, target, pick.prefix, retries);
   }
   if (next != NextStep::done) co_await failRequest(client, plan, retries);
 }
 
-Task<Worker const*> RequestForwarder::nextWorker(ClientConnection const& client, RequestPlan const& plan,
-                                                 RetryState& retries) {
-  Worker const* worker = balancer_.pick(view_, plan.pick, retries.triedWorkers);
-  if (worker || retries.startedOver || client.headSent) co_return worker;
+Task<Pick> RequestForwarder::nextWorker(ClientConnection const& client, RequestPlan const& plan, RetryState& retries) {
+  Pick pick = balancer_.pick(view_, plan.pick, retries.triedWorkers);
+  if (pick.worker || retries.startedOver || client.headSent) co_return std::move(pick);
   retries.startedOver = true;
   Ms const target = plan.route->target;
-  if (Clock::now() - plan.receivedAt > target / startOverWithin) co_return nullptr;
+  if (Clock::now() - plan.receivedAt > target / startOverWithin) co_return Pick();
   retries.triedWorkers.clear();
   co_await sleepFor(std::max(Ms(1), target / startOverPause));
-  if (Clock::now() >= plan.deadline) co_return nullptr;
-  co_return balancer_.pick(view_, plan.pick, retries.triedWorkers);
+  if (Clock::now() >= plan.deadline) co_return Pick();
+  pick = balancer_.pick(view_, plan.pick, retries.triedWorkers);
+  co_return std::move(pick);
 }
 
 Task<RequestForwarder::NextStep> RequestForwarder::tryWorker(ClientConnection& client, HttpRequest const& request,
                                                              RequestPlan const& plan, Worker const& worker,
+                                                             std::optional<PrefixPlacement> const& placement,
                                                              RetryState& retries) {
   retries.triedWorkers.insert(worker.id);
   HttpRequest const forwarded = requestForWorker(request, plan, worker, retries.events);
@@ -83,8 +84,11 @@
   if (endsWithClient) retries.watch.onGone([&exchange] { exchange.cancel(); });
   std::uint64_t const unreadTokens = plan.pick.promptTokens - plan.pick.sharedTokens;
   balancer_.requestStarted(worker.id, unreadTokens);
+  TimePoint const sentAt = Clock::now();
   SendResult const result = co_await exchange.send(forwarded, plan.attempt, plan.deadline);
   balancer_.promptRead(worker.id, unreadTokens);
+  if (placement && result == SendResult::answered)
+    prefixes_.record(*placement, std::chrono::duration_cast<Ms>(Clock::now() - sentAt));
   logDebug("request", plan.attempt + " at " + worker.id + " result " + std::to_string(static_cast<int>(result)) +
                           (result == SendResult::answered ? " status " + std::to_string(exchange.status()) : ""));
   NextStep next = NextStep::done;
--- a/edge/request_forwarder.hpp
+++ b/edge/request_forwarder.hpp
@@ -5,6 +5,7 @@
 #include "edge/request_plan.hpp"
 #include "traffic/event_stream.hpp"
 #include "traffic/exchange.hpp"
+#include "traffic/prefix_report.hpp"
 
 namespace tealshelf {
 
@@ -20,6 +21,7 @@
   Task<void> forward(ClientConnection& client, HttpRequest const& request, RequestPlan const& plan);
   /// Forgets workers that are gone.
   void sweep();
+  PrefixReport const& prefixes() const { return prefixes_; }
 
  private:
   /// What the tries of one request have come to so far.
@@ -35,10 +37,10 @@
   };
   enum class NextStep { tryAnother, stop, done };
 
-  /// The worker to try next; null if there is none. Waits a moment once every worker was tried.
-  Task<Worker const*> nextWorker(ClientConnection const& client, RequestPlan const& plan, RetryState& retries);
+  /// The worker to try next, if there is one. Waits a moment once every worker was tried.
+  Task<Pick> nextWorker(ClientConnection const& client, RequestPlan const& plan, RetryState& retries);
   Task<NextStep> tryWorker(ClientConnection& client, HttpRequest const& request, RequestPlan const& plan,
-                           Worker const& worker, RetryState& retries);
+                           Worker const& worker, std::optional<PrefixPlacement> const& placement, RetryState& retries);
   /// The end of a request whose client is gone: it says nothing of its worker, and no other gets it.
   void abandon(ClientConnection& client, Exchange& exchange);
   /// What comes after a send that ended.
@@ -68,6 +70,7 @@
   ConnectionPool pool_;
   LoadBalancer balancer_;
   ForwardMetrics metrics_;
+  PrefixReport prefixes_{metrics()};
 };
 
 }  // namespace tealshelf
--- a/edge/request_plan.cpp
+++ b/edge/request_plan.cpp
@@ -1,25 +1,15 @@
 #include "edge/request_plan.hpp"
 
+#include "traffic/prompt_prefix.hpp"
+
 namespace tealshelf {
 
 namespace {
-/// Reads `Prompt-Start`, parts as ID:TOKENS in order. The last part is the request's own; those before it are shared
-/// with other requests and name the session.
 void readPrompt(string_view header, PickRequest& pick) {
-  vector<string> const parts = split(header, ',');
-  string sharedParts;
-  for (std::size_t i = 0; i < parts.size(); ++i) {
-    std::size_t const colon = parts[i].find(':');
-    if (colon == string::npos) continue;
-    std::optional<std::uint64_t> const tokens = parseNumber(string_view(parts[i]).substr(colon + 1));
-    if (!tokens) continue;
-    pick.promptTokens += *tokens;
-    bool const shared = i + 1 < parts.size();
-    if (!shared) continue;
-    pick.sharedTokens += *tokens;
-    sharedParts += parts[i];
-  }
-  pick.sessionKey = hash64(sharedParts);
+  PromptPrefix const prefix = PromptPrefix::parse(header);
+  pick.sessionKey = prefix.sharedKey;
+  pick.sharedTokens = prefix.sharedTokens;
+  pick.promptTokens = prefix.promptTokens;
 }
 }  // namespace
 
--- a/lots/item_execution.cpp
+++ b/lots/item_execution.cpp
@@ -139,7 +139,7 @@
   pick.background = true;
   bool const relaxed = remainingTimeMs(lot, Clock::now()) > lot.dueInMs / 2;
   pick.reservedShare = relaxed ? reservedRelaxed : reservedUrgent;
-  Worker const* const worker = balancer_.pick(view_, pick, {});
+  Worker const* const worker = balancer_.pick(view_, pick, {}).worker;
   if (!worker) co_return false;
   string const workerId = worker->id;
   HttpRequest const request = requestFor(item, *route, *worker, events);
--- a/traffic/load_balancer.cpp
+++ b/traffic/load_balancer.cpp
@@ -117,12 +117,13 @@
   return avoided ? Fitness::lastResort : Fitness::good;
 }
 
-Worker const* LoadBalancer::pick(FleetView const& view, PickRequest const& request, std::set<string> const& tried) {
+Pick LoadBalancer::pick(FleetView const& view, PickRequest const& request, std::set<string> const& tried) {
   TimePoint const now = Clock::now();
   vector<Candidate> const& candidates = candidatesFor(view, request.service);
-  if (candidates.empty()) return nullptr;
+  if (candidates.empty()) return {};
   bool const pinned = static_cast<double>(request.sharedTokens) >= pieceTokens;
-  return pinned ? pickPinned(candidates, request, tried, now) : pickAny(candidates, request, tried, now);
+  if (pinned) return pickPinned(candidates, request, tried, now);
+  return {pickAny(candidates, request, tried, now), std::nullopt};
 }
 
 Worker const* LoadBalancer::pickAny(vector<Candidate> const& candidates, PickRequest const& request,
@@ -144,14 +145,19 @@
 }
 
 /// The first worker in rendezvous order likely keeps the shared parts, the second may; all others read them again.
-Worker const* LoadBalancer::pickPinned(vector<Candidate> const& candidates, PickRequest const& request,
-                                       std::set<string> const& tried, TimePoint now) const {
+Pick LoadBalancer::pickPinned(vector<Candidate> const& candidates, PickRequest const& request,
+                              std::set<string> const& tried, TimePoint now) const {
+  Candidate const* keeper = nullptr;  // the first of all, those that are passed over too
   Candidate const* first = nullptr;
   Candidate const* second = nullptr;
-  std::uint64_t firstRank = 0, secondRank = 0;
+  std::uint64_t keeperRank = 0, firstRank = 0, secondRank = 0;
   for (Candidate const& candidate : candidates) {
-    if (fitnessOf(candidate, request, tried, now) != Fitness::good) continue;
     std::uint64_t const rank = rendezvousRank(candidate.hash, request.sessionKey);
+    if (!keeper || rank > keeperRank) {
+      keeper = &candidate;
+      keeperRank = rank;
+    }
+    if (fitnessOf(candidate, request, tried, now) != Fitness::good) continue;
     if (!first || rank > firstRank) {
       second = first;
       secondRank = firstRank;
@@ -171,7 +177,30 @@
     double const cost = costOf(candidate, now) + readAgain;
     if (fitness > best.fitness || cost < best.cost) best = Best{candidate.worker, fitness, cost};
   }
-  return best.worker;
+  if (!best.worker) return {};
+  return {best.worker, placementOf(*keeper, request, tried, best, now)};
+}
+
+PrefixPlacement LoadBalancer::placementOf(Candidate const& keeper, PickRequest const& request,
+                                          std::set<string> const& tried, Best const& best, TimePoint now) const {
+  bool const isKept = keeper.worker == best.worker;
+  bool const isHere = best.worker->zone == settings_.zone;
+  PrefixPlacement placement;
+  placement.prefixKey = request.sessionKey;
+  placement.sharedTokens = request.sharedTokens;
+  if (isKept)
+    placement.choice = isHere ? PrefixChoice::keptHere : PrefixChoice::carried;
+  else
+    placement.choice = isHere ? PrefixChoice::computedHere : PrefixChoice::computedElsewhere;
+  bool const isFit = fitnessOf(keeper, request, tried, now) == Fitness::good;
+  if (!isKept) placement.reason = isFit ? PrefixReason::loaded : PrefixReason::unfit;
+  placement.worker = best.worker->id;
+  placement.workerZone = best.worker->zone;
+  placement.keeper = keeper.worker->id;
+  placement.keeperZone = keeper.worker->zone;
+  placement.keeperCost = costOf(keeper, now);
+  placement.chosenCost = best.cost;
+  return placement;
 }
 
 void LoadBalancer::sweep(FleetView const& view) {
--- a/traffic/load_balancer.hpp
+++ b/traffic/load_balancer.hpp
@@ -1,4 +1,5 @@
 #pragma once
+#include "traffic/prefix_placement.hpp"
 #include "traffic/worker_load.hpp"
 #include "updates/fleet_view.hpp"
 
@@ -14,12 +15,18 @@
   double reservedShare = 0;  ///< part of the slots to be left free, if in the background
 };
 
+/// A chosen worker; null if there is none.
+struct Pick {
+  Worker const* worker = nullptr;
+  std::optional<PrefixPlacement> prefix;  ///< if the request has a long shared prefix
+};
+
 /// Picks workers by how loaded and how well each is, from what this node has seen of it.
 class LoadBalancer {
  public:
   explicit LoadBalancer(Settings const& settings) : settings_(settings) {}
   /// The best worker; null if there is none. Those that were tried are passed over.
-  Worker const* pick(FleetView const& view, PickRequest const& request, std::set<string> const& tried);
+  Pick pick(FleetView const& view, PickRequest const& request, std::set<string> const& tried);
 
   /// A request goes to a worker that has so many prompt tokens of it to read; then its first output came; then it
   /// ended.
@@ -76,8 +83,11 @@
   double costOf(Candidate const& candidate, TimePoint now) const;
   Worker const* pickAny(vector<Candidate> const& candidates, PickRequest const& request, std::set<string> const& tried,
                         TimePoint now);
-  Worker const* pickPinned(vector<Candidate> const& candidates, PickRequest const& request,
-                           std::set<string> const& tried, TimePoint now) const;
+  Pick pickPinned(vector<Candidate> const& candidates, PickRequest const& request, std::set<string> const& tried,
+                  TimePoint now) const;
+  /// How a request was placed, beside the worker that should keep its prefix: the first of all in rendezvous order.
+  PrefixPlacement placementOf(Candidate const& keeper, PickRequest const& request, std::set<string> const& tried,
+                              Best const& best, TimePoint now) const;
   std::uint64_t nextRandom();
 
   Settings const& settings_;
