lots: a store with a spare copy of a sealed lot can be retired

Cause: a sealed lot whose retiring holder left enough others needed no recovery, as the copies that last were enough and the wished number of holders counted the retiring one. Change: a sealed lot that names a retiring store needs replication.

Test: lotSubmission.aStoreWithASpareCopyOfASealedLotCanBeRetired fails without it.

--- a/lots/lot_upkeep.cpp
+++ b/lots/lot_upkeep.cpp
@@ -114,12 +114,16 @@
 RecoveryNeed LotCoordinator::needOfSealed(LotRecord const& lot, LotStatus const& status, TimePoint now) const {
   std::set<string> const retiring = retiringStores ? retiringStores() : std::set<string>();
   std::size_t lasting = 0;
+  bool isRetiring = false;
   for (StoreRef const& holder : lot.holders) {
-    bool const goes = isDiskGone(holder) || isDead(holder.id, now) || isDiskFailing(holder.id) ||
-                      retiring.contains(holder.name) || status.failedHolders.contains(holder.id);
+    bool const retires = retiring.contains(holder.name);
+    bool const goes = isDiskGone(holder) || isDead(holder.id, now) || isDiskFailing(holder.id) || retires ||
+                      status.failedHolders.contains(holder.id);
     if (!goes) ++lasting;
+    isRetiring = isRetiring || retires;
   }
-  if (lasting < neededCopies()) return RecoveryNeed::replicate;
+  // A retiring store must be named by no record, also where enough other copies are left.
+  if (lasting < neededCopies() || isRetiring) return RecoveryNeed::replicate;
   if (!status.failedHolders.empty()) return RecoveryNeed::replicate;
   if (lasting > neededCopies()) return mustTrimSpares_ ? RecoveryNeed::trim : RecoveryNeed::none;
   if (!roomForSpares_) return RecoveryNeed::none;
--- a/tests/lots/lot_submission_test.cpp
+++ b/tests/lots/lot_submission_test.cpp
@@ -43,25 +43,33 @@
   static std::array<Settings, 4> makeSettings() {
     std::filesystem::remove_all(folder);
     std::array<Settings, 4> all;
-    for (std::size_t n = 0; n < all.size(); ++n) {
-      Settings& s = all[n];
-      s.nodeName = "n-" + std::to_string(n);
-      s.ip = ip(n);
-      s.zone = "z";
-      s.firstInternalPort = 17730;
-      s.control = {ip(n), 17738};
-      s.outside = {ip(n), 17736};
-      s.readiness = {ip(n), 17737};
-      s.seeds = {{ip(0), 17738}};
-      s.firstBoot = true;
-      s.reportEvery = Ms(20000);
-      s.bounds.inTouch = Ms(4800);  // a try may be accepted for half of it, also on a busy machine
-      s.bounds.step = Ms(40);
-      if (n < 2) s.dataFolder = folder + "/" + s.nodeName;
-      if (n < 2) std::filesystem::create_directories(s.dataFolder);
-    }
+    for (std::size_t n = 0; n < all.size(); ++n) all[n] = settingsOf(n, n < 2);
     return all;
   }
+  static Settings settingsOf(std::size_t n, bool hasDisk) {
+    Settings s;
+    s.nodeName = "n-" + std::to_string(n);
+    s.ip = ip(n);
+    s.zone = "z";
+    s.firstInternalPort = 17730;
+    s.control = {ip(n), 17738};
+    s.outside = {ip(n), 17736};
+    s.readiness = {ip(n), 17737};
+    s.seeds = {{ip(0), 17738}};
+    s.firstBoot = true;
+    s.reportEvery = Ms(20000);
+    s.bounds.inTouch = Ms(4800);  // a try may be accepted for half of it, also on a busy machine
+    s.bounds.step = Ms(40);
+    if (hasDisk) s.dataFolder = folder + "/" + s.nodeName;
+    if (hasDisk) std::filesystem::create_directories(s.dataFolder);
+    return s;
+  }
+  /// One more store; it lasts as long as the system.
+  void addStore() {
+    moreSettings.push_back(settingsOf(4 + moreSettings.size(), true));
+    moreStores.push_back(std::make_unique<StoreNode>(io, moreSettings.back()));
+    moreStores.back()->start();
+  }
   Task<HttpReply> run(HttpCall c) {
     string const id = c.header("Attempt-Id");
     ++runs[id];
@@ -144,6 +152,8 @@
   HttpServer worker;
   RpcClient rpc;
   std::map<string, int> runs;
+  std::deque<Settings> moreSettings;
+  vector<std::unique_ptr<StoreNode>> moreStores;
 };
 }  // namespace
 
@@ -231,3 +241,25 @@
   });
   LONGS_EQUAL(1, s.runs["item-0"]);
 }
+TEST(lotSubmission, aStoreWithASpareCopyOfASealedLotCanBeRetired) {
+  SmallSystem s;
+  s.addStore();
+  s.addStore();
+  string const body =
+      "{\"requests\":[{\"serverId\":\"item-0\",\"urlPath\":\"/night/"
+      "x\",\"headerMap\":{},\"payload\":\"QQ==\",\"tokens\":10}]}";
+  s.until([&] { return s.call(s.settings[2].outside, "POST", "/night/x", body).first == 202; });
+  Address const control = s.settings[0].controlAddress(s.ip(0));
+  LotRecord record;
+  // One copy is needed; the other is a spare one.
+  s.until([&] {
+    record = s.ask(control, FindLot{host, "lot", 0}).second.lot;
+    return record.isSealed() && record.holders.size() == 2;
+  });
+  string const path = "/retire/" + record.holders.back().name;
+  s.until([&] { return s.call(s.settings[0].control, "POST", path, "{\"overS\":5}").first == 200; });
+  s.until([&] { return s.call(s.settings[0].control, "GET", path).second.find("\"finished\"") != string::npos; });
+  LotRecord const after = s.ask(control, FindLot{host, "lot", 0}).second.lot;
+  CHECK(!after.holders.empty());
+  for (StoreRef const& holder : after.holders) CHECK(holder.name != record.holders.back().name);
+}
