--- a/tests/updates/updates_test.cpp
+++ b/tests/updates/updates_test.cpp
@@ -87,6 +87,14 @@
   if (f.broken.empty()) f.checkEqual();
   return f.broken;
 }
+
+/// One that knows nothing but a seed in another zone.
+UpdateSubscriber startingSubscriber(Settings const& settings, UpdatePublisher& publisher) {
+  DataNode const self{"self", "z", "edge", {"10.0.0.99", 2}, 300};
+  auto const controlAddress = [](string const& ip) { return Address{ip, 1}; };
+  return UpdateSubscriber(self, UpdateSubscriber::Timeouts::of(settings.bounds), {{"10.0.0.77", 1}}, controlAddress,
+                          publisher);
+}
 }  // namespace
 
 TEST_GROUP(updates){};
@@ -225,13 +233,7 @@
     DataNode const node{"n" + std::to_string(number), "z", "edge", {"10.0.0." + std::to_string(number), 2}, 300};
     control.zones["z"].put(node.name, serialize(node));
   }
-  UpdateSubscriber subscriber(
-      DataNode{"self", "z", "edge", {"10.0.0.99", 2}, 300}, UpdateSubscriber::Timeouts::of(settings.bounds),
-      {{"10.0.0.77", 1}},
-      [](string const& ip) {
-        return Address{ip, 1};
-      },
-      publisher);
+  UpdateSubscriber subscriber = startingSubscriber(settings, publisher);
   UpdateSubscriber::Plan const first = subscriber.firstPlan({"10.0.0.77", 1}, t);
   CHECK(first.request.isIntroduction);
   UpdateReply const reply = *control.answerIfDue(first.request, t, t, false);
@@ -256,13 +258,7 @@
   Settings settings;
   UpdatePublisher publisher(io, settings, 0);
   TimePoint const t = TimePoint() + std::chrono::hours(1);
-  UpdateSubscriber subscriber(
-      DataNode{"self", "z", "edge", {"10.0.0.99", 2}, 300}, UpdateSubscriber::Timeouts::of(settings.bounds),
-      {{"10.0.0.77", 1}},
-      [](string const& ip) {
-        return Address{ip, 1};
-      },
-      publisher);
+  UpdateSubscriber subscriber = startingSubscriber(settings, publisher);
   UpdateSubscriber::Plan const first = subscriber.firstPlan({"10.0.0.77", 1}, t);
   UpdateReply unhealthy;
   CHECK_FALSE(subscriber.receive(first, unhealthy, t, t));
