--- a/tests/wire/rpc_client_test.cpp
+++ b/tests/wire/rpc_client_test.cpp
@@ -89,7 +89,7 @@
     return *end;
   }
   string welcome(Address const& self, std::uint32_t version = protocolVersion) {
-    return encodeFrame(0, RpcMethod(), FrameKind::welcome, serialize(ConnectionWelcome{version, self, 7}));
+    return encodeFrame(0, RpcMethod(), FrameKind::welcome, serialize(ConnectionWelcome{version, self, 7, "z"}));
   }
   void echo(RpcServer & server, std::size_t & handled) {
     server.onRaw(method, [&handled](string b) -> Task<string> {
@@ -171,7 +171,7 @@
   echo(server, handled);
   string const q = encodeFrame(9, method, FrameKind::call, "q");
   string const other =
-      encodeFrame(0, RpcMethod(), FrameKind::hello, serialize(ConnectionHello{protocolVersion + 1, at, 1}));
+      encodeFrame(0, RpcMethod(), FrameKind::hello, serialize(ConnectionHello{protocolVersion + 1, at, 1, "z"}));
   for (string const& first :
        {q, other + q, encodeFrame(0, RpcMethod(), FrameKind::hello, "\xc1") + q, string(15, '\xff') + q}) {
     tcp::socket s(io);
--- a/tests/wire/rpc_server_test.cpp
+++ b/tests/wire/rpc_server_test.cpp
@@ -27,7 +27,7 @@
   tcp::socket raw() {
     tcp::socket s(io);
     s.connect({asio::ip::make_address(at.ip), static_cast<std::uint16_t>(at.port)});
-    string const hello = serialize(ConnectionHello{protocolVersion, at, 1});
+    string const hello = serialize(ConnectionHello{protocolVersion, at, 1, "z"});
     asio::write(s, asio::buffer(head(static_cast<std::uint32_t>(hello.size()), 0, 0, 4) + hello));
     return s;
   }
