tenants: keys name their tenant, limits are counted by shares of the control nodes

The configuration's customers are read and checked; each request and each lot call needs a key, which goes no further; Customer is set by the system. Lots and their waiting tokens belong to a tenant. Requests of a limited tenant take a credit from a control node, each of which grants from an equal part of the limit.

--- a/base/errors.cpp
+++ b/base/errors.cpp
@@ -19,6 +19,9 @@
      "the order builds on a version older than the history; whether it was taken isn't known"},
     {ErrorCode::changeUndecided, ErrorKind::unavailable,
      "whether the order was taken isn't known yet; it may be sent again"},
+    {ErrorCode::sharedKey, ErrorKind::badInput, "two tenants share a key"},
+    {ErrorCode::badKey, ErrorKind::badInput, "a key is empty or can't stand in a header"},
+    {ErrorCode::badTenant, ErrorKind::badInput, "a tenant's name is empty, not unique or can't stand in a header"},
     {ErrorCode::noRoute, ErrorKind::notFound, "no route matches"},
     {ErrorCode::headersTooLong, ErrorKind::headersTooLarge, "the head is over the limit"},
     {ErrorCode::bodyTooLong, ErrorKind::tooLarge, "the body is over the limit"},
@@ -30,6 +33,9 @@
     {ErrorCode::deadlinePassed, ErrorKind::rejected, "the deadline passed before the request ran"},
     {ErrorCode::deadlineExceeded, ErrorKind::timeout, "the deadline passed while a worker had the request"},
     {ErrorCode::notReady, ErrorKind::rejected, "the node is not healthy enough to serve"},
+    {ErrorCode::unknownKey, ErrorKind::unauthorized, "the request carries no key that is known"},
+    {ErrorCode::overRate, ErrorKind::overQuota, "the tenant is over its rate"},
+    {ErrorCode::quotaUnknown, ErrorKind::rejected, "no control node could count the request"},
     {ErrorCode::lotUnreadable, ErrorKind::badInput, "the lot can't be read"},
     {ErrorCode::lotTooManyItems, ErrorKind::tooLarge, "the lot has too many items"},
     {ErrorCode::duplicateItem, ErrorKind::badInput, "an item stands twice in the lot"},
@@ -80,6 +86,7 @@
 };
 constexpr HttpStatus httpStatuses[] = {
     {ErrorKind::badInput, 400, "Bad Request"},
+    {ErrorKind::unauthorized, 401, "Unauthorized"},
     {ErrorKind::notFound, 404, "Not Found"},
     {ErrorKind::methodNotAllowed, 405, "Method Not Allowed"},
     {ErrorKind::slowSender, 408, "Request Timeout"},
--- a/base/errors.hpp
+++ b/base/errors.hpp
@@ -9,6 +9,7 @@
 /// `overQuota` and `slowSender` promise that nothing ran or will run (503, 429, 408).
 enum class ErrorKind {
   badInput,
+  unauthorized,
   notFound,
   methodNotAllowed,
   conflict,
@@ -40,6 +41,9 @@
   badIfMatch = 110,
   changeTooOld = 111,
   changeUndecided = 112,
+  sharedKey = 113,
+  badKey = 114,
+  badTenant = 115,
   noRoute = 200,
   headersTooLong = 201,
   bodyTooLong = 202,
@@ -51,6 +55,9 @@
   deadlinePassed = 208,
   deadlineExceeded = 209,
   notReady = 210,
+  unknownKey = 211,
+  overRate = 212,
+  quotaUnknown = 213,
   lotUnreadable = 300,
   lotTooManyItems = 301,
   duplicateItem = 302,
--- a/base/settings.cpp
+++ b/base/settings.cpp
@@ -77,6 +77,14 @@
   };
 }
 
+FieldParser realBoundField(double Bounds::*field) {
+  return [field](Settings& settings, string const& value) {
+    std::optional<double> const real = parseReal(value);
+    if (real) settings.bounds.*field = *real;
+    return real.has_value();
+  };
+}
+
 bool parseInternalPorts(Settings& settings, string const& value) {
   vector<string> const parts = split(value, ',');
   if (parts.size() != 2) return false;
@@ -158,11 +166,14 @@
       {"bounds.statusEveryS", boundField(&Bounds::statusEvery, second)},
       {"bounds.cancelWithinMs", boundField(&Bounds::cancelWithin, millisecond)},
       {"bounds.settleWithinMs", boundField(&Bounds::settleWithin, millisecond)},
-      {"bounds.quotaOverrun",
+      {"bounds.revokeWithinMs", boundField(&Bounds::revokeWithin, millisecond)},
+      {"bounds.quotaWindowS", boundField(&Bounds::quotaWindow, second)},
+      {"bounds.quotaOverrun", realBoundField(&Bounds::quotaOverrun)},
+      {"bounds.quotaMargin", realBoundField(&Bounds::quotaMargin)},
+      {"bounds.failClosed",
        [](Settings& settings, string const& value) {
-         std::optional<double> const overrun = parseReal(value);
-         if (overrun) settings.bounds.quotaOverrun = *overrun;
-         return overrun.has_value();
+         settings.bounds.failClosed = value == "true";
+         return value == "true" || value == "false";
        }},
   };
   return parsers;
--- a/configuration/configuration.cpp
+++ b/configuration/configuration.cpp
@@ -22,6 +22,16 @@
   return nullptr;
 }
 
+Tenant const* Configuration::findTenantByKey(string_view key) const {
+  std::optional<std::uint32_t> const index = keys.find(key);
+  return index ? &tenants[*index] : nullptr;
+}
+
+Tenant const* Configuration::findTenant(string_view name) const {
+  auto const found = tenantsByName.find(name);
+  return found == tenantsByName.end() ? nullptr : &tenants[found->second];
+}
+
 Route const* Configuration::findByName(string_view name) const {
   for (Route const& route : routes)
     if (route.name == name) return &route;
--- a/configuration/configuration.hpp
+++ b/configuration/configuration.hpp
@@ -1,5 +1,5 @@
 #pragma once
-#include "base/tealshelf.hpp"
+#include "configuration/tenant_keys.hpp"
 
 /// The operator's configuration: routes, services and limits.
 namespace tealshelf {
@@ -31,6 +31,7 @@
   std::uint64_t tries = 1;  ///< workers that one request is sent to, at the most
   std::uint64_t maxQueuedTokens = 0;
   bool sticky = false, resumable = false;
+  bool isPublic = false;  ///< taken without a key
   vector<TrafficShare> shares;
   std::uint64_t totalWeight = 0;
 
@@ -40,6 +41,15 @@
   string const& serviceFor(std::uint64_t hash) const;
 };
 
+/// A tenant: whoever holds one of its keys.
+struct Tenant {
+  string name;
+  std::optional<std::uint64_t> priority;  ///< goes before that of the route
+  double ratePerSecond = 0;               ///< requests that it may make; 0: no limit
+  double burst = 0;                       ///< requests that it may make at once beyond the rate
+  bool isLimited() const { return ratePerSecond > 0; }
+};
+
 struct ServiceSettings {
   string name, healthPath;
   std::uint64_t maxConnections = 0, capacity = 0, cacheTokens = 0;
@@ -57,12 +67,20 @@
   vector<Route> routes;
   std::map<string, ServiceSettings> services;
   ClientLimits limits;
+  /// True if the configuration names tenants, if only an empty list: routes that aren't public need a key then.
+  bool needsKeys = false;
+  vector<Tenant> tenants;
+  TenantKeys keys;  ///< to indexes of `tenants`
+  std::map<string, std::uint32_t, std::less<>> tenantsByName;
   /// Indexes of the routes of each host, longest prefix first.
   std::map<string, vector<std::uint32_t>, std::less<>> routesByHost;
 
   /// The route of a request, or null. The path may have a query.
   Route const* findRoute(string_view host, string_view path) const;
   Route const* findByName(string_view name) const;
+  /// The tenant that holds a key, or null.
+  Tenant const* findTenantByKey(string_view key) const;
+  Tenant const* findTenant(string_view name) const;
 };
 
 struct ConfigurationFault {
--- a/configuration/configuration_reader.cpp
+++ b/configuration/configuration_reader.cpp
@@ -16,6 +16,16 @@
 /// The largest number that is taken as a real one.
 constexpr double maxReal = 1e15;
 
+/// The highest rate or burst of a tenant.
+constexpr double maxRate = 1e9;
+/// Bytes of a name that a fault quotes.
+constexpr std::size_t maxNameInFault = 60;
+
+/// True for a text that can stand in a header as it is: visible ASCII, not empty.
+bool isHeaderText(string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < 127; });
+}
+
 enum class Presence { required, optional };
 
 /// Reads fields and collects their faults; a faulty field gets its default. `where` names the object in faults.
@@ -133,6 +143,7 @@
   route.maxQueuedTokens = reader.number(object, "maxQueuedTokens", where, 0);
   route.sticky = reader.flag(object, "sticky", where);
   route.resumable = reader.flag(object, "resumable", where);
+  route.isPublic = reader.flag(object, "public", where);
   route.shares = readShares(reader, object, where);
   checkShares(reader, route, configuration, where);
   return route;
@@ -176,6 +187,53 @@
   return limits;
 }
 
+/// A real number from 0 to a limit.
+double readLimit(FieldReader& reader, Tree const& object, char const* name, string const& where) {
+  boost::optional<Tree const&> const field = object.get_child_optional(name);
+  if (!field) return 0;
+  char* end = nullptr;
+  double const real = std::strtod(field->data().c_str(), &end);
+  bool const isReal = field->empty() && !field->data().empty() && end && !*end;
+  if (isReal && real >= 0 && real <= maxRate) return real;
+  reader.fault(isReal ? ErrorCode::outOfRange : ErrorCode::wrongType, where + "." + name);
+  return 0;
+}
+
+/// Texts of faults never hold a key.
+void readKeys(FieldReader& reader, Tree const& object, string const& where, std::uint32_t tenant,
+              Configuration& configuration) {
+  boost::optional<Tree const&> const keys = object.get_child_optional("apiKeys");
+  if (!keys) return;
+  if (!keys->data().empty()) reader.fault(ErrorCode::wrongType, where + ".apiKeys");
+  for (Tree::value_type const& element : *keys) {
+    string const& key = element.second.data();
+    if (!element.second.empty() || !isHeaderText(key)) {
+      reader.fault(ErrorCode::badKey, where);
+      continue;
+    }
+    if (!configuration.keys.add(key, tenant)) reader.fault(ErrorCode::sharedKey, where);
+  }
+}
+
+void readTenants(FieldReader& reader, Tree const& list, Configuration& configuration) {
+  if (!list.data().empty()) reader.fault(ErrorCode::wrongType, "customers is no list");
+  configuration.needsKeys = true;
+  for (Tree::value_type const& element : list) {
+    Tree const& object = element.second;
+    Tenant tenant;
+    tenant.name = reader.text(object, "name", "customer", Presence::required);
+    string const where = "customer " + tenant.name.substr(0, maxNameInFault);
+    std::uint32_t const index = static_cast<std::uint32_t>(configuration.tenants.size());
+    bool const isUnique = configuration.tenantsByName.emplace(tenant.name, index).second;
+    if (!isHeaderText(tenant.name) || !isUnique) reader.fault(ErrorCode::badTenant, where);
+    if (object.get_child_optional("priority")) tenant.priority = reader.number(object, "priority", where, 0);
+    tenant.ratePerSecond = readLimit(reader, object, "ratePerS", where);
+    tenant.burst = readLimit(reader, object, "burst", where);
+    readKeys(reader, object, where, index, configuration);
+    configuration.tenants.push_back(std::move(tenant));
+  }
+}
+
 /// The JSON document; nothing if the text is no JSON, or more than one document.
 std::optional<Tree> parseJson(string const& text) {
   Tree document;
@@ -215,6 +273,8 @@
     }
   if (routes) readRoutes(reader, *routes, *configuration);
   if (limits) configuration->limits = readLimits(reader, *limits);
+  if (boost::optional<Tree const&> const tenants = document.get_child_optional("customers"))
+    readTenants(reader, *tenants, *configuration);
   return configuration;
 }
 
--- a/control/configuration_handler.cpp
+++ b/control/configuration_handler.cpp
@@ -1,6 +1,5 @@
 #include "control/configuration_handler.hpp"
 
-#include "configuration/configuration.hpp"
 #include "lots/lot_coordinator.hpp"
 
 namespace tealshelf {
@@ -80,6 +79,7 @@
   std::shared_ptr<Configuration const> const configuration = compileConfiguration(current->second);
   if (configuration->version <= publisher_.configurationVersion()) return false;
   publisher_.setConfiguration(configuration->version, current->second);
+  published_ = configuration;
   for (Route const& route : configuration->routes)
     if (route.kind == RouteKind::bulk) driver_.consensus().addKeyspace(LotCoordinator::keyspaceOf(route.host));
   logInfo("configuration", "version " + std::to_string(configuration->version) + " is in force");
--- a/control/configuration_handler.hpp
+++ b/control/configuration_handler.hpp
@@ -1,6 +1,7 @@
 #pragma once
 #include "base/async_mutex.hpp"
 #include "configuration/change_decision.hpp"
+#include "configuration/configuration.hpp"
 #include "control/owned_keyspace.hpp"
 #include "updates/update_publisher.hpp"
 
@@ -14,6 +15,8 @@
   Task<CallReply> handle(ForwardedCall call);
   /// Hands the newest committed configuration to the publisher; true if it is newer than the published one.
   bool publishCommitted();
+  /// The published configuration; null before there is one.
+  std::shared_ptr<Configuration const> published() const { return published_; }
 
  private:
   Task<CallReply> read(TimePoint end);
@@ -28,6 +31,7 @@
   OwnedKeyspace keyspace_;
   AsyncMutex changes_;  ///< one change is decided and written at a time
   UndecidedChange undecided_;
+  std::shared_ptr<Configuration const> published_;
   TimePoint startedAt_ = Clock::now();
 };
 
--- a/control/control_node.cpp
+++ b/control/control_node.cpp
@@ -24,7 +24,8 @@
       workers_(io, settings, rpc_, driver_, publisher_),
       nodes_(settings, publisher_),
       configuration_(io, settings, rpc_, driver_, publisher_),
-      retirements_(settings, rpc_, driver_, lots_) {
+      retirements_(settings, rpc_, driver_, lots_),
+      quotas_(settings.bounds) {
   publisher_.proof = [this] {
     bool const healthy = driver_.inContactWithMajority() && workers_.isComplete() && !stopping_;
     return UpdatePublisher::Proof{healthy, 0, driver_.consensus().majorityContact(Clock::now())};
@@ -47,6 +48,10 @@
   rpcServer_.on<UpdateRequest>([this](UpdateRequest request) { return publisher_.serve(std::move(request)); });
   rpcServer_.on<CompareRegistry>(
       [this](CompareRegistry request) -> Task<RegistryDifference> { co_return workers_.differenceFor(request); });
+  rpcServer_.on<TakeCredit>([this](TakeCredit request) -> Task<TakeCreditReply> {
+    TimePoint const now = Clock::now();
+    co_return quotas_.take(request.tenant, driver_.consensus().majorityContact(now), now);
+  });
   rpcServer_.on<ForwardedCall>([this](ForwardedCall call) -> Task<CallReply> {
     if (call.budgetMs <= 0) call.budgetMs = callBudgetMs();
     co_return co_await route(std::move(call));
@@ -112,12 +117,22 @@
 
 void ControlNode::onControlStateChange() {
   bool const newConfiguration = configuration_.publishCommitted();
+  updateQuotas();
   bool const healthy = publisher_.proof().healthy;
   bool const newMembership = driver_.consensus().membership().number != publishedMembership_;
   if (newConfiguration || newMembership || healthy != wasHealthy_) publish();
   wasHealthy_ = healthy;
 }
 
+void ControlNode::updateQuotas() {
+  TimePoint const now = Clock::now();
+  Consensus const& consensus = driver_.consensus();
+  if (consensus.membership().exists()) quotas_.setMembership(consensus.membership(), consensus.self(), now);
+  std::shared_ptr<Configuration const> const configuration = configuration_.published();
+  if (configuration && configuration != countedConfiguration_) quotas_.setConfiguration(configuration, now);
+  countedConfiguration_ = configuration;
+}
+
 void ControlNode::publish() {
   workers_.publishRows();
   publishMembers();
--- a/control/control_node.hpp
+++ b/control/control_node.hpp
@@ -4,6 +4,7 @@
 #include "control/node_directory.hpp"
 #include "control/retirement_handler.hpp"
 #include "control/worker_directory.hpp"
+#include "tenants/quota_shard.hpp"
 #include "wire/http.hpp"
 
 namespace tealshelf {
@@ -29,6 +30,8 @@
   /// Brings the published table up to the registry and the membership, and tells those who ask.
   void publish();
   void publishMembers();
+  /// Brings the counting of requests up to the committed configuration and the membership.
+  void updateQuotas();
 
   asio::io_context& io_;
   Settings const& settings_;
@@ -42,6 +45,8 @@
   NodeDirectory nodes_;
   ConfigurationHandler configuration_;
   RetirementHandler retirements_;
+  QuotaShard quotas_;
+  std::shared_ptr<Configuration const> countedConfiguration_;  ///< that quotas_ has
   MembershipNumber publishedMembership_;
   bool wasHealthy_ = false;
   bool stopping_ = false;
--- a/edge/edge_node.cpp
+++ b/edge/edge_node.cpp
@@ -29,7 +29,8 @@
       rpc_(io, settings.bounds.inTouch / 2),
       rpcServer_(io, settings.relayAddress(settings.ip), settings.bounds.inTouch / 2),
       view_(io, settings, rpc_, "edge", settings.relayAddress(settings.ip)),
-      forwarder_(io, settings, view_, stopping_),
+      quotas_(settings, rpc_, view_),
+      forwarder_(io, settings, view_, quotas_, stopping_),
       lots_(settings, rpc_, view_),
       readiness_(
           io, settings.readiness,
@@ -69,6 +70,7 @@
   for (;;) {
     co_await sleepFor(settings_.bounds.inTouch / 2);
     forwarder_.sweep();
+    quotas_.sweep();
   }
 }
 
@@ -204,12 +206,18 @@
   string const target(request.target().data(), request.target().size());
   string const host = hostOf(request);
   if (lots_.isLotCall(*configuration, verb, host, target)) {
+    Caller const caller = identifyCaller(*configuration, request, KeyNeed::required);
+    if (caller.status == CallerStatus::refused)
+      co_return co_await reply(client, errorReply(Error(ErrorCode::unknownKey)));
     std::uint64_t const hold = parseNumber(headerOf(request, "Hold-Read-Ms")).value_or(0);
-    HttpReply answer = co_await lots_.call(verb, host, target, Ms(static_cast<std::int64_t>(hold)));
+    LotCaller const lotCaller{host, caller.tenantName()};
+    HttpReply answer = co_await lots_.call(lotCaller, verb, target, Ms(static_cast<std::int64_t>(hold)));
     co_return co_await reply(client, std::move(answer));
   }
   RequestPlan const plan = planRequest(request, view_.configuration(), now);
   if (!plan.route) co_return co_await reply(client, errorReply(Error(ErrorCode::noRoute)));
+  if (plan.caller.status == CallerStatus::refused)
+    co_return co_await reply(client, errorReply(Error(ErrorCode::unknownKey)));
   if (plan.route->kind == RouteKind::bulk) {
     HttpReply answer = co_await submitLot(plan, request);
     co_return co_await reply(client, std::move(answer));
@@ -220,7 +228,7 @@
 Task<HttpReply> EdgeNode::submitLot(RequestPlan const& plan, HttpRequest const& request) {
   try {
     if (request.method() != http::verb::post) throw Error(ErrorCode::lotUnreadable);
-    co_return co_await lots_.submit(*plan.route, plan.attempt, request.body());
+    co_return co_await lots_.submit(*plan.route, plan.caller.tenantName(), plan.attempt, request.body());
   } catch (Error const& error) {
     co_return errorReply(error);
   }
--- a/edge/edge_node.hpp
+++ b/edge/edge_node.hpp
@@ -57,6 +57,7 @@
   FleetView view_;
   bool stopping_ = false;
   TimePoint stoppedAt_;
+  QuotaClient quotas_;
   RequestForwarder forwarder_;
   LotApi lots_;
   HttpServer readiness_;
--- a/edge/request_forwarder.cpp
+++ b/edge/request_forwarder.cpp
@@ -7,6 +7,8 @@
 namespace {
 /// Parts of a route's target: until when all workers are tried once more, and the pause before that.
 constexpr int startOverWithin = 4, startOverPause = 20;
+/// Part of a route's target within which it must be known that a request is inside its tenant's limit.
+constexpr int quotaWithin = 5;
 /// A worker that is silent for so many targets counts as failed.
 constexpr int silentTargets = 4;
 
@@ -19,6 +21,7 @@
   if (request.method() == http::verb::unknown) forwarded.method_string(request.method_string());
   copyHeaders(request, forwarded);
   for (char const* const replaced : replacedHeaders) forwarded.erase(replaced);
+  replaceIdentity(forwarded, *plan.configuration, plan.caller.tenantName());
   forwarded.set("Time-Left-Ms", std::to_string(std::max<std::int64_t>(1, remainingMs(plan.deadline))));
   forwarded.set("Wanted-Server", worker.id);
   if (events.hasEvents()) forwarded.set("Last-Event-Id", std::to_string(events.lastId()));
@@ -50,15 +53,36 @@
   RetryState retries(client);
   NextStep next = NextStep::tryAnother;
   while (next == NextStep::tryAnother && retries.sends < plan.tries && Clock::now() < plan.deadline) {
+    bool const mayBeSent = co_await holdCredit(plan, retries);
+    if (!mayBeSent || retries.watch.clientIsGone()) break;
     Pick const pick = co_await nextWorker(client, plan, retries);
     if (!pick.worker || retries.watch.clientIsGone()) break;
     // The list of workers may change while the request is under way.
     Worker const target = *pick.worker;
     next = co_await tryWorker(client, request, plan, target, pick.prefix, retries);
   }
+  bool const ranNowhere = next != NextStep::done && !retries.mayHaveRun;
+  if (ranNowhere && retries.credit && plan.caller.tenant) quotas_.giveBack(plan.caller.tenant->name, *retries.credit);
   if (next != NextStep::done) co_await failRequest(client, plan, retries);
 }
 
+/// A request is counted once, and again if it is sent to another worker after its credit has lapsed: the worker then
+/// gets it in another window.
+Task<bool> RequestForwarder::holdCredit(RequestPlan const& plan, RetryState& retries) {
+  Tenant const* const tenant = plan.caller.tenant;
+  if (!tenant || !tenant->isLimited()) co_return true;
+  TimePoint const now = Clock::now();
+  if (retries.credit && retries.credit->isValid(now)) co_return true;
+  TimePoint const until = std::min(plan.deadline, now + plan.route->target / quotaWithin);
+  try {
+    retries.credit = co_await quotas_.take(*tenant, until);
+  } catch (Error const& error) {
+    retries.lastFailure = error.code();
+    co_return false;
+  }
+  co_return true;
+}
+
 Task<Pick> RequestForwarder::nextWorker(ClientConnection const& client, RequestPlan const& plan, RetryState& retries) {
   Pick pick = balancer_.pick(view_, plan.pick, retries.triedWorkers);
   if (pick.worker || retries.startedOver || client.headSent) co_return std::move(pick);
@@ -299,9 +323,9 @@
   if (retries.mayHaveRun) {
     if (late)
       code = ErrorCode::deadlineExceeded;
-    else if (errorInfo(code).kind == ErrorKind::rejected)
+    else if (errorInfo(code).kind == ErrorKind::rejected || errorInfo(code).kind == ErrorKind::overQuota)
       code = ErrorCode::workerFailed;
-  } else if (late) {
+  } else if (late && code != ErrorCode::overRate) {
     code = ErrorCode::deadlinePassed;
   }
   HttpReply answer = errorReply(Error(code));
--- a/edge/request_forwarder.hpp
+++ b/edge/request_forwarder.hpp
@@ -3,6 +3,7 @@
 #include "edge/client_watch.hpp"
 #include "edge/edge_metrics.hpp"
 #include "edge/request_plan.hpp"
+#include "tenants/quota_client.hpp"
 #include "traffic/event_stream.hpp"
 #include "traffic/exchange.hpp"
 #include "traffic/prefix_report.hpp"
@@ -15,8 +16,15 @@
 class RequestForwarder {
  public:
   /// `stopping` is true once the process is told to end: answers then close their connections.
-  RequestForwarder(asio::io_context& io, Settings const& settings, FleetView& view, bool const& stopping)
-      : io_(io), settings_(settings), view_(view), stopping_(stopping), pool_(io, settings), balancer_(settings) {}
+  RequestForwarder(asio::io_context& io, Settings const& settings, FleetView& view, QuotaClient& quotas,
+                   bool const& stopping)
+      : io_(io),
+        settings_(settings),
+        view_(view),
+        quotas_(quotas),
+        stopping_(stopping),
+        pool_(io, settings),
+        balancer_(settings) {}
   /// Answers a request, or closes the connection where no honest answer can be given.
   Task<void> forward(ClientConnection& client, HttpRequest const& request, RequestPlan const& plan);
   /// Forgets workers that are gone.
@@ -32,11 +40,14 @@
     std::uint64_t sends = 0;
     bool startedOver = false;  ///< all workers were tried once, and are tried again
     bool mayHaveRun = false;
+    std::optional<Credit> credit;  ///< to send it; nothing before the first was taken
     ErrorCode lastFailure = ErrorCode::noWorker;
     EventStreamReader events;
   };
   enum class NextStep { tryAnother, stop, done };
 
+  /// Makes sure that the request is counted for its tenant; false if it may not be sent now.
+  Task<bool> holdCredit(RequestPlan const& plan, RetryState& retries);
   /// The worker to try next, if there is one. Waits a moment once every worker was tried.
   Task<Pick> nextWorker(ClientConnection const& client, RequestPlan const& plan, RetryState& retries);
   Task<NextStep> tryWorker(ClientConnection& client, HttpRequest const& request, RequestPlan const& plan,
@@ -66,6 +77,7 @@
   asio::io_context& io_;
   Settings const& settings_;
   FleetView& view_;
+  QuotaClient& quotas_;
   bool const& stopping_;
   ConnectionPool pool_;
   LoadBalancer balancer_;
--- a/edge/request_plan.hpp
+++ b/edge/request_plan.hpp
@@ -1,5 +1,6 @@
 #pragma once
 #include "configuration/configuration.hpp"
+#include "tenants/caller.hpp"
 #include "traffic/load_balancer.hpp"
 #include "wire/http.hpp"
 
@@ -9,6 +10,7 @@
 struct RequestPlan {
   std::shared_ptr<Configuration const> configuration;  ///< keeps the route alive
   Route const* route = nullptr;                        ///< null if no route matches
+  Caller caller;                                       ///< of a request that has a route
   string attempt;                                      ///< the id that the answer must bear
   TimePoint receivedAt, deadline;
   std::uint64_t tries = 1;  ///< workers that the request is sent to, at the most
--- a/lots/item_execution.cpp
+++ b/lots/item_execution.cpp
@@ -1,5 +1,6 @@
 // How the items of lots are run at workers.
 #include "lots/lot_runner.hpp"
+#include "tenants/caller.hpp"
 
 namespace tealshelf {
 
@@ -8,11 +9,12 @@
 constexpr double reservedRelaxed = 0.25, reservedUrgent = 0.1;
 constexpr Ms firstRetryPause{2};
 
-HttpRequest requestFor(ItemRecord const& item, Route const& route, Worker const& worker,
-                       EventStreamReader const& events) {
+HttpRequest requestFor(ItemRecord const& item, LotRecord const& lot, Route const& route, Worker const& worker,
+                       Configuration const& configuration, EventStreamReader const& events) {
   HttpRequest request(http::verb::post, item.path, 11);
   request.set(http::field::host, route.host);
   for (HeaderField const& header : item.headers) request.set(header.name, header.value);
+  replaceIdentity(request, configuration, lot.tenant);
   request.set("Attempt-Id", item.id);
   request.set("Wanted-Server", worker.id);
   if (events.hasEvents()) request.set("Last-Event-Id", std::to_string(events.lastId()));
@@ -142,7 +144,7 @@
   Worker const* const worker = balancer_.pick(view_, pick, {}).worker;
   if (!worker) co_return false;
   string const workerId = worker->id;
-  HttpRequest const request = requestFor(item, *route, *worker, events);
+  HttpRequest const request = requestFor(item, lot, *route, *worker, *configuration, events);
   TimePoint const startedAt = Clock::now();
   std::uint64_t const unreadTokens = item.tokens / 2;
   Exchange exchange(pool_, *worker, true);
--- a/lots/lot_api.cpp
+++ b/lots/lot_api.cpp
@@ -125,12 +125,13 @@
   }
 }
 
-Task<HttpReply> LotApi::submit(Route const& route, string id, string const& body) {
+Task<HttpReply> LotApi::submit(Route const& route, string tenant, string id, string const& body) {
   vector<ItemRecord> items = parseLot(body);
   if (!view_.isFresh()) throw Error(ErrorCode::lotStateUnknown);
   if (id.empty()) throw Error(ErrorCode::lotUnreadable, "no id");
   OpenLot request;
-  request.lot.id = id;
+  request.lot.id = scopedLotId(tenant, id);
+  request.lot.tenant = std::move(tenant);
   request.lot.host = route.host;
   request.lot.route = route.name;
   request.lot.keepForMs = route.keepFor.count();
@@ -175,15 +176,15 @@
   knownLots_[lot.key()] = lot;
 }
 
-Task<HttpReply> LotApi::call(string verb, string host, string target, Ms hold) {
+Task<HttpReply> LotApi::call(LotCaller caller, string verb, string target, Ms hold) {
   string_view const path = string_view(target).substr(0, target.find('?'));
   try {
     if (!view_.isFresh()) throw Error(ErrorCode::lotStateUnknown);
     if (path.starts_with(itemsPath)) {
-      LotKey const key{host, string(path.substr(itemsPath.size()))};
+      LotKey const key{caller.host, scopedLotId(caller.tenant, path.substr(itemsPath.size()))};
       co_return co_await readItem(key, queryParameter(target, "serverId"));
     }
-    LotKey const key{host, string(path.substr(lotsPath.size()))};
+    LotKey const key{caller.host, scopedLotId(caller.tenant, path.substr(lotsPath.size()))};
     if (verb == "DELETE") co_return co_await endLot(key);
     string const startAfter = queryParameter(target, "startAfter");
     std::optional<std::uint64_t> const from = startAfter.empty() ? 0 : parseNumber(startAfter);
--- a/lots/lot_api.hpp
+++ b/lots/lot_api.hpp
@@ -5,6 +5,12 @@
 
 namespace tealshelf {
 
+/// Who calls about lots.
+struct LotCaller {
+  string host;    ///< of the route
+  string tenant;  ///< "" where the configuration names no tenants
+};
+
 /// The lot calls of clients at an edge node.
 ///
 /// Runs on the io thread. Everything passed in must outlive it.
@@ -13,11 +19,12 @@
   LotApi(Settings const& settings, RpcClient& rpc, FleetView& view) : settings_(settings), rpc_(rpc), view_(view) {}
   /// True if a call is one about lots by its method and path.
   bool isLotCall(Configuration const& configuration, string_view verb, string_view host, string_view path) const;
-  /// Answers a call under /lots/ or /items/. A 503 says that this node can't be sure of the lot.
-  Task<HttpReply> call(string verb, string host, string target, Ms hold);
+  /// Answers a call under /lots/ or /items/. A 503 says that this node can't be sure of the lot. A tenant sees its own
+  /// lots only.
+  Task<HttpReply> call(LotCaller caller, string verb, string target, Ms hold);
   /// Takes a lot in: opens it, puts it on its holders, and has it accepted. Throws only what promises that no item
   /// runs.
-  Task<HttpReply> submit(Route const& route, string id, string const& body);
+  Task<HttpReply> submit(Route const& route, string tenant, string id, string const& body);
 
  private:
   /// Asks the control node in use, then others.
--- a/lots/lot_coordinator.cpp
+++ b/lots/lot_coordinator.cpp
@@ -9,6 +9,11 @@
 /// Calls that wait for one lot at most: its client's and those that the nodes sent again.
 constexpr std::size_t maxWaitingCalls = 16;
 string const keyspacePrefix = "lots/";
+
+/// The tokens that may wait are counted for each tenant of a route.
+bool sharesQuota(LotRecord const& left, LotRecord const& right) {
+  return left.route == right.route && left.tenant == right.tenant;
+}
 }  // namespace
 
 LotCoordinator::LotCoordinator(asio::io_context& io, Settings const& settings, RpcClient& rpc, ConsensusDriver& driver)
@@ -109,7 +114,7 @@
 
 bool LotCoordinator::countsTowardsQuota(LotRecord const& lot, LotRecord const& incoming) const {
   bool const finished = lot.state == LotState::ended || lot.isSealed();
-  if (lot.id == incoming.id || lot.route != incoming.route || finished) return false;
+  if (lot.id == incoming.id || !sharesQuota(lot, incoming) || finished) return false;
   // A lot that was never accepted stops counting only when it can't be accepted any more.
   if (lot.state == LotState::opening && !mayBeAccepted(lot.key(), settings_.bounds.inTouch)) return false;
   return !opening_.contains(lot.key());
@@ -126,7 +131,7 @@
     waiting += other.tokens > finished ? other.tokens - finished : 0;
   }
   for (auto const& [key, other] : opening_)
-    if (key != lot.key() && other.route == lot.route) waiting += other.tokens;
+    if (key != lot.key() && other.route == lot.route && other.tenant == lot.tenant) waiting += other.tokens;
   if (waiting + lot.tokens > maxQueuedTokens) throw Error(ErrorCode::lotOverQuota, std::to_string(waiting));
 }
 
@@ -155,7 +160,7 @@
   lot.state = LotState::opening;
   lot.stamp = freshStamp(lot.host);
   lots_[key].openedAt = Clock::now();
-  opening_[key] = OpeningLot{lot.route, lot.tokens, Clock::now()};
+  opening_[key] = OpeningLot{lot.route, lot.tenant, lot.tokens, Clock::now()};
   bool const saved = co_await save(lot, epoch);
   opening_.erase(key);
   if (!saved) throw Error(ErrorCode::noQuorum);
--- a/lots/lot_coordinator.hpp
+++ b/lots/lot_coordinator.hpp
@@ -60,7 +60,7 @@
   };
   /// A lot whose first record is being written.
   struct OpeningLot {
-    string route;
+    string route, tenant;
     std::uint64_t tokens = 0;
     TimePoint startedAt;
   };
--- a/segments/messages.cpp
+++ b/segments/messages.cpp
@@ -2,6 +2,19 @@
 
 namespace tealshelf {
 
+string scopedLotId(string_view tenant, string_view id) {
+  if (tenant.empty()) return string(id);
+  string scoped;
+  // Escaped, so that no two pairs of names give the same text.
+  for (char const c : tenant) {
+    if (c == '/' || c == '%') scoped += '%';
+    scoped += c;
+  }
+  scoped += '/';
+  scoped += id;
+  return scoped;
+}
+
 bool LotRecord::isHeldBy(NodeId store) const {
   return std::any_of(holders.begin(), holders.end(), [store](StoreRef const& holder) { return holder.id == store; });
 }
--- a/segments/messages.hpp
+++ b/segments/messages.hpp
@@ -17,6 +17,10 @@
   auto operator<=>(LotKey const&) const = default;
 };
 
+/// The id under which a tenant's lot is recorded: its own, behind the tenant's name, so that the ids of tenants never
+/// meet and none can find another's lot. Without a tenant it is the client's own id.
+string scopedLotId(string_view tenant, string_view id);
+
 /// A lot as its coordinator records it. Its two segments, items and results, carry one stamp.
 struct LotRecord {
   string id, host, route, service;
@@ -30,13 +34,14 @@
   /// replica at or above this stamp holds all its results, and any holder answers reads.
   GenerationStamp sealedStamp;
   std::uint64_t sealedResults = 0;  ///< results that a sealed lot lists
+  string tenant;                    ///< that handed it in; "" where the configuration named no tenants
   LotKey key() const { return {host, id}; }
   bool isHeldBy(NodeId store) const;
   bool isSealed() const { return sealedStamp.value != 0; }
   /// The lowest stamp of a replica that the record counts.
   GenerationStamp lowestReplicaStamp() const { return isSealed() ? sealedStamp : stamp; }
   MSGPACK_DEFINE(id, host, route, service, tokens, itemCount, tries, sentAtMs, keepForMs, dueInMs, state, stamp,
-                 holders, sealedStamp, sealedResults)
+                 holders, sealedStamp, sealedResults, tenant)
 };
 
 /// A replica of a lot under one stamp.
--- /dev/null
+++ b/tenants/caller.cpp
@@ -0,0 +1,45 @@
+#include "tenants/caller.hpp"
+
+namespace tealshelf {
+
+namespace {
+constexpr char const* tenantHeader = "Customer";
+constexpr string_view scheme = "Bearer";
+
+string_view trimmed(string_view text) {
+  std::size_t const first = text.find_first_not_of(" \t");
+  if (first == string_view::npos) return {};
+  return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+}  // namespace
+
+std::optional<string_view> keyOf(http::fields const& headers) {
+  auto const [first, end] = headers.equal_range(http::field::authorization);
+  // Of two keys, none can be said to be the sender's.
+  if (first == end || std::next(first) != end) return std::nullopt;
+  string_view const value = trimmed(string_view(first->value().data(), first->value().size()));
+  std::size_t const space = value.find(' ');
+  if (space == string_view::npos) return std::nullopt;
+  string_view const named = value.substr(0, space);
+  bool const isBearer =
+      beast::iequals(beast::string_view(named.data(), named.size()), beast::string_view(scheme.data(), scheme.size()));
+  if (!isBearer) return std::nullopt;
+  return trimmed(value.substr(space));
+}
+
+Caller identifyCaller(Configuration const& configuration, http::fields const& headers, KeyNeed need) {
+  if (!configuration.needsKeys) return {};
+  std::optional<string_view> const key = keyOf(headers);
+  Tenant const* const tenant = key ? configuration.findTenantByKey(*key) : nullptr;
+  if (tenant) return {CallerStatus::tenant, tenant};
+  return {need == KeyNeed::optional ? CallerStatus::anonymous : CallerStatus::refused, nullptr};
+}
+
+void replaceIdentity(http::fields& headers, Configuration const& configuration, string const& tenantName) {
+  if (!configuration.needsKeys && tenantName.empty()) return;
+  headers.erase(http::field::authorization);
+  headers.erase(tenantHeader);
+  if (!tenantName.empty()) headers.set(tenantHeader, tenantName);
+}
+
+}  // namespace tealshelf
--- /dev/null
+++ b/tenants/rate_allowance.cpp
@@ -0,0 +1,34 @@
+#include "tenants/rate_allowance.hpp"
+
+namespace tealshelf {
+
+namespace {
+/// A credit lives for this part of the window.
+constexpr int windowInCreditLives = 20;
+/// Parts of what the rule allows beyond the limit that are used; the rest is the reserve.
+constexpr double usedOverrun = 0.8, usedMargin = 0.7;
+/// Lease of a shard, in halves of inTouch: longer than the cuts after which the control nodes soon meet again.
+constexpr int leaseHalves = 5;
+}  // namespace
+
+Ms creditLife(Bounds const& bounds) {
+  return std::max(Ms(1), bounds.quotaWindow / windowInCreditLives);
+}
+
+Ms shardLease(Bounds const& bounds) {
+  return bounds.inTouch * leaseHalves / 2;
+}
+
+RateAllowance totalAllowance(Tenant const& tenant, Bounds const& bounds) {
+  double const window = static_cast<double>(bounds.quotaWindow.count());
+  double const span = window + static_cast<double>(creditLife(bounds).count());
+  double const stretched = 1 + usedOverrun * bounds.quotaOverrun;
+  return {tenant.ratePerSecond * stretched * window / span, tenant.burst * stretched + usedMargin * bounds.quotaMargin};
+}
+
+std::size_t maxShards(RateAllowance const& total) {
+  constexpr double most = 1024;
+  return static_cast<std::size_t>(std::clamp(total.burst, 1.0, most));
+}
+
+}  // namespace tealshelf
--- /dev/null
+++ b/tenants/shard_choice.cpp
@@ -0,0 +1,87 @@
+#include "tenants/shard_choice.hpp"
+
+namespace tealshelf {
+
+namespace {
+/// Parts of inTouch: the rest of a shard after its first failure, and after many.
+constexpr int firstRestPart = 16, longestRestPart = 4;
+constexpr int maxCountedFailures = 4;
+/// A tenant counts as at its limit for this part of the window after all its shards had nothing left.
+constexpr int windowInLimitMemory = 5;
+constexpr std::size_t askedAtLimit = 2;
+}  // namespace
+
+ShardChoice::ShardChoice(string self, string zone, Bounds const& bounds)
+    : self_(std::move(self)),
+      zone_(std::move(zone)),
+      firstRest_(bounds.inTouch / firstRestPart),
+      longestRest_(bounds.inTouch / longestRestPart),
+      limitMemory_(bounds.quotaWindow / windowInLimitMemory) {}
+
+bool ShardChoice::isExhausted(NodeId shard, string const& tenant, TimePoint now) const {
+  auto const found = exhausted_.find({tenant, shard});
+  return found != exhausted_.end() && now < found->second;
+}
+
+bool ShardChoice::rests(NodeId shard, TimePoint now) const {
+  auto const found = failures_.find(shard);
+  return found != failures_.end() && now < found->second.restsUntil;
+}
+
+std::optional<Member> ShardChoice::next(vector<Member> const& shards, string const& tenant,
+                                        std::set<NodeId> const& asked, TimePoint now) const {
+  Member const* best = nullptr;
+  std::pair<bool, std::uint64_t> bestRank;
+  std::uint64_t const order = hash64(tenant, hash64(self_));
+  for (Member const& shard : shards) {
+    if (asked.contains(shard.id) || rests(shard.id, now) || isExhausted(shard.id, tenant, now)) continue;
+    std::pair<bool, std::uint64_t> const rank(shard.zone != zone_, hash64(shard.name, order));
+    if (best && rank >= bestRank) continue;
+    best = &shard;
+    bestRank = rank;
+  }
+  if (!best) return std::nullopt;
+  return *best;
+}
+
+ShardChoice::Obstacle ShardChoice::obstacle(vector<Member> const& shards, string const& tenant, TimePoint now) const {
+  for (Member const& shard : shards)
+    if (isExhausted(shard.id, tenant, now)) return Obstacle::exhausted;
+  return Obstacle::unreachable;
+}
+
+std::size_t ShardChoice::maxAsked(string const& tenant, TimePoint now) const {
+  auto const found = atLimit_.find(tenant);
+  bool const isAtLimit = found != atLimit_.end() && now < found->second;
+  return isAtLimit ? askedAtLimit : std::numeric_limits<std::size_t>::max();
+}
+
+void ShardChoice::noteGranted(NodeId shard, string const& tenant) {
+  failures_.erase(shard);
+  exhausted_.erase({tenant, shard});
+}
+
+void ShardChoice::noteExhausted(NodeId shard, string const& tenant, Ms retryAfter, TimePoint now) {
+  failures_.erase(shard);
+  exhausted_[{tenant, shard}] = now + retryAfter;
+}
+
+void ShardChoice::noteAllExhausted(string const& tenant, TimePoint now) {
+  atLimit_[tenant] = now + limitMemory_;
+}
+
+void ShardChoice::noteFailed(NodeId shard, TimePoint now) {
+  Failure& failure = failures_[shard];
+  // Requests that were under way together fail together; they count once.
+  if (now < failure.restsUntil) return;
+  failure.count = std::min(failure.count + 1, maxCountedFailures);
+  failure.restsUntil = now + std::min(longestRest_, firstRest_ * (1 << (failure.count - 1)));
+}
+
+void ShardChoice::sweep(TimePoint now) {
+  std::erase_if(exhausted_, [now](auto const& item) { return item.second <= now; });
+  std::erase_if(atLimit_, [now](auto const& item) { return item.second <= now; });
+  std::erase_if(failures_, [&](auto const& item) { return item.second.restsUntil + longestRest_ <= now; });
+}
+
+}  // namespace tealshelf
--- a/tests/lots/lot_api_test.cpp
+++ b/tests/lots/lot_api_test.cpp
@@ -61,7 +61,7 @@
   /// The status of a call of a client.
   int call(string const& target, Ms hold) {
     std::shared_ptr<int> const status = std::make_shared<int>(0);
-    asio::co_spawn(io, lots.call("GET", host, target, hold),
+    asio::co_spawn(io, lots.call(LotCaller{host, ""}, "GET", target, hold),
                    [status](std::exception_ptr failure, HttpReply reply) { *status = failure ? -1 : reply.status; });
     for (int turn = 0; turn < 800 && !*status; ++turn) run(Ms(5));
     return *status;
--- a/updates/fleet_view.cpp
+++ b/updates/fleet_view.cpp
@@ -155,6 +155,12 @@
   return workers;
 }
 
+vector<Member> FleetView::members() const {
+  vector<Member> members;
+  for (auto const& [key, member] : subscriber_.members()) members.push_back(member);
+  return members;
+}
+
 Worker const* FleetView::find(string const& id) const {
   auto const worker = workers_.find(id);
   return worker == workers_.end() ? nullptr : &worker->second;
--- a/updates/fleet_view.hpp
+++ b/updates/fleet_view.hpp
@@ -30,6 +30,10 @@
   bool isFresh() const { return knowsFleetWithin(settings_.bounds.inTouch / 3); }
   /// Control nodes to call, those that failed lately last.
   vector<Address> controlAddresses() const { return subscriber_.controlAddresses(Clock::now()); }
+  /// The members of the control plane, as far as they are known here.
+  vector<Member> members() const;
+  /// Rises whenever the members change.
+  std::uint64_t membersRevision() const { return subscriber_.membersRevision(); }
   void noteControlAnswered(Address const& control) { subscriber_.noteAnswered(control); }
   void noteControlFailed(Address const& control) { subscriber_.noteFailed(control, Clock::now()); }
   /// Called when something changed.
--- a/updates/update_subscriber.cpp
+++ b/updates/update_subscriber.cpp
@@ -92,6 +92,7 @@
 }
 
 void UpdateSubscriber::applyMemberRow(TableRow const& row) {
+  ++membersRevision_;
   if (row.removed)
     members_.erase(row.key);
   else
--- a/updates/update_subscriber.hpp
+++ b/updates/update_subscriber.hpp
@@ -48,6 +48,10 @@
 
   bool allSourcesRest(TimePoint now) const { return sources_.allRest(now); }
   vector<Address> controlAddresses(TimePoint now) const { return sources_.controlAddresses(now); }
+  /// The members of the control plane, by the key of their row.
+  std::map<string, Member> const& members() const { return members_; }
+  /// Rises whenever the members change.
+  std::uint64_t membersRevision() const { return membersRevision_; }
   TimePoint provenAt() const { return copy_.provenAt(); }
   bool isRelay() const { return isRelay_; }
   /// What this node can say for the updates that it relays.
@@ -69,6 +73,7 @@
   UpdateCopy copy_;
   UpdateSources sources_;
   std::map<string, Member> members_;  ///< by the key of their row
+  std::uint64_t membersRevision_ = 0;
   bool isRelay_ = false;
   bool isIntroduced_ = false;
   bool sendsNodes_ = false;  ///< the list of nodes that ask here was wanted
--- a/wire/rpc.hpp
+++ b/wire/rpc.hpp
@@ -31,7 +31,8 @@
   readItem = 46,
   fetchReplica = 48,
   startLot = 49,
-  confirmReplicas = 50
+  confirmReplicas = 50,
+  takeCredit = 70
 };
 
 /// A reply without content.
