tenants: tests of keys, limits and the division of a limit; logs are set up once

A simulation of shards on a virtual clock searches for a window over the bound; three mutations (a takeover that does not wait, a start with full buckets, a shard without a lease) are found by it.

--- a/base/logging.cpp
+++ b/base/logging.cpp
@@ -31,6 +31,8 @@
 
 void initLogging(LogLevel minimum) {
   minimumLevel = minimum;
+  static bool hasSink = false;
+  if (std::exchange(hasSink, true)) return;
   boost_log::add_console_log(
       std::cerr, boost_log::keywords::format = (boost_log::expressions::stream << boost_log::expressions::smessage),
       boost_log::keywords::auto_flush = true);
--- a/base/logging.hpp
+++ b/base/logging.hpp
@@ -7,7 +7,7 @@
 
 enum class LogLevel { debug, info, warning, error };
 
-/// Sets the log up for this process; below the level nothing is written.
+/// Sets the log up for this process, or only its level if it was set up before; below the level nothing is written.
 void initLogging(LogLevel minimum);
 /// Reads the name of a level; false if there is none of that name.
 bool parseLogLevel(std::string_view name, LogLevel& level);
--- a/tenants/quota_shard.cpp
+++ b/tenants/quota_shard.cpp
@@ -40,7 +40,7 @@
   if (isNew) bucket.tokens = total.burst / divisor(bucket);
   bucket.waitsUntil = mayCountFrom_;
   bool const isTakenOver = membership_.exists() && !countsFor(tenant, bucket, membership_.formerMembers);
-  if (isTakenOver) bucket.waitsUntil = now + takeOverDelay();
+  if (isTakenOver) bucket.waitsUntil = now + timing_.takeOver;
   return bucket;
 }
 
@@ -64,7 +64,7 @@
     bucket.present = true;
     bucket.tokens = std::min(bucket.tokens, total.burst / divisor(bucket));
     // The set of shards depends on the burst.
-    if (!counted && countsFor(tenant.name, bucket, membership_.members)) bucket.waitsUntil = now + takeOverDelay();
+    if (!counted && countsFor(tenant.name, bucket, membership_.members)) bucket.waitsUntil = now + timing_.takeOver;
   }
   // What a tenant spent must not be forgotten while a window may still hold it, also if it is put back.
   std::erase_if(buckets_, [&](auto const& item) {
@@ -81,13 +81,13 @@
   for (auto& [name, bucket] : buckets_) refill(bucket, now);
   if (now >= largestUntil_) largestSize_ = 0;
   largestSize_ = std::max(largestSize_, before.size());
-  largestUntil_ = now + takeOverDelay();
+  largestUntil_ = now + timing_.takeOver;
   membership_ = membership;
   self_ = self;
-  if (!contains(before, self_)) mayCountFrom_ = now + takeOverDelay();
+  if (!contains(before, self_)) mayCountFrom_ = now + timing_.takeOver;
   for (auto& [name, bucket] : buckets_) {
     bool const isTakenOver = !countsFor(name, bucket, before) && countsFor(name, bucket, membership_.members);
-    if (isTakenOver) bucket.waitsUntil = now + takeOverDelay();
+    if (isTakenOver) bucket.waitsUntil = now + timing_.takeOver;
     bucket.tokens = std::min(bucket.tokens, bucket.total.burst / divisor(bucket));
   }
 }
@@ -96,7 +96,7 @@
   TakeCreditReply reply;
   Tenant const* const known = configuration_ ? configuration_->findTenant(tenant) : nullptr;
   if (!known) return reply;
-  bool const hasLease = majorityContact != TimePoint() && now - majorityContact <= shardLease(bounds_);
+  bool const hasLease = majorityContact != TimePoint() && now - majorityContact <= timing_.lease;
   if (!hasLease || !contains(membership_.members, self_)) return reply;
   if (!known->isLimited()) {
     reply.verdict = CreditVerdict::granted;
--- a/tenants/quota_shard.hpp
+++ b/tenants/quota_shard.hpp
@@ -15,7 +15,8 @@
 /// - A part grows at once when the membership shrinks only after the same wait, and shrinks at once when it grows.
 class QuotaShard {
  public:
-  explicit QuotaShard(Bounds const& bounds) : bounds_(bounds) {}
+  explicit QuotaShard(Bounds const& bounds) : QuotaShard(bounds, ShardTiming::of(bounds)) {}
+  QuotaShard(Bounds const& bounds, ShardTiming timing) : bounds_(bounds), timing_(timing) {}
 
   /// Takes the limits of a configuration over.
   void setConfiguration(std::shared_ptr<Configuration const> configuration, TimePoint now);
@@ -47,10 +48,9 @@
   bool countsFor(string const& tenant, Bucket const& bucket, vector<Member> const& members) const;
   void refill(Bucket& bucket, TimePoint now) const;
   Bucket makeBucket(string const& tenant, RateAllowance const& total, TimePoint now) const;
-  /// The time after which whatever counted before has stopped.
-  Ms takeOverDelay() const { return shardLease(bounds_) + creditLife(bounds_); }
 
   Bounds bounds_;
+  ShardTiming timing_;
   std::shared_ptr<Configuration const> configuration_;
   Membership membership_;
   Member self_;
--- a/tenants/rate_allowance.hpp
+++ b/tenants/rate_allowance.hpp
@@ -22,6 +22,13 @@
 /// before it grants: whatever had its part of the limit before must have stopped by then.
 Ms shardLease(Bounds const& bounds);
 
+/// The times that keep parts of a limit from being in use twice.
+struct ShardTiming {
+  Ms lease{0};     ///< see shardLease
+  Ms takeOver{0};  ///< a part that may be in use elsewhere is idle for so long first
+  static ShardTiming of(Bounds const& bounds) { return {shardLease(bounds), shardLease(bounds) + creditLife(bounds)}; }
+};
+
 /// What all shards of a tenant together grant.
 RateAllowance totalAllowance(Tenant const& tenant, Bounds const& bounds);
 
--- /dev/null
+++ b/tests/tenants/quota_fleet_sim.hpp
@@ -0,0 +1,203 @@
+#pragma once
+#include "tenants/quota_shard.hpp"
+
+#include <random>
+
+namespace tealshelf::sim {
+
+/// Shards of a tenant's limit on a virtual clock, with the worst edges there can be: they ask wherever a credit may be
+/// had, at members that are cut off or removed too, and spend each credit at any time of its life.
+///
+/// Members are killed, started again, cut off, and replaced while they may still be running; their clocks run at
+/// different rates, and they learn of memberships and configurations late.
+class QuotaFleet {
+ public:
+  struct Faults {
+    bool takesOverAtOnce = false;  ///< mutation: a part that may be in use elsewhere is used at once
+    bool restartsFull = false;     ///< mutation: a process that starts has its buckets full
+    bool ignoresItsLease = false;  ///< mutation: a shard goes on without a majority
+    bool limitIsLowered = false;   ///< the rate is halved midway, and later raised
+  };
+  static constexpr Ms tick{20}, length{60000};
+
+  QuotaFleet(std::uint64_t seed, Faults faults) : random_(seed), faults_(faults) {
+    bounds_.quotaWindow = Ms(5000);
+    bounds_.inTouch = Ms(4000);
+    bounds_.quotaOverrun = 0.1;
+    bounds_.quotaMargin = 20;
+    rate_ = pick(2) ? 200 : 3;
+    burst_ = pick(2) ? rate_ : 0;
+    crashLoops_ = pick(4) == 0;
+    configure(rate_);
+    std::size_t const members = 3 + pick(6);
+    for (std::size_t i = 0; i < members; ++i) addNode();
+    membership_.number = MembershipNumber(1);
+    for (Node const& node : nodes_) membership_.members.push_back(node.self);
+    membership_.formerMembers = membership_.members;
+    for (Node& node : nodes_) install(node);
+  }
+
+  /// Runs to the end; the largest part of the bound that a window used, and 1 is the bound.
+  double run() {
+    for (Ms now(0); now < length; now += tick) {
+      now_ = TimePoint(Ms(1000000) + now);
+      if (faults_.limitIsLowered && now == length / 3) configure(rate_ / 2);
+      if (faults_.limitIsLowered && now == 2 * length / 3) configure(rate_);
+      for (Node& node : nodes_) live(node);
+      if (pick(crashLoops_ ? 8 : 40) == 0) trouble();
+      replaceSilent();
+      // Edges rest now and then, so that buckets fill.
+      bool const resting = (now / Ms(4000)) % 4 == 3;
+      if (!resting) askEverywhere();
+    }
+    return largestShare();
+  }
+  std::size_t spends() const { return spends_.size(); }
+
+ private:
+  struct Node {
+    Member self;
+    double clockRate = 1;
+    bool up = true, cut = false;
+    TimePoint upAgainAt, healsAt, lastContact;
+    std::unique_ptr<QuotaShard> shard;
+    Membership known;
+    std::uint64_t configurationSeen = 0;
+  };
+
+  std::uint64_t pick(std::uint64_t below) { return random_() % below; }
+  /// What a node's own clock shows.
+  TimePoint clockOf(Node const& node, TimePoint at) const {
+    return TimePoint(std::chrono::duration_cast<Clock::duration>(node.clockRate * at.time_since_epoch()));
+  }
+
+  void configure(double rate) {
+    std::shared_ptr<Configuration> const next = std::make_shared<Configuration>();
+    next->version = ++version_;
+    next->tenants.push_back(Tenant{"t", std::nullopt, rate, burst_});
+    next->tenantsByName["t"] = 0;
+    configuration_ = next;
+  }
+
+  void addNode() {
+    Node node;
+    node.self.id = NodeId(nodes_.size() + 1);
+    node.self.name = "c-" + std::to_string(nodes_.size());
+    node.clockRate = 0.995 + 0.01 * static_cast<double>(pick(100)) / 100;
+    nodes_.push_back(std::move(node));
+    start(nodes_.back());
+  }
+
+  void start(Node& node) {
+    ShardTiming timing = ShardTiming::of(bounds_);
+    if (faults_.takesOverAtOnce) timing.takeOver = Ms(0);
+    node.shard = std::make_unique<QuotaShard>(bounds_, timing);
+    node.configurationSeen = 0;
+    node.up = true;
+    // From its disk.
+    if (node.known.exists()) node.shard->setMembership(node.known, node.self, clockOf(node, now_));
+    // A full bucket is what a process has that has counted for long.
+    if (faults_.restartsFull) {
+      node.shard->setConfiguration(std::make_shared<Configuration>(), clockOf(node, now_) - 3 * bounds_.quotaWindow);
+    }
+  }
+
+  void install(Node& node) {
+    node.known = membership_;
+    node.shard->setMembership(membership_, node.self, clockOf(node, now_));
+  }
+
+  void live(Node& node) {
+    if (!node.up && now_ >= node.upAgainAt) start(node);
+    if (node.cut && now_ >= node.healsAt) node.cut = false;
+    if (!node.up || node.cut) return;
+    node.lastContact = now_;
+    bool const learns = pick(5) == 0;
+    if (learns && node.known.number != membership_.number) install(node);
+    if (learns && node.configurationSeen != version_) {
+      node.configurationSeen = version_;
+      node.shard->setConfiguration(configuration_, clockOf(node, now_));
+    }
+  }
+
+  bool isMember(Node const& node) const {
+    Member const* const member = membership_.find(node.self.id);
+    return member && member->incarnation == node.self.incarnation;
+  }
+
+  /// Kills a node or cuts one off, for longer than it takes to replace it, too.
+  void trouble() {
+    Node& node = nodes_[pick(nodes_.size())];
+    Ms const duration(crashLoops_ ? 40 + pick(100) : 200 + pick(20000));
+    if (crashLoops_ || pick(2)) {
+      node.up = false;
+      node.upAgainAt = now_ + duration;
+    } else {
+      node.cut = true;
+      node.healsAt = now_ + duration;
+    }
+  }
+
+  void replaceSilent() {
+    constexpr Ms deadAfter{4000};
+    constexpr std::size_t maxNodes = 40;
+    for (std::size_t i = 0; i < nodes_.size() && nodes_.size() < maxNodes; ++i) {
+      bool const silent = isMember(nodes_[i]) && now_ - nodes_[i].lastContact > deadAfter;
+      if (!silent || nodes_[i].lastContact == TimePoint()) continue;
+      NodeId const gone = nodes_[i].self.id;
+      Membership next;
+      next.number = MembershipNumber(membership_.number.value + 1);
+      next.formerMembers = membership_.members;
+      next.members = membership_.members;
+      if (pick(2) && next.members.size() > 3) {
+        std::erase_if(next.members, [gone](Member const& member) { return member.id == gone; });
+      } else {
+        addNode();
+        for (Member& member : next.members)
+          if (member.id == gone) member = nodes_.back().self;
+      }
+      membership_ = next;
+      if (isMember(nodes_.back())) install(nodes_.back());
+      return;
+    }
+  }
+
+  void askEverywhere() {
+    int const asks = rate_ > 100 ? 12 : 2;
+    for (int i = 0; i < asks; ++i)
+      for (Node& node : nodes_) {
+        if (!node.up) continue;
+        TimePoint const contact = faults_.ignoresItsLease ? now_ : node.lastContact;
+        TakeCreditReply const reply = node.shard->take("t", clockOf(node, contact), clockOf(node, now_));
+        if (reply.verdict != CreditVerdict::granted) continue;
+        Ms const kept(static_cast<std::int64_t>(pick(static_cast<std::uint64_t>(creditLife(bounds_).count()))));
+        spends_.push_back(now_ + kept);
+      }
+  }
+
+  double largestShare() {
+    std::sort(spends_.begin(), spends_.end());
+    double const seconds = std::chrono::duration<double>(bounds_.quotaWindow).count();
+    double const bound = (rate_ * seconds + burst_) * (1 + bounds_.quotaOverrun) + bounds_.quotaMargin;
+    std::size_t first = 0, most = 0;
+    for (std::size_t last = 0; last < spends_.size(); ++last) {
+      while (spends_[last] - spends_[first] > bounds_.quotaWindow) ++first;
+      most = std::max(most, last - first + 1);
+    }
+    return static_cast<double>(most) / bound;
+  }
+
+  std::mt19937_64 random_;
+  Faults faults_;
+  Bounds bounds_;
+  double rate_ = 0, burst_ = 0;
+  bool crashLoops_ = false;  ///< members end again and again, each time for a moment
+  std::uint64_t version_ = 0;
+  std::shared_ptr<Configuration const> configuration_;
+  Membership membership_;
+  std::deque<Node> nodes_;
+  TimePoint now_ = TimePoint(Ms(1000000));
+  vector<TimePoint> spends_;
+};
+
+}  // namespace tealshelf::sim
--- /dev/null
+++ b/tests/tenants/quota_shard_test.cpp
@@ -0,0 +1,153 @@
+#include "tests/tenants/quota_fleet_sim.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace tealshelf;
+using sim::QuotaFleet;
+
+namespace {
+std::uint64_t seedCount() {
+  char const* const wanted = std::getenv("TEALSHELF_SEEDS");
+  return wanted ? std::strtoull(wanted, nullptr, 10) : 60;
+}
+
+/// The largest part of the bound that any window of any seed used.
+double worstShare(QuotaFleet::Faults faults) {
+  double worst = 0;
+  for (std::uint64_t seed = 1; seed <= seedCount(); ++seed) worst = std::max(worst, QuotaFleet(seed, faults).run());
+  return worst;
+}
+
+Bounds bounds() {
+  Bounds bounds;
+  bounds.inTouch = Ms(4000);
+  bounds.quotaWindow = Ms(5000);
+  return bounds;
+}
+
+std::shared_ptr<Configuration const> limited(double rate, double burst) {
+  std::shared_ptr<Configuration> const configuration = std::make_shared<Configuration>();
+  configuration->tenants.push_back(Tenant{"t", std::nullopt, rate, burst});
+  configuration->tenantsByName["t"] = 0;
+  return configuration;
+}
+
+Member memberNumber(std::uint64_t number) {
+  Member member;
+  member.id = NodeId(number);
+  return member;
+}
+
+/// One of three shards that have always been members.
+struct ShardRig {
+  ShardRig() {
+    membership.number = MembershipNumber(1);
+    for (std::uint64_t number = 1; number <= 3; ++number) membership.members.push_back(memberNumber(number));
+    membership.formerMembers = membership.members;
+    shard.setMembership(membership, membership.members[0], now);
+  }
+  /// Credits that are granted one after the other without a pause.
+  int takeAll() {
+    int taken = 0;
+    while (shard.take("t", now, now).verdict == CreditVerdict::granted) ++taken;
+    return taken;
+  }
+  Membership membership;
+  TimePoint now = TimePoint(Ms(1000000));
+  QuotaShard shard{bounds()};
+};
+}  // namespace
+
+/// However members die, are cut off and are replaced, no window of any tenant holds more than the rule allows.
+TEST_GROUP(quotaFleet){};
+
+TEST(quotaFleet, noWindowIsOverItsBound) {
+  double const worst = worstShare({});
+  CHECK(worst <= 1);
+  // The search does press against the bound.
+  CHECK(worst > 0.8);
+}
+TEST(quotaFleet, aLoweredLimitKeepsTheBoundOfTheHigherOne) {
+  CHECK(worstShare({false, false, false, true}) <= 1);
+}
+/// The search finds what it is there to find.
+TEST(quotaFleet, aTakeoverThatDoesNotWaitIsFound) {
+  CHECK(worstShare({true, false, false, false}) > 1);
+}
+TEST(quotaFleet, aProcessThatStartsWithFullBucketsIsFound) {
+  CHECK(worstShare({false, true, false, false}) > 1);
+}
+TEST(quotaFleet, aShardWithoutALeaseIsFound) {
+  CHECK(worstShare({false, false, true, false}) > 1);
+}
+
+TEST_GROUP(quotaShard){};
+
+TEST(quotaShard, grantsItsPartOfTheRate) {
+  ShardRig rig;
+  rig.shard.setConfiguration(limited(300, 0), rig.now);
+  rig.now += Ms(10000);
+  rig.takeAll();
+  int taken = 0;
+  for (int second = 0; second < 10; ++second) {
+    rig.now += Ms(20);
+    taken += rig.takeAll();
+  }
+  // A third of 300 a second, a little stretched, for 200 ms.
+  CHECK(taken >= 19 && taken <= 21);
+}
+TEST(quotaShard, saysWhenToComeAgain) {
+  ShardRig rig;
+  rig.shard.setConfiguration(limited(30, 0), rig.now);
+  TakeCreditReply const first = rig.shard.take("t", rig.now, rig.now);
+  CHECK(first.verdict == CreditVerdict::exhausted);
+  CHECK(first.retryAfterMs >= 90 && first.retryAfterMs <= 110);
+  // The next one is put off until the token after that.
+  CHECK(rig.shard.take("t", rig.now, rig.now).retryAfterMs > first.retryAfterMs);
+  CHECK(rig.shard.take("t", rig.now + Ms(110), rig.now + Ms(110)).verdict == CreditVerdict::granted);
+}
+TEST(quotaShard, grantsNothingWithoutALease) {
+  ShardRig rig;
+  rig.shard.setConfiguration(limited(300, 0), rig.now);
+  TimePoint const contact = rig.now;
+  rig.now += shardLease(bounds());
+  CHECK(rig.shard.take("t", contact, rig.now).verdict == CreditVerdict::granted);
+  rig.now += Ms(1);
+  CHECK(rig.shard.take("t", contact, rig.now).verdict == CreditVerdict::notCounting);
+  CHECK(rig.shard.take("t", TimePoint(), rig.now).verdict == CreditVerdict::notCounting);
+}
+TEST(quotaShard, aTenantThatIsPutBackHasNoFreshBurst) {
+  ShardRig rig;
+  rig.shard.setConfiguration(limited(1, 300), rig.now);
+  rig.now += Ms(600000);
+  CHECK(rig.takeAll() > 100);
+  rig.shard.setConfiguration(std::make_shared<Configuration>(), rig.now);
+  CHECK(rig.shard.take("t", rig.now, rig.now).verdict == CreditVerdict::notCounting);
+  rig.now += Ms(1000);
+  rig.shard.setConfiguration(limited(1, 300), rig.now);
+  CHECK(rig.takeAll() <= 1);
+}
+TEST(quotaShard, aTenantThatIsNewMayUseItsBurstAtOnce) {
+  ShardRig rig;
+  rig.shard.setConfiguration(std::make_shared<Configuration>(), rig.now);
+  rig.now += Ms(60000);
+  rig.shard.setConfiguration(limited(1, 300), rig.now);
+  CHECK(rig.takeAll() > 100);
+}
+TEST(quotaShard, aLoweredLimitCountsAtOnce) {
+  ShardRig rig;
+  rig.shard.setConfiguration(limited(300, 300), rig.now);
+  rig.now += Ms(60000);
+  rig.shard.setConfiguration(limited(3, 3), rig.now);
+  CHECK(rig.takeAll() < 10);
+}
+TEST(quotaShard, aSmallBurstIsNotDividedIntoPartsOfATokens) {
+  Bounds tight = bounds();
+  tight.quotaMargin = 0;
+  tight.quotaOverrun = 0;
+  RateAllowance const total = totalAllowance(Tenant{"t", std::nullopt, 2, 1}, tight);
+  vector<Member> members;
+  for (std::uint64_t number = 1; number <= 9; ++number) members.push_back(memberNumber(number));
+  LONGS_EQUAL(1, shardsOf(members, "t", total).size());
+  LONGS_EQUAL(9, shardsOf(members, "t", totalAllowance(Tenant{"t", std::nullopt, 2, 9}, tight)).size());
+}
--- a/tests/traffic/worker_stand_in.hpp
+++ b/tests/traffic/worker_stand_in.hpp
@@ -1,5 +1,6 @@
 #pragma once
 #include "edge/edge_node.hpp"
+#include "tenants/messages.hpp"
 #include "tests/wire/loopback.hpp"
 
 namespace tealshelf {
@@ -36,7 +37,8 @@
   std::size_t primed = 0, sends = 0;
   bool onUsed = false;  ///< the last send came on a connection that had answered before
   vector<string> lastEventIds;
-  Script onResume;  ///< for requests that bear Last-Event-Id
+  http::fields lastHead;  ///< of the last request, priming ones too
+  Script onResume;        ///< for requests that bear Last-Event-Id
   /// Connections that are open here.
   std::size_t connections() const { return open_.size(); }
   /// Ends all idle connections.
@@ -70,6 +72,7 @@
       if (e) co_return;
       string const id(p.get()["Attempt-Id"].data(), p.get()["Attempt-Id"].size());
       string const resume(p.get()["Last-Event-Id"].data(), p.get()["Last-Event-Id"].size());
+      lastHead = p.get();
       bool const primes = p.get().target().ends_with("prime");
       Script const& script = resume.empty() ? script_ : onResume;
       if (primes)
@@ -144,6 +147,17 @@
       publisher_.common.put("w/" + w.id, serialize(w));
     }
     server_.on<UpdateRequest>([this](UpdateRequest q) { return publisher_.serve(std::move(q)); });
+    server_.on<TakeCredit>([this](TakeCredit) -> Task<TakeCreditReply> {
+      ++creditsAsked;
+      if (creditDelay > Ms(0)) co_await sleepFor(creditDelay);
+      co_return TakeCreditReply{creditVerdict, 100};
+    });
+    Member member;
+    member.id = NodeId(1);
+    member.name = "c-1";
+    member.ip = ip;
+    member.zone = "z";
+    publisher_.common.put(string(memberRowPrefix) + "1", serialize(member));
     server_.start();
     edge_.start();
     for (int n = 0; n < 400 && call("/again/prime", "one").status != 200; ++n) run(Ms(5));
@@ -165,6 +179,15 @@
   tcp::endpoint outside() const { return {asio::ip::make_address(ip), 17680}; }
   /// Puts a configuration with other limits in force.
   void changeLimits(ClientLimits const& limits) { install(configuration(++version_, limits, true)); }
+  /// Puts a configuration with tenants, or without any for "", in force.
+  void changeTenants(string const& customers) {
+    customers_ = customers;
+    install(configuration(++version_, ClientLimits(), true));
+  }
+  /// What the only shard answers.
+  CreditVerdict creditVerdict = CreditVerdict::granted;
+  Ms creditDelay{0};
+  std::size_t creditsAsked = 0;
   /// Puts a configuration without routes in force.
   void removeRoutes() { install(configuration(++version_, ClientLimits(), false)); }
   /// After this part of the grace a stopping edge takes no requests any more.
@@ -213,7 +236,7 @@
            ",\"headerWaitMs\":" + std::to_string(limits.headerWait.count()) +
            ",\"idleLimitMs\":" + std::to_string(limits.idleLimit.count()) + "}";
   }
-  static string configuration(std::uint64_t version, ClientLimits const& limits, bool withRoutes) {
+  string configuration(std::uint64_t version, ClientLimits const& limits, bool withRoutes) const {
     string routes;
     if (withRoutes)
       for (string_view const kind : {"one_shot", "repeatable", "streaming", "resumable"}) {
@@ -224,12 +247,12 @@
                   "/\",\"kind\":\"" + (resumes ? "streaming" : string(kind)) +
                   "\",\"timeLimitMs\":4000,\"targetMs\":200,\"priority\":0,\"service\":\"app\",\"tries\":2,"
                   "\"sticky\":false,\"resumable\":" +
-                  (resumes ? "true" : "false") + "}";
+                  (resumes ? "true" : "false") + ",\"public\":" + (kind == "repeatable" ? "true" : "false") + "}";
       }
     return "{\"version\":" + std::to_string(version) + ",\"routes\":[" + routes +
            "],\"services\":[{\"name\":\"app\",\"healthPath\":\"/h\",\"maxConnections\":100,\"protocol\":\"h1\","
            "\"useTls\":false}],\"limits\":" +
-           limitsText(limits) + "}";
+           limitsText(limits) + (customers_.empty() ? "" : ",\"customers\":" + customers_) + "}";
   }
   Task<void> client(string q, std::shared_ptr<Got> got) {
     tcp::socket s(io);
@@ -264,6 +287,7 @@
   RpcServer server_;
   UpdatePublisher publisher_;
   std::uint64_t version_ = 1;
+  string customers_;
 
  public:
   std::array<StandIn, 2> workers;
