--- a/apps/control_plane.cpp
+++ b/apps/control_plane.cpp
@@ -20,6 +20,8 @@
     node->start();
     daemon.stop = [node] { node->stop(); };
     daemon.isIdle = [] { return true; };
+    daemon.pages[string(rolloutsPage)] = [node] { return node->rolloutReport(); };
+    daemon.pages[string(tenantsPage)] = [node] { return node->tenantReport(); };
     daemon.minStopTime = settings.bounds.inTouch / 6;
   });
 }
--- a/apps/status_reader.cpp
+++ b/apps/status_reader.cpp
@@ -188,9 +188,51 @@
   throw Error(ErrorCode::badArguments, "no such prefix: " + prefix);
 }
 
+string rolloutTable(string const& reportJson) {
+  rapidjson::Document const report = parseReport(reportJson);
+  Table table({"service", "target", "state", "stage", "share", "elapsed s", "term s", "to target", "in all",
+               "unconfirmed", "reason"});
+  for (rapidjson::Value const& rollout : report.GetArray())
+    table.add({textIn(rollout, "service"), textIn(rollout, "targetVersion"), textIn(rollout, "state"),
+               wholeNumber(numberIn(rollout, "stage")), rounded(numberIn(rollout, "shareInThousandths") / 10) + " %",
+               rounded(numberIn(rollout, "elapsedMs") / 1000), rounded(numberIn(rollout, "termMs") / 1000),
+               wholeNumber(numberIn(rollout, "sentToTarget")), wholeNumber(numberIn(rollout, "sentInAll")),
+               std::to_string(elementsIn(rollout, "unconfirmed").size()), textIn(rollout, "reason")});
+  return table.text();
+}
+
+string tenantTable(vector<string> const& reportsJson) {
+  struct Use {
+    double rate = 0, burst = 0, left = 0, granted = 0, refused = 0;
+    std::size_t shards = 0;
+  };
+  std::map<string, Use> uses;
+  for (string const& json : reportsJson) {
+    rapidjson::Document const report = parseReport(json);
+    for (rapidjson::Value const& tenant : report.GetArray()) {
+      Use& use = uses[textIn(tenant, "tenant")];
+      use.rate += numberIn(tenant, "ratePerS");
+      use.burst += numberIn(tenant, "burst");
+      use.left += numberIn(tenant, "tokensLeft");
+      use.granted += numberIn(tenant, "granted");
+      use.refused += numberIn(tenant, "refused");
+      ++use.shards;
+    }
+  }
+  vector<std::pair<string, Use>> rows(uses.begin(), uses.end());
+  std::stable_sort(rows.begin(), rows.end(),
+                   [](auto const& left, auto const& right) { return left.second.refused > right.second.refused; });
+  Table table({"tenant", "shards", "rate/s", "burst", "left", "granted", "refused"});
+  for (auto const& [name, use] : rows)
+    table.add({name, std::to_string(use.shards), rounded(use.rate), rounded(use.burst), rounded(use.left),
+               wholeNumber(use.granted), wholeNumber(use.refused)});
+  return table.text();
+}
+
 void addStatusCommands(CLI::App& app) {
   struct Options {
     string at, why;
+    vector<string> all;
     bool json = false;
   };
   std::shared_ptr<Options> const options = std::make_shared<Options>();
@@ -211,6 +253,25 @@
       return options->why.empty() ? prefixTable(report) : prefixChoicesTable(report, options->why);
     });
   });
+  CLI::App* const rollouts =
+      app.add_subcommand("rollouts", "print the rollouts of services, as a control node has them");
+  rollouts->add_option("--at", options->at, atHelp)->required();
+  rollouts->add_flag("--json", options->json, "the whole report as JSON");
+  rollouts->callback([options] {
+    runCommand([options] {
+      string const report = getPage(addressArgument(options->at), string(rolloutsPage));
+      return options->json ? report + "\n" : rolloutTable(report);
+    });
+  });
+  CLI::App* const tenants = app.add_subcommand("tenants", "print what control nodes granted to tenants, summed up");
+  tenants->add_option("--at", options->all, "IP:PORT of the metrics of each control node")->required();
+  tenants->callback([options] {
+    runCommand([options] {
+      vector<string> reports;
+      for (string const& at : options->all) reports.push_back(getPage(addressArgument(at), string(tenantsPage)));
+      return tenantTable(reports);
+    });
+  });
 }
 
 }  // namespace tealshelf
--- a/apps/status_reader.hpp
+++ b/apps/status_reader.hpp
@@ -25,8 +25,15 @@
 /// The last choices for one prefix; throws ErrorCode::badArguments if the report doesn't name it.
 string prefixChoicesTable(string const& reportJson, string const& prefix);
 
-/// Adds the commands `traffic` and `prefixes` to a command line. They print to standard output and end the process with
-/// 0, 2 for bad arguments, or 3 if nothing answered.
+/// Pages of a control node beside its metrics.
+constexpr string_view rolloutsPage = "/rollouts", tenantsPage = "/tenants";
+/// A table of the rollouts of services; throws ErrorCode::badMessage if the report can't be read.
+string rolloutTable(string const& reportJson);
+/// A table of what control nodes granted to tenants, summed over their reports, the most refused first.
+string tenantTable(vector<string> const& reportsJson);
+
+/// Adds the commands `traffic`, `prefixes`, `rollouts` and `tenants` to a command line. They print to standard output
+/// and end the process with 0, 2 for bad arguments, or 3 if nothing answered.
 void addStatusCommands(CLI::App& app);
 
 }  // namespace tealshelf
--- a/base/settings.cpp
+++ b/base/settings.cpp
@@ -170,6 +170,9 @@
       {"bounds.quotaWindowS", boundField(&Bounds::quotaWindow, second)},
       {"bounds.quotaOverrun", realBoundField(&Bounds::quotaOverrun)},
       {"bounds.quotaMargin", realBoundField(&Bounds::quotaMargin)},
+      {"bounds.exposureFraction", realBoundField(&Bounds::exposureFraction)},
+      {"bounds.exposureMargin", realBoundField(&Bounds::exposureMargin)},
+      {"bounds.revertWithinMs", boundField(&Bounds::revertWithin, millisecond)},
       {"bounds.failClosed",
        [](Settings& settings, string const& value) {
          settings.bounds.failClosed = value == "true";
@@ -215,6 +218,10 @@
   return std::find(serves.begin(), serves.end(), kind) != serves.end();
 }
 
+bool Settings::isRuleInForce(std::string_view rule) const {
+  return std::find(rulesInForce.begin(), rulesInForce.end(), rule) != rulesInForce.end();
+}
+
 Settings readSettings(string const& text, vector<SettingsFault>& faults) {
   Settings settings;
   std::istringstream input(text);
--- a/base/settings.hpp
+++ b/base/settings.hpp
@@ -27,8 +27,11 @@
       slack{200}, applyWithin{2000}, revertSlack{250}, stretchLimit{5000}, recover{12000}, step{120},
       finishWithin{10000}, statusEvery{120000}, cancelWithin{3000}, settleWithin{1000}, revokeWithin{5000},
       quotaWindow{5000};
-  double quotaOverrun = 0.1;  ///< part by which a quota may be exceeded
-  double quotaMargin = 20;    ///< requests by which a quota may be exceeded besides, in one window
+  double quotaOverrun = 0.1;      ///< part by which a quota may be exceeded
+  double quotaMargin = 20;        ///< requests by which a quota may be exceeded besides, in one window
+  double exposureFraction = 0.1;  ///< part of a service's requests that a bad version may get in a rollout
+  double exposureMargin = 50;     ///< requests that it may get besides
+  Ms revertWithin{5000};          ///< from a version's 50th bad answer until it gets nothing
   /// A node that can't prove its configuration recent refuses requests that need a key.
   bool failClosed = false;
 };
@@ -52,6 +55,7 @@
   std::vector<std::string> unknownFields;
 
   bool isServing(std::string_view kind) const;
+  bool isRuleInForce(std::string_view rule) const;
   /// Internal address of a role on a machine; ports are alike on all machines.
   Address controlAddress(std::string const& machineIp) const { return {machineIp, firstInternalPort}; }
   Address storeAddress(std::string const& machineIp) const { return {machineIp, firstInternalPort + 1}; }
--- a/consensus/control_messages.hpp
+++ b/consensus/control_messages.hpp
@@ -1,6 +1,7 @@
 #pragma once
 #include "consensus/consensus.hpp"
 #include "fleet/nodes.hpp"
+#include "rollouts/version_evidence.hpp"
 
 /// Calls between control nodes.
 namespace tealshelf {
@@ -34,8 +35,10 @@
   bool carriesNodes = false;
   vector<DataNode> nodes;
   vector<WorkerTally> tallies;  ///< of workers that failed requests lately, by who asks at this control node
+  /// What this node's subscribers told of the versions of services with a rollout, since it began.
+  vector<VersionTally> versionTallies;
   MSGPACK_DEFINE(heartbeat, membership, workers, wholeRegistry, registryDigest, nodesDigest, carriesNodes, nodes,
-                 tallies)
+                 tallies, versionTallies)
 };
 
 struct HelloReply {
--- a/consensus/keyspace_names.hpp
+++ b/consensus/keyspace_names.hpp
@@ -5,5 +5,6 @@
 
 inline constexpr char const* configurationKeyspace = "configuration";
 inline constexpr char const* membersKeyspace = "members";
+inline constexpr char const* rolloutsKeyspace = "rollouts";
 
 }  // namespace tealshelf
--- a/control/control_node.cpp
+++ b/control/control_node.cpp
@@ -2,6 +2,8 @@
 
 #include "control/call_input.hpp"
 
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
 #include <sstream>
 
 namespace tealshelf {
@@ -25,6 +27,7 @@
       nodes_(settings, publisher_),
       configuration_(io, settings, rpc_, driver_, publisher_),
       retirements_(settings, rpc_, driver_, lots_),
+      rollouts_(io, settings, rpc_, driver_, publisher_, workers_, nodes_),
       quotas_(settings.bounds) {
   publisher_.proof = [this] {
     bool const healthy = driver_.inContactWithMajority() && workers_.isComplete() && !stopping_;
@@ -35,8 +38,16 @@
   driver_.fillHeartbeat = [this](HeartbeatMessage& message, bool isExtra) {
     workers_.fillHeartbeat(message, isExtra);
     nodes_.fillHeartbeat(message, isExtra);
+    rollouts_.fillHeartbeat(message);
   };
   driver_.onChange = [this] { onControlStateChange(); };
+  rollouts_.services = [this]() -> std::optional<std::set<string>> {
+    std::shared_ptr<Configuration const> const configuration = configuration_.published();
+    if (!configuration) return std::nullopt;
+    std::set<string> names;
+    for (auto const& [name, service] : configuration->services) names.insert(name);
+    return names;
+  };
   lots_.retiringStores = [this] { return RetirementHandler::retiringStores(driver_.consensus()); };
   std::size_t const neededCopies = static_cast<std::size_t>(settings.surviveMachines) + 1;
   sampler_ = metrics().sample([this, neededCopies] { metrics_.sample(driver_, lots_, neededCopies); });
@@ -45,6 +56,7 @@
 void ControlNode::start() {
   driver_.start(rpcServer_);
   lots_.start(rpcServer_);
+  rollouts_.start();
   rpcServer_.on<UpdateRequest>([this](UpdateRequest request) { return publisher_.serve(std::move(request)); });
   rpcServer_.on<CompareRegistry>(
       [this](CompareRegistry request) -> Task<RegistryDifference> { co_return workers_.differenceFor(request); });
@@ -88,6 +100,8 @@
   if (call.path.starts_with("/servers/")) co_return co_await workers_.handle(std::move(call));
   if (call.path == "/settings") co_return co_await configuration_.handle(std::move(call));
   if (call.path.starts_with("/retire/")) co_return co_await retirements_.handle(std::move(call));
+  bool const isRollout = call.path == "/rollouts" || call.path.starts_with("/rollouts/");
+  if (isRollout) co_return co_await rollouts_.handle(std::move(call));
   throw Error(ErrorCode::unknownPath, call.path.substr(0, 40));
 }
 
@@ -112,15 +126,17 @@
   TimePoint const now = Clock::now();
   bool const changed = workers_.receive(message, now);
   nodes_.receive(message, now);
+  rollouts_.receive(message);
   if (changed) publish();
 }
 
 void ControlNode::onControlStateChange() {
   bool const newConfiguration = configuration_.publishCommitted();
   updateQuotas();
+  bool const newRollout = rollouts_.publishCommitted();
   bool const healthy = publisher_.proof().healthy;
   bool const newMembership = driver_.consensus().membership().number != publishedMembership_;
-  if (newConfiguration || newMembership || healthy != wasHealthy_) publish();
+  if (newConfiguration || newRollout || newMembership || healthy != wasHealthy_) publish();
   wasHealthy_ = healthy;
 }
 
@@ -156,4 +172,28 @@
   for (string const& key : former) publisher_.common.erase(key);
 }
 
+string ControlNode::tenantReport() const {
+  rapidjson::StringBuffer buffer;
+  rapidjson::Writer<rapidjson::StringBuffer> writer(buffer);
+  writer.StartArray();
+  for (auto const& [name, use] : quotas_.uses(Clock::now())) {
+    writer.StartObject();
+    writer.Key("tenant");
+    writer.String(name.data(), static_cast<rapidjson::SizeType>(name.size()));
+    writer.Key("ratePerS");
+    writer.Double(use.limit.perSecond);
+    writer.Key("burst");
+    writer.Double(use.limit.burst);
+    writer.Key("tokensLeft");
+    writer.Double(use.tokens);
+    writer.Key("granted");
+    writer.Uint64(use.granted);
+    writer.Key("refused");
+    writer.Uint64(use.refused);
+    writer.EndObject();
+  }
+  writer.EndArray();
+  return string(buffer.GetString(), buffer.GetSize());
+}
+
 }  // namespace tealshelf
--- a/control/control_node.hpp
+++ b/control/control_node.hpp
@@ -3,6 +3,7 @@
 #include "control/control_metrics.hpp"
 #include "control/node_directory.hpp"
 #include "control/retirement_handler.hpp"
+#include "control/rollout_handler.hpp"
 #include "control/worker_directory.hpp"
 #include "tenants/quota_shard.hpp"
 #include "wire/http.hpp"
@@ -18,6 +19,10 @@
   /// Hands everything over and ends inside the grace.
   void stop();
 
+  /// For those on call: the rollouts, and the use of tenants' limits, as JSON texts.
+  string rolloutReport() const { return rollouts_.report(); }
+  string tenantReport() const;
+
  private:
   Task<HttpReply> handle(HttpCall call);
   Task<CallReply> route(ForwardedCall call);
@@ -45,6 +50,7 @@
   NodeDirectory nodes_;
   ConfigurationHandler configuration_;
   RetirementHandler retirements_;
+  RolloutHandler rollouts_;
   QuotaShard quotas_;
   std::shared_ptr<Configuration const> countedConfiguration_;  ///< that quotas_ has
   MembershipNumber publishedMembership_;
--- a/control/node_directory.cpp
+++ b/control/node_directory.cpp
@@ -41,7 +41,12 @@
 void NodeDirectory::publish() {
   std::map<string, DataNode> const all = allNodes(Clock::now());
   bool changed = false;
-  for (auto const& [name, node] : all) changed = publisher_.zones[node.zone].put(name, serialize(node)) || changed;
+  for (auto const& [name, node] : all) {
+    // Confirmations are for control alone.
+    DataNode published = node;
+    published.rolloutConfirmed = published.rolloutDrained = 0;
+    changed = publisher_.zones[node.zone].put(name, serialize(published)) || changed;
+  }
   for (auto& [zone, table] : publisher_.zones) {
     vector<string> departed;
     for (auto const& [name, row] : table.rows())
--- a/control/node_directory.hpp
+++ b/control/node_directory.hpp
@@ -15,13 +15,15 @@
   /// Brings the published lists of the zones' nodes up to date.
   void publish();
 
+  /// All data-plane nodes that are alive, by name.
+  std::map<string, DataNode> allNodes(TimePoint now) const;
+
  private:
   /// Who asks at another control node.
   struct PeerNodes {
     vector<DataNode> nodes;
     TimePoint receivedAt;
   };
-  std::map<string, DataNode> allNodes(TimePoint now) const;
 
   Settings const& settings_;
   UpdatePublisher& publisher_;
--- /dev/null
+++ b/control/rollout_handler.cpp
@@ -0,0 +1,269 @@
+#include "control/rollout_handler.hpp"
+
+#include "consensus/keyspace_names.hpp"
+#include "control/call_input.hpp"
+
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+namespace tealshelf {
+
+namespace {
+string const collectionPath = "/rollouts";
+/// Decisions are made so often in inTouch.
+constexpr int decisionsInTouch = 80;
+}  // namespace
+
+RolloutHandler::RolloutHandler(asio::io_context& io, Settings const& settings, RpcClient& rpc, ConsensusDriver& driver,
+                               UpdatePublisher& publisher, WorkerDirectory& workers, NodeDirectory& nodes)
+    : io_(io),
+      settings_(settings),
+      driver_(driver),
+      publisher_(publisher),
+      workers_(workers),
+      nodes_(nodes),
+      keyspace_(settings, rpc, driver, rolloutsKeyspace),
+      plan_(RolloutPlan::of(settings.bounds)) {}
+
+void RolloutHandler::start() {
+  // Elsewhere the first order makes the keyspace known.
+  if (settings_.isRuleInForce("rollout")) driver_.consensus().addKeyspace(rolloutsKeyspace);
+  spawnTask(io_, "rollouts", decideLoop());
+}
+
+Task<CallReply> RolloutHandler::handle(ForwardedCall call) {
+  bool const isOrder = call.path == collectionPath;
+  if (call.verb != (isOrder ? "POST" : "GET")) throw Error(ErrorCode::methodNotAllowed);
+  RolloutOrder order;
+  string service;
+  if (isOrder)
+    order = parseRolloutOrder(call.body);
+  else
+    service = idInPath(call.path, collectionPath + "/");
+  driver_.consensus().addKeyspace(rolloutsKeyspace);
+  TimePoint const end = Clock::now() + Ms(call.budgetMs);
+  std::optional<CallReply> const forwarded = co_await keyspace_.forward(call);
+  if (forwarded) co_return *forwarded;
+  co_await keyspace_.confirmOwnership(end);
+  if (isOrder) co_return co_await take(std::move(order), end);
+  std::map<string, RolloutRecord> const present = records();
+  auto const record = present.find(service);
+  if (record == present.end()) throw Error(ErrorCode::unknownRollout, service);
+  co_return CallReply{200, rolloutAsJson(record->second)};
+}
+
+Task<CallReply> RolloutHandler::take(RolloutOrder order, TimePoint end) {
+  std::optional<std::set<string>> const known = services();
+  if (!known) throw Error(ErrorCode::notReady, "no configuration yet");
+  if (!known->contains(order.service)) throw Error(ErrorCode::badRollout, order.service);
+  // Records are changed by one task at a time.
+  while (deciding_ && Clock::now() < end) co_await sleepFor(settings_.bounds.inTouch / decisionsInTouch / 4);
+  if (deciding_) throw Error(ErrorCode::busy);
+  std::map<string, RolloutRecord> const present = records();
+  auto const found = present.find(order.service);
+  std::optional<RolloutRecord> record;
+  if (found != present.end()) record = found->second;
+  Ms const elapsed = record ? elapsedOf(*record, Clock::now()) : Ms(0);
+  OrderDecision decision =
+      decideOrder(record, order, servingVersion(order.service), elapsed, 2 * settings_.bounds.confirmWithin);
+  if (decision.kind == OrderDecision::Kind::refuse) throw Error(decision.code, order.service);
+  if (decision.kind == OrderDecision::Kind::acknowledge) co_return CallReply{200, "{}"};
+  bool const begins = decision.record.isServing() || !record;
+  if (begins) {
+    decision.record.order = 0;
+    decision.record.share = decision.record.isServing() ? plan_.shares.front() : decision.record.share;
+    decision.record.orderedAtMs = wallClockMs();
+  } else {
+    decision.record.elapsedMs = elapsed.count();
+  }
+  deciding_ = true;
+  try {
+    co_await commit(std::move(decision.record));
+  } catch (...) {
+    deciding_ = false;
+    throw;
+  }
+  deciding_ = false;
+  co_return CallReply{200, "{}"};
+}
+
+Task<void> RolloutHandler::commit(RolloutRecord record) {
+  std::uint64_t highest = 0;
+  for (auto const& [service, known] : records()) highest = std::max(highest, known.revision);
+  record.revision = highest + 1;
+  if (!record.order) record.order = record.revision;
+  logInfo("rollouts", record.service + " to " + record.target + ": " + string(nameOf(record.state)) + ", stage " +
+                          std::to_string(record.stage) + ", share " + std::to_string(record.share) + "/1000 after " +
+                          std::to_string(record.elapsedMs) + " ms: " + record.reason);
+  vector<KeyChange> changes(1, KeyChange{record.service, serialize(record), false});
+  co_await keyspace_.commit(std::move(changes));
+  driver_.onChange();
+}
+
+std::map<string, RolloutRecord> RolloutHandler::records() const {
+  std::map<string, RolloutRecord> records;
+  std::optional<Values> const values = driver_.consensus().lastKnownValues(rolloutsKeyspace);
+  if (!values) return records;
+  for (auto const& [service, value] : *values) records[service] = deserialize<RolloutRecord>(value);
+  return records;
+}
+
+/// The time since an order survives its owner: every control node notes when it saw a record. A process that has just
+/// started goes by the time of day, which may have been stepped, but never below what the record says.
+void RolloutHandler::noteSightings(TimePoint now) {
+  bool const justStarted = now - startedAt_ < settings_.bounds.inTouch;
+  for (auto const& [service, record] : records()) {
+    Sighting& sighting = sightings_[service];
+    if (sighting.revision == record.revision) continue;
+    Ms elapsed(record.elapsedMs);
+    if (justStarted && record.orderedAtMs) elapsed = std::max(elapsed, Ms(wallClockMs() - record.orderedAtMs));
+    sighting = Sighting{record.revision, elapsed, now};
+  }
+}
+
+Ms RolloutHandler::elapsedOf(RolloutRecord const& record, TimePoint now) const {
+  auto const sighting = sightings_.find(record.service);
+  if (sighting == sightings_.end() || sighting->second.revision != record.revision) return Ms(record.elapsedMs);
+  return sighting->second.elapsed + std::chrono::duration_cast<Ms>(now - sighting->second.at);
+}
+
+Ms RolloutHandler::inStage(RolloutRecord const& record, TimePoint now) const {
+  return elapsedOf(record, now) - Ms(record.elapsedMs);
+}
+
+string RolloutHandler::servingVersion(string const& service) const {
+  string best;
+  std::size_t most = 0;
+  for (auto const& [version, count] : workers_.versionsOf(service)) {
+    if (count <= most) continue;
+    best = version;
+    most = count;
+  }
+  return best;
+}
+
+vector<VersionTally> RolloutHandler::evidence() const {
+  vector<VersionTally> all = own_.all();
+  for (auto const& [node, tallies] : peers_) all.insert(all.end(), tallies.begin(), tallies.end());
+  return all;
+}
+
+RolloutInputs RolloutHandler::inputsFor(RolloutRecord const& record, TimePoint now) const {
+  RolloutInputs inputs;
+  inputs.elapsed = elapsedOf(record, now);
+  inputs.inStage = inStage(record, now);
+  std::map<string, DataNode> const nodes = nodes_.allNodes(now);
+  inputs.confirmed = !nodes.empty() && std::all_of(nodes.begin(), nodes.end(), [&record](auto const& item) {
+    return item.second.rolloutConfirmed >= record.revision;
+  });
+  inputs.drained = inputs.confirmed && std::all_of(nodes.begin(), nodes.end(), [&record](auto const& item) {
+                     return item.second.rolloutDrained >= record.revision;
+                   });
+  inputs.targetExists = workers_.versionsOf(record.service).contains(record.target);
+  inputs.judgement = judgeVersion(record, evidence());
+  return inputs;
+}
+
+Task<void> RolloutHandler::decideLoop() {
+  for (;;) {
+    co_await sleepFor(settings_.bounds.inTouch / decisionsInTouch);
+    if (deciding_) continue;
+    deciding_ = true;
+    try {
+      co_await decide();
+    } catch (Error const& error) {
+      logInfo("rollouts", string("a change wasn't written: ") + error.what());
+    }
+    deciding_ = false;
+  }
+}
+
+Task<void> RolloutHandler::decide() {
+  TimePoint const now = Clock::now();
+  own_.add(publisher_.takeVersionTallies());
+  noteSightings(now);
+  std::map<string, RolloutRecord> const present = records();
+  std::set<std::uint64_t> orders;
+  for (auto const& [service, record] : present)
+    if (record.isServing()) orders.insert(record.order);
+  own_.retain(orders);
+  if (orders.empty()) {
+    peers_.clear();
+    co_return;
+  }
+  if (!driver_.consensus().owns(rolloutsKeyspace)) co_return;
+  for (auto const& [service, record] : present) {
+    std::optional<RolloutRecord> next = nextRecord(record, plan_, inputsFor(record, now));
+    if (!next) continue;
+    co_await keyspace_.confirmOwnership(Clock::now() + settings_.bounds.inTouch / 4);
+    co_await commit(std::move(*next));
+  }
+}
+
+bool RolloutHandler::publishCommitted() {
+  bool changed = false;
+  noteSightings(Clock::now());
+  for (auto const& [service, record] : records()) {
+    string const key = string(rolloutRowPrefix) + service;
+    auto const published = publisher_.common.rows().find(key);
+    bool const isNewer = published == publisher_.common.rows().end() ||
+                         deserialize<RolloutRecord>(published->second).revision < record.revision;
+    if (isNewer) changed = publisher_.common.put(key, serialize(record)) || changed;
+  }
+  return changed;
+}
+
+void RolloutHandler::receive(HeartbeatMessage const& message) {
+  NodeId const from = message.heartbeat.sender.id;
+  if (message.versionTallies.empty())
+    peers_.erase(from);
+  else
+    peers_[from] = message.versionTallies;
+}
+
+void RolloutHandler::fillHeartbeat(HeartbeatMessage& message) {
+  own_.add(publisher_.takeVersionTallies());
+  message.versionTallies = own_.all();
+}
+
+string RolloutHandler::report() const {
+  TimePoint const now = Clock::now();
+  rapidjson::StringBuffer buffer;
+  rapidjson::Writer<rapidjson::StringBuffer> writer(buffer);
+  auto const text = [&writer](char const* name, string_view value) {
+    writer.Key(name);
+    writer.String(value.data(), static_cast<rapidjson::SizeType>(value.size()));
+  };
+  writer.StartArray();
+  for (auto const& [service, record] : records()) {
+    RolloutInputs const inputs = inputsFor(record, now);
+    writer.StartObject();
+    text("service", service);
+    text("targetVersion", record.target);
+    text("state", nameOf(record.state));
+    writer.Key("stage");
+    writer.Uint64(record.stage);
+    writer.Key("shareInThousandths");
+    writer.Uint64(record.share);
+    writer.Key("elapsedMs");
+    writer.Int64(inputs.elapsed.count());
+    writer.Key("termMs");
+    writer.Int64(record.overMs);
+    writer.Key("sentToTarget");
+    writer.Double(inputs.judgement.sentToTarget);
+    writer.Key("sentInAll");
+    writer.Double(inputs.judgement.sentInAll);
+    text("reason", record.reason);
+    writer.Key("unconfirmed");
+    writer.StartArray();
+    for (auto const& [name, node] : nodes_.allNodes(now))
+      if (node.rolloutConfirmed < record.revision)
+        writer.String(name.data(), static_cast<rapidjson::SizeType>(name.size()));
+    writer.EndArray();
+    writer.EndObject();
+  }
+  writer.EndArray();
+  return string(buffer.GetString(), buffer.GetSize());
+}
+
+}  // namespace tealshelf
--- /dev/null
+++ b/control/rollout_handler.hpp
@@ -0,0 +1,64 @@
+#pragma once
+#include "control/node_directory.hpp"
+#include "control/owned_keyspace.hpp"
+#include "control/worker_directory.hpp"
+#include "rollouts/rollout_call.hpp"
+#include "rollouts/rollout_machine.hpp"
+
+namespace tealshelf {
+
+/// Handles `/rollouts`: takes the operator's orders, and moves the traffic of services in stages while this node owns
+/// the keyspace of rollouts.
+class RolloutHandler {
+ public:
+  RolloutHandler(asio::io_context& io, Settings const& settings, RpcClient& rpc, ConsensusDriver& driver,
+                 UpdatePublisher& publisher, WorkerDirectory& workers, NodeDirectory& nodes);
+  void start();
+  Task<CallReply> handle(ForwardedCall call);
+  /// Gives the names of the services of the present configuration; nothing before there is one.
+  std::function<std::optional<std::set<string>>()> services;
+  /// Publishes the committed records; true if one is newer than what was published.
+  bool publishCommitted();
+
+  void receive(HeartbeatMessage const& message);
+  void fillHeartbeat(HeartbeatMessage& message);
+  /// The present records with what is known of them, as a JSON text for those on call.
+  string report() const;
+
+ private:
+  /// When this process first saw a record's present revision.
+  struct Sighting {
+    std::uint64_t revision = 0;
+    Ms elapsed{0};  ///< of the rollout, then
+    TimePoint at;
+  };
+  Task<CallReply> take(RolloutOrder order, TimePoint end);
+  Task<void> decideLoop();
+  Task<void> decide();
+  Task<void> commit(RolloutRecord record);
+  std::map<string, RolloutRecord> records() const;
+  /// Time since the order of a record's rollout.
+  Ms elapsedOf(RolloutRecord const& record, TimePoint now) const;
+  Ms inStage(RolloutRecord const& record, TimePoint now) const;
+  RolloutInputs inputsFor(RolloutRecord const& record, TimePoint now) const;
+  vector<VersionTally> evidence() const;
+  /// The version that most of a service's workers have.
+  string servingVersion(string const& service) const;
+  void noteSightings(TimePoint now);
+
+  asio::io_context& io_;
+  Settings const& settings_;
+  ConsensusDriver& driver_;
+  UpdatePublisher& publisher_;
+  WorkerDirectory& workers_;
+  NodeDirectory& nodes_;
+  OwnedKeyspace keyspace_;
+  RolloutPlan plan_;
+  VersionEvidence own_;                           ///< told by who asks for updates here
+  std::map<NodeId, vector<VersionTally>> peers_;  ///< told by who asks at other control nodes
+  std::map<string, Sighting> sightings_;          ///< by service
+  TimePoint startedAt_ = Clock::now();
+  bool deciding_ = false;
+};
+
+}  // namespace tealshelf
--- a/control/worker_directory.cpp
+++ b/control/worker_directory.cpp
@@ -197,6 +197,13 @@
   if (changed) onChange();
 }
 
+std::map<string, std::size_t> WorkerDirectory::versionsOf(string const& service) const {
+  std::map<string, std::size_t> versions;
+  for (Worker const& worker : registry_.present())
+    if (worker.service == service && !worker.draining && !worker.removed) ++versions[worker.version];
+  return versions;
+}
+
 RegistryDifference WorkerDirectory::differenceFor(CompareRegistry const& request) const {
   std::set<std::uint32_t> const buckets = registry_.digest().differingFrom(request.buckets);
   RegistryDifference difference;
--- a/control/worker_directory.hpp
+++ b/control/worker_directory.hpp
@@ -32,6 +32,8 @@
   bool evaluateOutliers();
   /// True once the registries of a majority are in this one, or all live workers have sent a heartbeat.
   bool isComplete() const;
+  /// Live workers of a service that take requests, by version.
+  std::map<string, std::size_t> versionsOf(string const& service) const;
   /// Called when the registry changed.
   std::function<void()> onChange;
 
--- a/edge/edge_node.cpp
+++ b/edge/edge_node.cpp
@@ -44,6 +44,7 @@
       sampler_(metrics().sample([this] { sampleMetrics(); })) {}
 
 void EdgeNode::start() {
+  view_.runningAt = [this](string const& worker) { return forwarder_.runningAt(worker); };
   view_.start(rpcServer_);
   rpcServer_.start();
   readiness_.start();
--- a/edge/request_forwarder.cpp
+++ b/edge/request_forwarder.cpp
@@ -30,6 +30,19 @@
   return forwarded;
 }
 
+VersionTally sentTally() {
+  VersionTally tally;
+  tally.sent = 1;
+  return tally;
+}
+
+VersionTally outcomeTally(bool succeeded, std::optional<double> paceMs) {
+  VersionTally tally;
+  (succeeded ? tally.succeeded : tally.failed) = 1;
+  if (paceMs) tally.pace.add(*paceMs);
+  return tally;
+}
+
 Task<error_code> writeChunk(tcp::socket& socket, string const& bytes) {
   error_code error;
   co_await asio::async_write(socket, http::make_chunk(asio::buffer(bytes)),
@@ -109,6 +122,8 @@
   std::uint64_t const unreadTokens = plan.pick.promptTokens - plan.pick.sharedTokens;
   balancer_.requestStarted(worker.id, unreadTokens);
   TimePoint const sentAt = Clock::now();
+  retries.sentAt = sentAt;
+  view_.tallyVersion(worker, plan.route->name, sentTally());
   SendResult const result = co_await exchange.send(forwarded, plan.attempt, plan.deadline);
   balancer_.promptRead(worker.id, unreadTokens);
   if (placement && result == SendResult::answered)
@@ -197,18 +212,22 @@
   if (std::optional<WorkerLoad> const load = exchange.workerLoad()) balancer_.reportLoad(worker, *load);
   int const status = exchange.status();
   if (status >= 500) view_.tally(worker, false);
+  if (status >= 500) view_.tallyVersion(exchange.worker(), plan.route->name, outcomeTally(false, std::nullopt));
   bool const tryAgain = plan.mayRepeat && status >= 500 && retries.sends < plan.tries;
   bool const passes = !tryAgain && mayPassOn(client, plan, exchange);
   bool passed = false;
   if (passes && plan.isStream && status == 200 && !client.isHead)
-    passed = co_await relayEvents(client, plan, exchange, retries.events);
+    passed = co_await relayEvents(client, plan, exchange, retries);
   else if (passes)
     passed = co_await passWhole(client, plan, exchange);
+  if (passed && !plan.isStream)
+    retries.paceMs = std::chrono::duration<double, std::milli>(Clock::now() - retries.sentAt).count();
   if (!passed && passes && retries.watch.clientIsGone()) {
     abandon(client, exchange);
     co_return NextStep::done;
   }
   if (passed) {
+    if (status < 500) view_.tallyVersion(exchange.worker(), plan.route->name, outcomeTally(true, retries.paceMs));
     if (client.keepAlive && status < 500) {
       balancer_.markHealthy(worker);
       view_.tally(worker, true);
@@ -275,7 +294,9 @@
 }
 
 Task<bool> RequestForwarder::relayEvents(ClientConnection& client, RequestPlan const& plan, Exchange& exchange,
-                                         EventStreamReader& events) {
+                                         RetryState& retries) {
+  EventStreamReader& events = retries.events;
+  EventPace pace;
   error_code error;
   if (!client.headSent) error = co_await sendStreamHead(client, exchange);
   SocketDeadline deadline(io_, client.socket);
@@ -288,6 +309,7 @@
     // A stream that ends inside an event was broken off.
     if (state == BodyState::complete && !events.atEventBoundary()) state = BodyState::broken;
     bool const ends = state == BodyState::complete;
+    if (!complete.empty()) pace.note(events.lastId(), Clock::now());
     if (complete.empty() && !ends) continue;
     deadline.expireAt(Clock::now() + 2 * settings_.bounds.inTouch);
     if (ends) exchange.release();
@@ -300,6 +322,7 @@
     client.keepAlive = false;
     co_return true;
   }
+  retries.paceMs = pace.millisecondsPerEvent();
   if (state == BodyState::complete) co_return true;
   events.dropPartialEvent();
   exchange.abort();
--- a/edge/request_forwarder.hpp
+++ b/edge/request_forwarder.hpp
@@ -30,6 +30,8 @@
   /// Forgets workers that are gone.
   void sweep();
   PrefixReport const& prefixes() const { return prefixes_; }
+  /// Requests under way at a worker.
+  std::int64_t runningAt(string const& worker) const { return balancer_.runningAt(worker); }
 
  private:
   /// What the tries of one request have come to so far.
@@ -43,6 +45,8 @@
     std::optional<Credit> credit;  ///< to send it; nothing before the first was taken
     ErrorCode lastFailure = ErrorCode::noWorker;
     EventStreamReader events;
+    TimePoint sentAt;              ///< to the present worker
+    std::optional<double> paceMs;  ///< of the last whole answer, if it can be told
   };
   enum class NextStep { tryAnother, stop, done };
 
@@ -65,8 +69,7 @@
   /// Takes a short answer whole, then passes it on; false if the worker broke it off.
   Task<bool> passWhole(ClientConnection& client, RequestPlan const& plan, Exchange& exchange);
   /// Passes events on as they come; true once nothing more is to be done, false if the worker broke off.
-  Task<bool> relayEvents(ClientConnection& client, RequestPlan const& plan, Exchange& exchange,
-                         EventStreamReader& events);
+  Task<bool> relayEvents(ClientConnection& client, RequestPlan const& plan, Exchange& exchange, RetryState& retries);
   Task<error_code> sendStreamHead(ClientConnection& client, Exchange const& exchange);
   /// Closes the connection in the middle of an answer, which must not look complete.
   void cutOff(ClientConnection& client);
--- a/edge/request_plan.cpp
+++ b/edge/request_plan.cpp
@@ -5,6 +5,9 @@
 namespace tealshelf {
 
 namespace {
+/// Sets the choice of a version apart from that of a service.
+constexpr std::uint64_t versionDrawSeed = 7;
+
 void readPrompt(string_view header, PickRequest& pick) {
   PromptPrefix const prefix = PromptPrefix::parse(header);
   pick.sessionKey = prefix.sharedKey;
@@ -44,6 +47,7 @@
   plan.mayRepeat = route.mayRepeat();
   plan.isStream = route.kind == RouteKind::streaming;
   plan.pick.service = route.serviceFor(hash64(plan.attempt));
+  plan.pick.draw = hash64(plan.attempt, versionDrawSeed);
   readPrompt(headerOf(request, "Prompt-Start"), plan.pick);
   return plan;
 }
--- a/fleet/nodes.hpp
+++ b/fleet/nodes.hpp
@@ -33,8 +33,10 @@
   string name, zone, role;
   Address address;                   ///< where it serves updates
   std::uint32_t cpuThousandths = 0;  ///< its processor share in thousandths of a core
+  /// Highest revision of rollouts that the node goes by, and up to which nothing runs here at a version excluded since.
+  std::uint64_t rolloutConfirmed = 0, rolloutDrained = 0;
   bool operator==(DataNode const&) const = default;
-  MSGPACK_DEFINE(name, zone, role, address, cpuThousandths)
+  MSGPACK_DEFINE(name, zone, role, address, cpuThousandths, rolloutConfirmed, rolloutDrained)
 };
 
 /// A store machine that holds replicas.
--- a/lots/item_execution.cpp
+++ b/lots/item_execution.cpp
@@ -139,6 +139,7 @@
   PickRequest pick;
   pick.service = route->serviceFor(hash64(item.id));
   pick.background = true;
+  pick.draw = randomId();
   bool const relaxed = remainingTimeMs(lot, Clock::now()) > lot.dueInMs / 2;
   pick.reservedShare = relaxed ? reservedRelaxed : reservedUrgent;
   Worker const* const worker = balancer_.pick(view_, pick, {}).worker;
@@ -149,6 +150,9 @@
   std::uint64_t const unreadTokens = item.tokens / 2;
   Exchange exchange(pool_, *worker, true);
   balancer_.requestStarted(workerId, unreadTokens);
+  VersionTally sent;
+  sent.sent = 1;
+  view_.tallyVersion(exchange.worker(), route->name, sent);
   SendResult const result = co_await exchange.send(request, item.id, startedAt + 2 * settings_.bounds.inTouch);
   balancer_.promptRead(workerId, unreadTokens);
   bool over = false;
@@ -200,6 +204,9 @@
   exchange.release();
   balancer_.markHealthy(worker);
   view_.tally(worker, status < 500);
+  VersionTally outcome;
+  (status < 500 ? outcome.succeeded : outcome.failed) = 1;
+  view_.tallyVersion(exchange.worker(), run->lot.route, outcome);
   if (status == 200) {
     double const tookMs = static_cast<double>(std::chrono::duration_cast<Ms>(Clock::now() - startedAt).count());
     meanItemMs_ += (tookMs - meanItemMs_) / 16;
--- a/lots/lot_runner.hpp
+++ b/lots/lot_runner.hpp
@@ -33,6 +33,8 @@
   /// Adds progress and failed holders of all runs to a heartbeat.
   void report(StoreHeartbeat& heartbeat) const;
   LotAges& ages() { return ages_; }
+  /// Items under way at a worker.
+  std::int64_t runningAt(string const& worker) const { return balancer_.runningAt(worker); }
   /// Looks for items to start, as the workers or the configuration changed.
   void wake() { startTimer_.cancel(); }
 
--- a/lots/store_node.cpp
+++ b/lots/store_node.cpp
@@ -30,6 +30,7 @@
     co_return "";
   });
   view_.onUpdate = [this] { runner_.wake(); };
+  view_.runningAt = [this](string const& worker) { return runner_.runningAt(worker); };
   view_.start(server_);
   runner_.start(server_);
   server_.start();
--- /dev/null
+++ b/rollouts/rollout_machine.cpp
@@ -0,0 +1,91 @@
+#include "rollouts/rollout_machine.hpp"
+
+#include <sstream>
+
+namespace tealshelf {
+
+namespace {
+/// Shares of the first stages, in parts of the fraction that a bad version may get.
+constexpr double firstShare = 0.15, secondShare = 0.3;
+/// Parts of the budget that the last step may count on; the rest is for what is under way and not counted yet.
+constexpr double usedFraction = 0.85, usedMargin = 0.5;
+/// A stage lasts for this part of the term at least.
+constexpr int shortestStagePart = 20;
+/// Without any worker of the target version a rollout is given up after so many terms.
+constexpr int termsWithoutTarget = 2;
+
+std::uint32_t thousandths(double part) {
+  return static_cast<std::uint32_t>(std::clamp(part * wholeShare, 1.0, 1.0 * wholeShare));
+}
+
+RolloutRecord changed(RolloutRecord record, RolloutInputs const& inputs, string reason) {
+  record.elapsedMs = inputs.elapsed.count();
+  record.reason = std::move(reason);
+  return record;
+}
+
+RolloutRecord ended(RolloutRecord const& record, RolloutInputs const& inputs, RolloutState state, string reason) {
+  RolloutRecord next = changed(record, inputs, std::move(reason));
+  next.state = state;
+  next.share = state == RolloutState::finished ? wholeShare : 0;
+  return next;
+}
+
+RolloutRecord atStage(RolloutRecord const& record, RolloutPlan const& plan, RolloutInputs const& inputs,
+                      std::uint64_t stage, string reason) {
+  RolloutRecord next = changed(record, inputs, std::move(reason));
+  next.stage = stage;
+  next.share = plan.shares.at(stage);
+  return next;
+}
+
+string budgetText(RolloutInputs const& inputs) {
+  std::ostringstream text;
+  text << inputs.judgement.sentToTarget << " of " << inputs.judgement.sentInAll << " requests went to the new version";
+  return text.str();
+}
+}  // namespace
+
+RolloutPlan RolloutPlan::of(Bounds const& bounds) {
+  RolloutPlan plan;
+  plan.exposureFraction = bounds.exposureFraction;
+  plan.exposureMargin = bounds.exposureMargin;
+  plan.shares = {thousandths(firstShare * bounds.exposureFraction), thousandths(secondShare * bounds.exposureFraction),
+                 wholeShare};
+  return plan;
+}
+
+bool fitsBudget(RolloutRecord const& record, RolloutPlan const& plan, RolloutInputs const& inputs) {
+  Ms const left = Ms(record.overMs) - inputs.elapsed;
+  if (left <= Ms(0)) return true;
+  double const elapsedMs = std::max(1.0, static_cast<double>(inputs.elapsed.count()));
+  double const toCome = inputs.judgement.sentInAll / elapsedMs * static_cast<double>(left.count());
+  double const exposed = inputs.judgement.sentToTarget + toCome;
+  double const budget =
+      usedFraction * plan.exposureFraction * (inputs.judgement.sentInAll + toCome) + usedMargin * plan.exposureMargin;
+  return exposed <= budget;
+}
+
+std::optional<RolloutRecord> nextRecord(RolloutRecord const& record, RolloutPlan const& plan,
+                                        RolloutInputs const& inputs) {
+  if (!record.isServing()) return std::nullopt;
+  if (inputs.judgement.verdict == VersionVerdict::bad)
+    return ended(record, inputs, RolloutState::reverted, inputs.judgement.reason);
+  std::uint64_t const lastStage = plan.shares.size() - 1;
+  if (record.stage >= lastStage) {
+    if (!inputs.confirmed || !inputs.drained) return std::nullopt;
+    return ended(record, inputs, RolloutState::finished, "nothing goes to or runs at the old version");
+  }
+  bool const isLate = inputs.elapsed > termsWithoutTarget * Ms(record.overMs);
+  if (!inputs.targetExists) {
+    if (!isLate) return std::nullopt;
+    return ended(record, inputs, RolloutState::reverted, "no worker has the new version");
+  }
+  if (!inputs.confirmed) return std::nullopt;
+  if (fitsBudget(record, plan, inputs)) return atStage(record, plan, inputs, lastStage, budgetText(inputs));
+  bool const lastedLongEnough = inputs.inStage >= Ms(record.overMs / shortestStagePart);
+  if (record.stage + 1 >= lastStage || !lastedLongEnough) return std::nullopt;
+  return atStage(record, plan, inputs, record.stage + 1, budgetText(inputs));
+}
+
+}  // namespace tealshelf
--- /dev/null
+++ b/rollouts/version_evidence.cpp
@@ -0,0 +1,137 @@
+#include "rollouts/version_evidence.hpp"
+
+#include <cmath>
+#include <iomanip>
+#include <sstream>
+
+namespace tealshelf {
+
+namespace {
+/// Quantiles of the normal distribution for the lower bounds of a share and of a ratio of times.
+constexpr double shareQuantile = 2.6, timeQuantile = 3;
+/// A version fails more if the bound of its share lies so far above that of the old one, after so many failures.
+constexpr double leastExcess = 0.08;
+constexpr std::uint64_t leastFailures = 4;
+/// A version is slower if the bound of its time is so many times the old one's, after so many answers of each.
+constexpr double leastSlowdown = 1.7;
+constexpr std::uint64_t leastTimes = 10;
+
+/// Lower bound of a share after Wilson.
+double lowerBound(std::uint64_t hits, std::uint64_t total) {
+  double const n = static_cast<double>(total), share = static_cast<double>(hits) / n;
+  double const z2 = shareQuantile * shareQuantile;
+  double const center = share + z2 / (2 * n);
+  double const spread = shareQuantile * std::sqrt(share * (1 - share) / n + z2 / (4 * n * n));
+  return (center - spread) / (1 + z2 / n);
+}
+
+double shareOf(VersionTally const& tally) {
+  std::uint64_t const total = tally.failed + tally.succeeded;
+  return total ? static_cast<double>(tally.failed) / static_cast<double>(total) : 0;
+}
+
+std::optional<string> failureReason(VersionTally const& target, VersionTally const& old) {
+  std::uint64_t const total = target.failed + target.succeeded;
+  if (target.failed < leastFailures || lowerBound(target.failed, total) < shareOf(old) + leastExcess)
+    return std::nullopt;
+  std::ostringstream text;
+  text << target.failed << " of " << total << " answers failed, of the old version " << old.failed << " of "
+       << old.failed + old.succeeded;
+  return text.str();
+}
+
+std::optional<string> slownessReason(VersionTally const& target, VersionTally const& old) {
+  if (target.pace.count < leastTimes || old.pace.count < leastTimes) return std::nullopt;
+  double const difference = target.pace.mean() - old.pace.mean();
+  double const error = std::sqrt(target.pace.meanVariance() + old.pace.meanVariance());
+  if (difference - timeQuantile * error < std::log(leastSlowdown)) return std::nullopt;
+  std::ostringstream text;
+  text << "answers take " << std::fixed << std::setprecision(1) << std::exp(difference) << " times as long, by "
+       << target.pace.count << " of them";
+  return text.str();
+}
+}  // namespace
+
+void LogTimes::add(double milliseconds) {
+  double const logarithm = std::log(std::max(milliseconds, 0.01));
+  ++count;
+  sum += logarithm;
+  squares += logarithm * logarithm;
+}
+
+void LogTimes::add(LogTimes const& other) {
+  count += other.count;
+  sum += other.sum;
+  squares += other.squares;
+}
+
+double LogTimes::meanVariance() const {
+  if (count < 2) return 0;
+  double const n = static_cast<double>(count);
+  return std::max(0.0, squares / n - mean() * mean()) / (n - 1);
+}
+
+void VersionTally::add(VersionTally const& other) {
+  sent += other.sent;
+  succeeded += other.succeeded;
+  failed += other.failed;
+  pace.add(other.pace);
+}
+
+void VersionEvidence::add(VersionTally const& tally) {
+  VersionTally& sum = tallies_[Key{tally.order, tally.route, tally.isTarget}];
+  sum.order = tally.order;
+  sum.service = tally.service;
+  sum.route = tally.route;
+  sum.isTarget = tally.isTarget;
+  sum.add(tally);
+}
+
+void VersionEvidence::add(vector<VersionTally> const& tallies) {
+  for (VersionTally const& tally : tallies) add(tally);
+}
+
+vector<VersionTally> VersionEvidence::all() const {
+  vector<VersionTally> tallies;
+  for (auto const& [key, tally] : tallies_) tallies.push_back(tally);
+  return tallies;
+}
+
+vector<VersionTally> VersionEvidence::take() {
+  vector<VersionTally> tallies = all();
+  tallies_.clear();
+  return tallies;
+}
+
+void VersionEvidence::retain(std::set<std::uint64_t> const& orders) {
+  std::erase_if(tallies_, [&orders](auto const& item) { return !orders.contains(item.first.order); });
+}
+
+VersionJudgement judgeVersion(RolloutRecord const& record, vector<VersionTally> const& tallies) {
+  VersionJudgement judgement;
+  VersionTally targetInAll, oldInAll;
+  std::map<string, std::pair<VersionTally, VersionTally>> routes;  // target and old
+  for (VersionTally const& tally : tallies) {
+    if (tally.order != record.order || tally.service != record.service) continue;
+    (tally.isTarget ? targetInAll : oldInAll).add(tally);
+    auto& [target, old] = routes[tally.route];
+    (tally.isTarget ? target : old).add(tally);
+  }
+  judgement.sentToTarget = static_cast<double>(targetInAll.sent);
+  judgement.sentInAll = judgement.sentToTarget + static_cast<double>(oldInAll.sent);
+  std::optional<string> reason = failureReason(targetInAll, oldInAll);
+  if (reason) reason = "on all routes " + *reason;
+  for (auto const& [route, versions] : routes) {
+    if (reason) break;
+    auto const& [target, old] = versions;
+    reason = failureReason(target, old);
+    if (!reason) reason = slownessReason(target, old);
+    if (reason) reason = "on route " + route + " " + *reason;
+  }
+  if (!reason) return judgement;
+  judgement.verdict = VersionVerdict::bad;
+  judgement.reason = *reason;
+  return judgement;
+}
+
+}  // namespace tealshelf
--- a/tenants/quota_shard.cpp
+++ b/tenants/quota_shard.cpp
@@ -130,7 +130,9 @@
     if (!bucket.granted && !bucket.refused) continue;
     Bucket current = bucket;
     refill(current, now);
-    uses[name] = Use{current.tokens, bucket.granted, bucket.refused};
+    double const parts = divisor(bucket);
+    RateAllowance const limit{bucket.total.perSecond / parts, bucket.total.burst / parts};
+    uses[name] = Use{limit, current.tokens, bucket.granted, bucket.refused};
   }
   return uses;
 }
--- a/tenants/quota_shard.hpp
+++ b/tenants/quota_shard.hpp
@@ -26,6 +26,7 @@
   TakeCreditReply take(string const& tenant, TimePoint majorityContact, TimePoint now);
 
   struct Use {
+    RateAllowance limit;  ///< this shard's part
     double tokens = 0;
     std::uint64_t granted = 0, refused = 0;
   };
--- a/traffic/event_stream.cpp
+++ b/traffic/event_stream.cpp
@@ -54,4 +54,19 @@
   }
 }
 
+void EventPace::note(std::uint64_t lastId, TimePoint now) {
+  if (!firstId_) {
+    firstId_ = lastId;
+    firstAt_ = now;
+  }
+  lastId_ = lastId;
+  lastAt_ = now;
+}
+
+std::optional<double> EventPace::millisecondsPerEvent() const {
+  if (!firstId_ || lastId_ <= *firstId_) return std::nullopt;
+  std::chrono::duration<double, std::milli> const span = lastAt_ - firstAt_;
+  return span.count() / static_cast<double>(lastId_ - *firstId_);
+}
+
 }  // namespace tealshelf
--- a/traffic/event_stream.hpp
+++ b/traffic/event_stream.hpp
@@ -3,6 +3,20 @@
 
 namespace tealshelf {
 
+/// How fast the events of a stream follow each other.
+class EventPace {
+ public:
+  /// The event of an id, or several up to it, came.
+  void note(std::uint64_t lastId, TimePoint now);
+  /// Nothing if fewer than two events came apart from each other.
+  std::optional<double> millisecondsPerEvent() const;
+
+ private:
+  std::optional<std::uint64_t> firstId_;
+  std::uint64_t lastId_ = 0;
+  TimePoint firstAt_, lastAt_;
+};
+
 /// Takes whole events out of the bytes of an event stream.
 class EventStreamReader {
  public:
--- a/traffic/load_balancer.cpp
+++ b/traffic/load_balancer.cpp
@@ -95,12 +95,19 @@
   return randomState_ >> 33;
 }
 
-vector<LoadBalancer::Candidate> const& LoadBalancer::candidatesFor(FleetView const& view, string const& service) {
-  CandidateList& list = candidateLists_[service];
+std::int64_t LoadBalancer::runningAt(string const& worker) const {
+  auto const state = workers_.find(worker);
+  return state == workers_.end() ? 0 : state->second.ownRequests;
+}
+
+vector<LoadBalancer::Candidate> const& LoadBalancer::candidatesFor(FleetView const& view, string const& service,
+                                                                   Group group) {
+  CandidateList& list = candidateLists_[{service, group}];
   if (list.revision == view.revision()) return list.candidates;
   list.revision = view.revision();
   list.candidates.clear();
-  for (Worker const* const worker : view.workersOf(service))
+  VersionGroups const& groups = view.groupsOf(service);
+  for (Worker const* const worker : group == Group::trial ? groups.trial : groups.stable)
     list.candidates.push_back({worker, hash64(worker->id), &workers_[worker->id]});
   return list.candidates;
 }
@@ -119,7 +126,17 @@
 
 Pick LoadBalancer::pick(FleetView const& view, PickRequest const& request, std::set<string> const& tried) {
   TimePoint const now = Clock::now();
-  vector<Candidate> const& candidates = candidatesFor(view, request.service);
+  // Only a first try goes to a new version, so that a bad one fails no request for good.
+  VersionGroups const& groups = view.groupsOf(request.service);
+  if (tried.empty() && !groups.trial.empty() && request.draw % wholeShare < groups.trialShare) {
+    Pick const trial = pickFrom(candidatesFor(view, request.service, Group::trial), request, tried, now);
+    if (trial.worker) return trial;
+  }
+  return pickFrom(candidatesFor(view, request.service, Group::stable), request, tried, now);
+}
+
+Pick LoadBalancer::pickFrom(vector<Candidate> const& candidates, PickRequest const& request,
+                            std::set<string> const& tried, TimePoint now) {
   if (candidates.empty()) return {};
   bool const pinned = static_cast<double>(request.sharedTokens) >= pieceTokens;
   if (pinned) return pickPinned(candidates, request, tried, now);
--- a/traffic/load_balancer.hpp
+++ b/traffic/load_balancer.hpp
@@ -13,6 +13,7 @@
   std::uint64_t promptTokens = 0;
   bool background = false;   ///< takes only what others leave
   double reservedShare = 0;  ///< part of the slots to be left free, if in the background
+  std::uint64_t draw = 0;    ///< a hash of the request, by which some go to a new version
 };
 
 /// A chosen worker; null if there is none.
@@ -42,6 +43,8 @@
   void markHealthy(string const& worker);
   /// Load as a part of its slots; over 1 if requests wait.
   double load(Worker const& worker, TimePoint now) const;
+  /// Requests of this node that are under way at a worker.
+  std::int64_t runningAt(string const& worker) const;
   /// Forgets workers that are gone.
   void sweep(FleetView const& view);
 
@@ -75,7 +78,11 @@
     double cost = 0;
   };
 
-  vector<Candidate> const& candidatesFor(FleetView const& view, string const& service);
+  /// The group of workers that a request goes to, by the version.
+  enum class Group { stable, trial };
+  vector<Candidate> const& candidatesFor(FleetView const& view, string const& service, Group group);
+  Pick pickFrom(vector<Candidate> const& candidates, PickRequest const& request, std::set<string> const& tried,
+                TimePoint now);
   Fitness fitnessOf(Candidate const& candidate, PickRequest const& request, std::set<string> const& tried,
                     TimePoint now) const;
   double loadOf(WorkerState const& state, Worker const& worker, TimePoint now) const;
@@ -92,7 +99,7 @@
 
   Settings const& settings_;
   std::map<string, WorkerState> workers_;
-  std::map<string, CandidateList> candidateLists_;  ///< by service
+  std::map<std::pair<string, Group>, CandidateList> candidateLists_;  ///< by service
   std::uint64_t randomState_ = randomId();
 };
 
--- a/updates/fleet_view.cpp
+++ b/updates/fleet_view.cpp
@@ -32,6 +32,8 @@
       firstAnswer_(io) {
   publisher_.proof = [this] { return subscriber_.proof(Clock::now()); };
   subscriber_.onRow = [this](TableRow const& row) { applyRow(row); };
+  subscriber_.updateSelf = [this](DataNode& self) { confirmRollouts(self); };
+  subscriber_.isHurried = [this] { return awaitsConfirmations(); };
 }
 
 void FleetView::start(RpcServer& server) {
@@ -40,6 +42,7 @@
 }
 
 void FleetView::applyRow(TableRow const& row) {
+  if (row.key.starts_with(rolloutRowPrefix)) applyRollout(row);
   if (!row.key.starts_with(workerRowPrefix)) return;
   ++revision_;
   string const id = row.key.substr(workerRowPrefix.size());
@@ -62,6 +65,7 @@
   ++requestsSent_;
   if (sentAt - talliesSentAt_ >= settings_.bounds.inTouch / 32) {
     plan.request.tallies = publisher_.takeTallies();
+    plan.request.versionTallies = publisher_.takeVersionTallies();
     talliesSentAt_ = sentAt;
   }
   UpdateReply reply;
@@ -69,6 +73,7 @@
     reply = co_await rpc_.call(plan.source, plan.request, plan.limit);
   } catch (Error const&) {
     publisher_.addTallies(plan.request.tallies);
+    publisher_.addVersionTallies(plan.request.versionTallies);
     throw;
   }
   std::uint64_t const versionBefore = publisher_.configurationVersion();
@@ -142,17 +147,67 @@
   return {requestsSent_, publisher_.repliesSent(), publisher_.bytesSent(), publisher_.heldRequests()};
 }
 
-vector<Worker const*> const& FleetView::workersOf(string const& service) const {
-  if (workersByServiceRevision_ != revision_) {
-    workersByService_.clear();
-    workersByServiceRevision_ = revision_;
+VersionGroups const& FleetView::groupsOf(string const& service) const {
+  if (groupsRevision_ != revision_) {
+    groupsByService_.clear();
+    groupsRevision_ = revision_;
   }
-  auto const known = workersByService_.find(service);
-  if (known != workersByService_.end()) return known->second;
-  vector<Worker const*>& workers = workersByService_[service];
+  auto const known = groupsByService_.find(service);
+  if (known != groupsByService_.end()) return known->second;
+  vector<Worker const*> workers;
   for (auto const& [id, worker] : workers_)
     if (worker.service == service && !worker.draining && !worker.removed) workers.push_back(&worker);
-  return workers;
+  auto const rollout = rollouts_.find(service);
+  UnorderedVersions const unordered =
+      settings_.isRuleInForce("rollout") ? UnorderedVersions::majorityServes : UnorderedVersions::allServe;
+  RolloutRecord const* const record = rollout == rollouts_.end() ? nullptr : &rollout->second;
+  return groupsByService_[service] = groupByVersion(workers, record, unordered);
+}
+
+RolloutRecord const* FleetView::activeRollout(string const& service) const {
+  auto const rollout = rollouts_.find(service);
+  return rollout == rollouts_.end() || !rollout->second.isServing() ? nullptr : &rollout->second;
+}
+
+void FleetView::tallyVersion(Worker const& worker, string const& route, VersionTally outcome) {
+  RolloutRecord const* const rollout = activeRollout(worker.service);
+  if (!rollout) return;
+  outcome.order = rollout->order;
+  outcome.service = worker.service;
+  outcome.route = route;
+  outcome.isTarget = worker.version == rollout->target;
+  publisher_.addVersionTallies({outcome});
+}
+
+void FleetView::applyRollout(TableRow const& row) {
+  // A record is never taken back, and an older one doesn't come after a newer.
+  if (row.removed) return;
+  RolloutRecord const record = deserialize<RolloutRecord>(row.value);
+  RolloutRecord& known = rollouts_[record.service];
+  if (record.revision <= known.revision) return;
+  known = record;
+  rolloutRevision_ = std::max(rolloutRevision_, record.revision);
+  ++revision_;
+}
+
+bool FleetView::runsAtExcludedVersion() const {
+  for (auto const& [id, worker] : workers_) {
+    auto const rollout = rollouts_.find(worker.service);
+    if (rollout == rollouts_.end() || isAdmitted(rollout->second, worker.version)) continue;
+    if (runningAt && runningAt(id) > 0) return true;
+  }
+  return false;
+}
+
+void FleetView::confirmRollouts(DataNode& self) const {
+  if (self.rolloutDrained == rolloutRevision_) return;
+  self.rolloutConfirmed = rolloutRevision_;
+  if (!runsAtExcludedVersion()) self.rolloutDrained = rolloutRevision_;
+}
+
+bool FleetView::awaitsConfirmations() const {
+  return std::any_of(rollouts_.begin(), rollouts_.end(),
+                     [](auto const& item) { return item.second.isServing() && item.second.isWhole(); });
 }
 
 vector<Member> FleetView::members() const {
--- a/updates/fleet_view.hpp
+++ b/updates/fleet_view.hpp
@@ -1,5 +1,6 @@
 #pragma once
 #include "configuration/configuration.hpp"
+#include "rollouts/version_groups.hpp"
 #include "updates/update_subscriber.hpp"
 
 namespace tealshelf {
@@ -16,8 +17,10 @@
   /// Null before the first one is known.
   std::shared_ptr<Configuration const> configuration() const { return configuration_; }
   std::map<string, Worker> const& workers() const { return workers_; }
-  /// Workers of a service that take new requests. Valid until the workers change.
-  vector<Worker const*> const& workersOf(string const& service) const;
+  /// Workers of a service that take new requests, by version. Valid until the workers or the rollouts change.
+  VersionGroups const& groupsOf(string const& service) const;
+  /// Those of them that get ordinary traffic.
+  vector<Worker const*> const& workersOf(string const& service) const { return groupsOf(service).stable; }
   /// Null if there is none of that id.
   Worker const* find(string const& id) const;
   /// Rises whenever the workers change.
@@ -40,6 +43,12 @@
   std::function<void()> onUpdate;
   /// Notes how a request at a worker went; it goes up with the next request for updates.
   void tally(string const& worker, bool succeeded);
+  /// The rollout of a service that is under way, or null.
+  RolloutRecord const* activeRollout(string const& service) const;
+  /// Notes what came of a request at a worker of a service with a rollout.
+  void tallyVersion(Worker const& worker, string const& route, VersionTally outcome);
+  /// Tells how many requests of this node are under way at a worker.
+  std::function<std::int64_t(string const& worker)> runningAt;
 
   struct Counts {
     std::uint64_t requestsSent, repliesSent, bytesSent, heldRequests;
@@ -59,6 +68,13 @@
   Task<bool> carryOut(UpdateSubscriber::Plan plan);
   void installConfiguration();
   void applyRow(TableRow const& row);
+  void applyRollout(TableRow const& row);
+  /// Fills in what this node has confirmed of rollouts.
+  void confirmRollouts(DataNode& self) const;
+  /// True while a rollout is in its last stage, and all wait for the last confirmations.
+  bool awaitsConfirmations() const;
+  /// True if this node has a request under way at a worker whose version is excluded.
+  bool runsAtExcludedVersion() const;
 
   asio::io_context& io_;
   Settings const& settings_;
@@ -67,8 +83,10 @@
   UpdateSubscriber subscriber_;
   std::shared_ptr<Configuration const> configuration_;
   std::map<string, Worker> workers_;
-  mutable std::map<string, vector<Worker const*>> workersByService_;  ///< of the revision below
-  mutable std::uint64_t workersByServiceRevision_ = 0;
+  std::map<string, RolloutRecord> rollouts_;                 ///< by service
+  std::uint64_t rolloutRevision_ = 0;                        ///< highest of those records
+  mutable std::map<string, VersionGroups> groupsByService_;  ///< of the revision below
+  mutable std::uint64_t groupsRevision_ = 0;
   std::set<Address> askedFirst_;  ///< sources with a first request under way
   asio::steady_timer firstAnswer_;
   TimePoint talliesSentAt_;
--- a/updates/messages.hpp
+++ b/updates/messages.hpp
@@ -1,5 +1,6 @@
 #pragma once
 #include "fleet/nodes.hpp"
+#include "rollouts/version_evidence.hpp"
 #include "updates/versioned_table.hpp"
 
 /// Calls by which data-plane nodes ask for updates.
@@ -10,6 +11,8 @@
 /// Prefixes of the keys in the common table: workers and members of the control plane.
 constexpr string_view workerRowPrefix = "w/";
 constexpr string_view memberRowPrefix = "m/";
+/// Prefix of the keys of rollouts, by service.
+constexpr string_view rolloutRowPrefix = "r/";
 
 /// Answer of a control node or a relay to a request for updates.
 struct UpdateReply {
@@ -44,8 +47,9 @@
   /// The subscriber only wants to know whom to ask: the nodes of its zone and the members. Everything else it gets
   /// from a node near it.
   bool isIntroduction = false;
+  vector<VersionTally> versionTallies;  ///< of services with a rollout, since the last request
   MSGPACK_DEFINE(format, self, holdMs, isFirst, configurationVersion, commonDigest, zoneDigest, nodesDigest,
-                 carriesNodes, nodes, tallies, isIntroduction)
+                 carriesNodes, nodes, tallies, isIntroduction, versionTallies)
 };
 
 }  // namespace tealshelf
--- a/updates/relay_topology.cpp
+++ b/updates/relay_topology.cpp
@@ -50,7 +50,9 @@
   if (nodes.empty()) return 0;
   std::uint64_t digest = 0;
   for (DataNode const& node : nodes)
-    digest += hash64(node.name + "/" + node.zone + "/" + node.role + "/" + node.address.text(), node.cpuThousandths);
+    digest += hash64(node.name + "/" + node.zone + "/" + node.role + "/" + node.address.text() + "/" +
+                         hex(node.rolloutConfirmed) + hex(node.rolloutDrained),
+                     node.cpuThousandths);
   return digest | 1;
 }
 
--- a/updates/update_publisher.cpp
+++ b/updates/update_publisher.cpp
@@ -29,6 +29,7 @@
   subscriber.self = request.self;
   subscriber.heardAt = now;
   addTallies(request.tallies);
+  addVersionTallies(request.versionTallies);
   if (request.nodesDigest == 0) {
     subscriber.nodes.clear();
     subscriber.nodesDigest = 0;
--- a/updates/update_publisher.hpp
+++ b/updates/update_publisher.hpp
@@ -48,6 +48,11 @@
   /// Adds tallies, or puts back what couldn't be passed on.
   void addTallies(vector<WorkerTally> const& tallies);
 
+  /// What the subscribers told of versions since the last call.
+  vector<VersionTally> takeVersionTallies() { return versionTallies_.take(); }
+  void addVersionTallies(vector<VersionTally> const& tallies) { versionTallies_.add(tallies); }
+  bool hasVersionTallies() const { return !versionTallies_.empty(); }
+
   std::size_t heldRequests() const { return held_.size(); }
   std::uint64_t repliesSent() const { return repliesSent_; }
   std::uint64_t bytesSent() const { return bytesSent_; }
@@ -78,7 +83,8 @@
   std::set<std::shared_ptr<asio::steady_timer>> held_;  ///< one a held request; cancelled when there is news
   std::map<string, Subscriber> subscribers_;            ///< by name
   std::map<string, WorkerTally> tallies_;               ///< by worker
-  std::map<DeltaKey, string> serializedDeltas_;         ///< serialized once for all subscribers
+  VersionEvidence versionTallies_;
+  std::map<DeltaKey, string> serializedDeltas_;  ///< serialized once for all subscribers
   std::uint64_t repliesSent_ = 0, bytesSent_ = 0;
 };
 
--- a/updates/update_subscriber.cpp
+++ b/updates/update_subscriber.cpp
@@ -56,6 +56,7 @@
 
 UpdateRequest UpdateSubscriber::makeRequest(TimePoint now, Ms hold, bool isFirst) {
   UpdateRequest request;
+  if (updateSelf) updateSelf(self_);
   request.self = self_;
   request.holdMs = hold.count();
   request.isFirst = isFirst;
@@ -75,6 +76,7 @@
   // relays asks in long ones.
   bool const servesOthers = isRelay_ || publisher_.heldRequests();
   plan.hold = timeouts_.inTouch / (servesOthers ? 32 : plan.fromParent ? 16 : 8);
+  if (isHurried && isHurried()) plan.hold = std::min(plan.hold, timeouts_.inTouch / 80);
   plan.limit = plan.hold + timeouts_.inTouch / (plan.fromParent ? 16 : 10);
   plan.request = makeRequest(now, plan.hold, false);
   return plan;
--- a/updates/update_subscriber.hpp
+++ b/updates/update_subscriber.hpp
@@ -31,6 +31,10 @@
                    std::function<Address(string const&)> controlAddress, UpdatePublisher& publisher);
   /// Called when a worker or a control node changed.
   std::function<void(TableRow const&)> onRow;
+  /// Brings what this node says of itself up to date before a request.
+  std::function<void(DataNode&)> updateSelf;
+  /// True while answers are awaited that must not be late: the node asks in the shortest turns.
+  std::function<bool()> isHurried;
 
   Plan plan(TimePoint now);
   /// The request with which a node that has no configuration yet begins: an introduction at any control node, then all
