--- a/configuration/tenant_keys.cpp
+++ b/configuration/tenant_keys.cpp
@@ -3,6 +3,7 @@
 #include "configuration/canonical_json.hpp"
 
 #include <nettle/hmac.h>
+#include <rapidjson/document.h>
 #include <random>
 
 namespace tealshelf {
@@ -65,4 +66,22 @@
   return text;
 }
 
+std::map<string, std::set<string>> keyFingerprints(string const& configurationText) {
+  std::map<string, std::set<string>> fingerprints;
+  rapidjson::Document document;
+  document.Parse<rapidjson::kParseIterativeFlag>(configurationText.data(), configurationText.size());
+  bool const hasTenants = !document.HasParseError() && document.IsObject() && document.HasMember("customers") &&
+                          document["customers"].IsArray();
+  if (!hasTenants) return fingerprints;
+  for (rapidjson::Value const& tenant : document["customers"].GetArray()) {
+    bool const readable = tenant.IsObject() && tenant.HasMember("name") && tenant["name"].IsString() &&
+                          tenant.HasMember("apiKeys") && tenant["apiKeys"].IsArray();
+    if (!readable) continue;
+    std::set<string>& keys = fingerprints[tenant["name"].GetString()];
+    for (rapidjson::Value const& key : tenant["apiKeys"].GetArray())
+      if (key.IsString()) keys.insert(keyFingerprint(string_view(key.GetString(), key.GetStringLength())));
+  }
+  return fingerprints;
+}
+
 }  // namespace tealshelf
--- a/configuration/tenant_keys.hpp
+++ b/configuration/tenant_keys.hpp
@@ -25,6 +25,9 @@
   std::unordered_map<KeyDigest, std::uint32_t, DigestHash> tenants_;
 };
 
+/// The fingerprints of the keys of each tenant that a configuration's text names; empty if it can't be read.
+std::map<string, std::set<string>> keyFingerprints(string const& configurationText);
+
 /// A short text by which a key can be told from others in logs; the key can't be found from it.
 string keyFingerprint(string_view key);
 
--- a/control/configuration_handler.cpp
+++ b/control/configuration_handler.cpp
@@ -7,6 +7,23 @@
 namespace {
 /// Changes that wait for their turn: operators may have eight under way, each handed on by several nodes.
 constexpr std::size_t maxWaitingChanges = 32;
+/// Keys that one change adds or takes away and that are told one by one.
+constexpr std::size_t maxToldKeys = 20;
+
+using KeysByTenant = std::map<string, std::set<string>>;
+
+/// Tells of keys that are in one configuration and not in another, by tenant and fingerprint.
+void logKeysOnlyIn(KeysByTenant const& one, KeysByTenant const& other, string const& what) {
+  std::size_t count = 0;
+  for (auto const& [tenant, keys] : one) {
+    auto const counterpart = other.find(tenant);
+    for (string const& key : keys) {
+      if (counterpart != other.end() && counterpart->second.contains(key)) continue;
+      if (++count <= maxToldKeys) logInfo("configuration", "key " + key + " of " + tenant + what);
+    }
+  }
+  if (count > maxToldKeys) logInfo("configuration", std::to_string(count) + " keys in all" + what);
+}
 }  // namespace
 
 ConfigurationHandler::ConfigurationHandler(asio::io_context& io, Settings const& settings, RpcClient& rpc,
@@ -78,6 +95,12 @@
   if (current == values->end() || current->second == publisher_.configuration()) return false;
   std::shared_ptr<Configuration const> const configuration = compileConfiguration(current->second);
   if (configuration->version <= publisher_.configurationVersion()) return false;
+  if (published_ && (published_->needsKeys || configuration->needsKeys)) {
+    KeysByTenant const before = keyFingerprints(publisher_.configuration());
+    KeysByTenant const now = keyFingerprints(current->second);
+    logKeysOnlyIn(before, now, " is taken away");
+    logKeysOnlyIn(now, before, " is added");
+  }
   publisher_.setConfiguration(configuration->version, current->second);
   published_ = configuration;
   for (Route const& route : configuration->routes)
--- a/edge/edge_node.cpp
+++ b/edge/edge_node.cpp
@@ -203,6 +203,8 @@
     answer.headers.emplace_back("Retry-After", "0.3");
     co_return co_await reply(client, std::move(answer));
   }
+  bool const mayTrustKeys = !configuration->needsKeys || view_.mayTrustKeys();
+  if (!mayTrustKeys) co_return co_await reply(client, errorReply(Error(ErrorCode::notReady)));
   string const verb(request.method_string().data(), request.method_string().size());
   string const target(request.target().data(), request.target().size());
   string const host = hostOf(request);
--- a/tests/configuration/configuration_test.cpp
+++ b/tests/configuration/configuration_test.cpp
@@ -55,3 +55,67 @@
   for (int i = 0; i < 10000; ++i) s += c->routes[0].serviceFor(hash64(std::to_string(i))) == "s";
   CHECK(s > 8800 && s < 9200);
 }
+
+namespace {
+string withTenants(string const& customers) {
+  string const text = configuration(route("r", fine));
+  return text.substr(0, text.size() - 1) + ",\"customers\":" + customers + "}";
+}
+}  // namespace
+
+TEST_GROUP(tenants){};
+
+TEST(tenants, areFoundByTheirKeys) {
+  std::shared_ptr<Configuration const> const c = compileConfiguration(
+      withTenants("[{\"name\":\"a\",\"apiKeys\":[\"k1\",\"k2\"],\"priority\":1,\"ratePerS\":119,\"burst\":7.5},"
+                  "{\"name\":\"b\",\"apiKeys\":[\"k3\"]},{\"name\":\"c\"}]"));
+  CHECK(c->needsKeys);
+  STRCMP_EQUAL("a", c->findTenantByKey("k2")->name.c_str());
+  STRCMP_EQUAL("b", c->findTenantByKey("k3")->name.c_str());
+  for (string const& key : {"k4", "", "k", "k33", "a"}) POINTERS_EQUAL(nullptr, c->findTenantByKey(key));
+  Tenant const* const a = c->findTenant("a");
+  LONGS_EQUAL(1, *a->priority);
+  DOUBLES_EQUAL(119, a->ratePerSecond, 0);
+  DOUBLES_EQUAL(7.5, a->burst, 0);
+  CHECK(a->isLimited());
+  CHECK_FALSE(c->findTenant("b")->isLimited());
+  CHECK_FALSE(c->findTenant("b")->priority.has_value());
+}
+TEST(tenants, anEmptyListNeedsKeysToo) {
+  CHECK(compileConfiguration(withTenants("[]"))->needsKeys);
+  CHECK_FALSE(compileConfiguration(configuration(route("r", fine)))->needsKeys);
+}
+TEST(tenants, everyFaultHasItsNumber) {
+  LONGS_EQUAL(113,
+              firstFault(withTenants("[{\"name\":\"a\",\"apiKeys\":[\"k\"]},{\"name\":\"b\",\"apiKeys\":[\"k\"]}]")));
+  LONGS_EQUAL(0, firstFault(withTenants("[{\"name\":\"a\",\"apiKeys\":[\"k\",\"k\"]}]")));
+  LONGS_EQUAL(114, firstFault(withTenants("[{\"name\":\"a\",\"apiKeys\":[\"\"]}]")));
+  LONGS_EQUAL(114, firstFault(withTenants("[{\"name\":\"a\",\"apiKeys\":[\"two words\"]}]")));
+  LONGS_EQUAL(115, firstFault(withTenants("[{\"name\":\"\"}]")));
+  LONGS_EQUAL(115, firstFault(withTenants("[{\"name\":\"a\"},{\"name\":\"a\"}]")));
+  LONGS_EQUAL(115, firstFault(withTenants("[{\"name\":\"a b\"}]")));
+  LONGS_EQUAL(106, firstFault(withTenants("\"none\"")));
+  LONGS_EQUAL(106, firstFault(withTenants("[{\"name\":\"a\",\"apiKeys\":\"k\"}]")));
+  LONGS_EQUAL(107, firstFault(withTenants("[{\"name\":\"a\",\"ratePerS\":-1}]")));
+  LONGS_EQUAL(107, firstFault(withTenants("[{\"name\":\"a\",\"burst\":1e300}]")));
+  LONGS_EQUAL(106, firstFault(withTenants("[{\"name\":\"a\",\"ratePerS\":\"fast\"}]")));
+}
+TEST(tenants, faultsDoNotNameKeys) {
+  vector<ConfigurationFault> faults;
+  readConfiguration(withTenants("[{\"name\":\"a\",\"apiKeys\":[\"secret words\",\"planted\"]},"
+                                "{\"name\":\"b\",\"apiKeys\":[\"planted\"]}]"),
+                    faults);
+  LONGS_EQUAL(2, faults.size());
+  for (ConfigurationFault const& fault : faults)
+    for (string const& secret : {"secret", "planted"}) CHECK(fault.text.find(secret) == string::npos);
+}
+TEST(tenants, fingerprintsTellKeysApartAndNotWhatTheyAre) {
+  std::map<string, std::set<string>> const keys =
+      keyFingerprints(withTenants("[{\"name\":\"a\",\"apiKeys\":[\"planted1\",\"planted2\"]}]"));
+  LONGS_EQUAL(2, keys.at("a").size());
+  for (string const& fingerprint : keys.at("a")) {
+    LONGS_EQUAL(8, fingerprint.size());
+    CHECK(fingerprint.find("plan") == string::npos);
+  }
+  LONGS_EQUAL(0, keyFingerprints("no JSON").size());
+}
--- a/tests/formats_test.cpp
+++ b/tests/formats_test.cpp
@@ -1,114 +1,9 @@
 // Bytes that earlier releases wrote to disks and sent to each other; every release must read and write the same ones.
 // They were made by the code before its names were changed (commit ef6d31a).
-#include "base/log_format.hpp"
-#include "configuration/change_history.hpp"
-#include "consensus/control_messages.hpp"
-#include "control/messages.hpp"
-#include "lots/messages.hpp"
-#include "segments/replica_table.hpp"
-#include "updates/messages.hpp"
-#include "wire/frames.hpp"
-
-#include <CppUTest/TestHarness.h>
+#include "tests/formats.hpp"
 
 using namespace tealshelf;
-
-namespace {
-string toHex(string_view bytes) {
-  string text;
-  for (char const c : bytes) {
-    char digits[3];
-    std::snprintf(digits, sizeof digits, "%02x", static_cast<unsigned>(static_cast<unsigned char>(c)));
-    text += digits;
-  }
-  return text;
-}
-
-string fromHex(string const& text) {
-  string bytes;
-  for (std::size_t i = 0; i < text.size(); i += 2)
-    bytes += static_cast<char>(std::stoi(text.substr(i, 2), nullptr, 16));
-  return bytes;
-}
-
-/// Writes a value and reads it back: both must agree with the bytes.
-template <class T>
-void expectBytes(string const& bytes, T const& value) {
-  STRCMP_EQUAL(bytes.c_str(), toHex(serialize(value)).c_str());
-  STRCMP_EQUAL(bytes.c_str(), toHex(serialize(deserialize<T>(fromHex(bytes)))).c_str());
-}
-
-/// What an older release wrote reads as a value with the fields that it didn't know at their defaults.
-template <class T>
-void expectReads(string const& olderBytes, T const& value) {
-  STRCMP_EQUAL(toHex(serialize(value)).c_str(), toHex(serialize(deserialize<T>(fromHex(olderBytes)))).c_str());
-}
-
-Entries const entries{{"a", Entry{{3, NodeId(11)}, 5, "v", false}}, {"b", Entry{{3, NodeId(11)}, 6, "", true}}};
-Member const founder{NodeId(1), "n1", "10.0.0.1", "z1", true, true, 0};
-Member const newcomer{NodeId(2), "n2", "10.0.0.2", "z2", false, true, 44};
-
-Message message(MessageBody body) {
-  return Message{MembershipNumber(7), NodeId(11), NodeId(12), "k", Epoch{3, NodeId(11)}, std::move(body)};
-}
-
-Membership membership() {
-  return Membership{MembershipNumber(2), {founder, newcomer}, {founder}};
-}
-
-Heartbeat heartbeat() {
-  return Heartbeat{founder,  MembershipNumber(2),         true,
-                   {5, 600}, {Echo{NodeId(2), {6, 700}}}, {KeyspaceProgress{"k", {3, NodeId(1)}, 6, 5, true}}};
-}
-
-StoreRef store() {
-  return StoreRef{NodeId(9), "st", "z", {"10.0.0.9", 7661}};
-}
-
-LotRecord lot() {
-  LotRecord record;
-  record.id = "lot";
-  record.host = "h";
-  record.route = "r";
-  record.service = "s";
-  record.tokens = 40;
-  record.itemCount = 2;
-  record.tries = 3;
-  record.sentAtMs = 1000;
-  record.keepForMs = 60000;
-  record.dueInMs = 8000;
-  record.state = LotState::accepted;
-  record.stamp = GenerationStamp(5);
-  record.holders = {store()};
-  return record;
-}
-
-Worker worker() {
-  Worker w;
-  w.id = "i-1";
-  w.service = "s";
-  w.zone = "z";
-  w.version = "v";
-  w.address = {"10.0.0.1", 80};
-  w.capacity = 4;
-  w.callCount = 7;
-  w.draining = true;
-  w.warmupLeftMs = 3;
-  w.registrar = NodeId(1);
-  w.ejected = true;
-  w.ejectionRevision = 2;
-  return w;
-}
-
-DataNode dataNode() {
-  return DataNode{"n", "z", "edge", {"10.0.0.1", 7662}, 300};
-}
-
-void expectRecords(vector<string> const& expected, vector<string> const& records) {
-  LONGS_EQUAL(expected.size(), records.size());
-  for (std::size_t i = 0; i < records.size(); ++i) STRCMP_EQUAL(expected[i].c_str(), toHex(records[i]).c_str());
-}
-}  // namespace
+using namespace tealshelf::formats;
 
 TEST_GROUP(formats){};
 
@@ -145,11 +40,11 @@
               heartbeat());
   expectBytes("949701a26e31a831302e302e302e31a27a31c3c30001c302", JoinRequest{founder, 1, true, MembershipNumber(2)});
   expectBytes(
-      "99969701a26e31a831302e302e302e31a27a31c3c30002c39205cd02589192029206cd02bc9195a16b9203010605c393"
+      "9a969701a26e31a831302e302e302e31a27a31c3c30002c39205cd02589192029206cd02bc9195a16b9203010605c393"
       "02929701a26e31a831302e302e302e31a27a31c3c3009702a26e32a831302e302e302e32a27a32c2c32c919701a26e31"
       "a831302e302e302e31a27a31c3c300919ea3692d31a173a17aa17692a831302e302e302e31500407c3c203c201c302c3"
-      "0405c39195a16ea17aa46564676592a831302e302e302e31cd1deecd012c9193a1690102",
-      HeartbeatMessage{heartbeat(), membership(), {worker()}, true, 4, 5, true, {dataNode()}, {{"i", 1, 2}}});
+      "0405c39197a16ea17aa46564676592a831302e302e302e31cd1deecd012c00009193a169010290",
+      HeartbeatMessage{heartbeat(), membership(), {worker()}, true, 4, 5, true, {dataNode()}, {{"i", 1, 2}}, {}});
   expectBytes(
       "929701a26e31a831302e302e302e31a27a31c3c3009194a16b92030182a1619492030b05a176c2a1629492030b06a0c3"
       "c2",
@@ -301,63 +196,6 @@
       reply);
 }
 
-/// Bytes that releases wrote before lots named their tenant.
-TEST(formats, lotsWithoutTenants) {
-  LotRecord sealed = lot();
-  sealed.sealedStamp = GenerationStamp(4);
-  sealed.sealedResults = 2;
-  expectReads("9fa36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e302e302e39cd1ded0402",
-              sealed);
-  expectReads("9fa36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e302e302e39cd1ded0000",
-              lot());
-  LotRecord tenanted = lot();
-  tenanted.tenant = "t";
-  expectBytes(
-      "dc0010a36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e302e302e39cd1ded0000a174",
-      tenanted);
-}
-
-/// Bytes that releases wrote before lots were sealed and stores told their load.
-TEST(formats, lotsOfOlderReleases) {
-  expectReads("9da36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e302e302e39cd1ded", lot());
-  expectReads(
-      "949da36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e302e302e39cd1deda5"
-      "6974656d7391a161c3",
-      CreateReplica{lot(), "items", {"a"}, true});
-  expectReads(
-      "949da36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e302e302e39cd1ded64"
-      "019109",
-      OpenLot{lot(), 100, 1, {NodeId(9)}, 0});
-  ReplicaVersion const replica{"h", "lot", GenerationStamp(5)};
-  StoreHeartbeat heartbeat;
-  heartbeat.self = store();
-  heartbeat.lease = 3;
-  heartbeat.process = 4;
-  heartbeat.revision = 5;
-  heartbeat.countsAsLoss = true;
-  heartbeat.progress = {{"h", "lot", GenerationStamp(5), 10, 1, false}};
-  heartbeat.replicas = {replica};
-  heartbeat.failures = {{"h", "lot", GenerationStamp(5), NodeId(9)}};
-  heartbeat.diskFailing = true;
-  expectReads(
-      "9a9409a27374a17a92a831302e302e302e39cd1ded030405c39195a168a36c6f74050a019193a168a36c6f74059194a1"
-      "68a36c6f740509c2c3",
-      heartbeat);
-  StoreHeartbeatReply reply;
-  reply.granted = true;
-  reply.process = 4;
-  reply.revision = 5;
-  reply.lots = {lot()};
-  reply.staleReplicas = {replica};
-  reply.ownedKeyspaces = {"lots/h"};
-  reply.members = {founder};
-  reply.fencedUpTo = 2;
-  expectReads(
-      "99c3c20405919da36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e302e302e"
-      "39cd1ded9193a168a36c6f740591a66c6f74732f68919701a26e31a831302e302e302e31a27a31c3c30002",
-      reply);
-}
-
 TEST(formats, workersConfigurationsAndUpdates) {
   expectBytes("9ea3692d31a173a17aa17692a831302e302e302e31500407c3c203c201c302", worker());
   expectBytes("9294000003a16494010306a165", (vector<AcceptedChange>{{0, 0, 3, Digest("d")}, {1, 3, 6, Digest("e")}}));
@@ -375,8 +213,8 @@
   request.tallies = {{"i", 1, 2}};
   request.isIntroduction = true;
   expectBytes(
-      "9c0295a16ea17aa46564676592a831302e302e302e31cd1deecd012c05c301020304c39195a16ea17aa46564676592a8"
-      "31302e302e302e31cd1deecd012c9193a1690102c3",
+      "9d0297a16ea17aa46564676592a831302e302e302e31cd1deecd012c000005c301020304c39197a16ea17aa465646765"
+      "92a831302e302e302e31cd1deecd012c00009193a1690102c390",
       request);
   UpdateReply reply;
   reply.healthy = true;
--- a/tests/lots/lot_api_test.cpp
+++ b/tests/lots/lot_api_test.cpp
@@ -29,7 +29,8 @@
     publisher.proof = [] { return UpdatePublisher::Proof{true, 0, Clock::now()}; };
     publisher.setConfiguration(1, configuration);
     control.on<UpdateRequest>([this](UpdateRequest request) { return publisher.serve(std::move(request)); });
-    control.on<FindLot>([this](FindLot) -> Task<FindLotReply> {
+    control.on<FindLot>([this](FindLot request) -> Task<FindLotReply> {
+      askedFor = request.lot;
       if (failure) throw Error(*failure);
       co_return FindLotReply{true, record};
     });
@@ -59,9 +60,9 @@
     io.run_for(duration);
   }
   /// The status of a call of a client.
-  int call(string const& target, Ms hold) {
+  int call(string const& target, Ms hold, string const& tenant = "") {
     std::shared_ptr<int> const status = std::make_shared<int>(0);
-    asio::co_spawn(io, lots.call(LotCaller{host, ""}, "GET", target, hold),
+    asio::co_spawn(io, lots.call(LotCaller{host, tenant}, "GET", target, hold),
                    [status](std::exception_ptr failure, HttpReply reply) { *status = failure ? -1 : reply.status; });
     for (int turn = 0; turn < 800 && !*status; ++turn) run(Ms(5));
     return *status;
@@ -78,6 +79,7 @@
   LotApi lots;
   LotRecord record;
   std::optional<ErrorCode> failure;  ///< of control
+  string askedFor;                   ///< the lot that control was asked for last
 };
 
 void readThroughATakeover(string const& target, Ms hold) {
@@ -115,3 +117,21 @@
   LONGS_EQUAL(404, rig.call("/lots/lot?startAfter=0", Ms(0)));
   LONGS_EQUAL(400, rig.call("/lots/lot?startAfter=x", Ms(0)));
 }
+
+/// Lots belong to tenants; the id that a client gives is its own.
+TEST_GROUP(lotsOfTenants){};
+
+TEST(lotsOfTenants, eachTenantAsksForItsOwnLotsOnly) {
+  LotApiRig rig;
+  rig.holdAt(17696);
+  LONGS_EQUAL(200, rig.call("/lots/lot?startAfter=0", Ms(0), "lantern"));
+  STRCMP_EQUAL("lantern/lot", rig.askedFor.c_str());
+  rig.call("/items/lot?serverId=i", Ms(0), "ferry");
+  STRCMP_EQUAL("ferry/lot", rig.askedFor.c_str());
+}
+TEST(lotsOfTenants, noTwoPairsOfNamesGiveOneId) {
+  CHECK(scopedLotId("a", "b/c") != scopedLotId("a/b", "c"));
+  CHECK(scopedLotId("a%", "b") != scopedLotId("a", "%b"));
+  CHECK(scopedLotId("a", "b") != scopedLotId("", "ab"));
+  STRCMP_EQUAL("id", scopedLotId("", "id").c_str());
+}
--- a/tests/lots/store_fleet.hpp
+++ b/tests/lots/store_fleet.hpp
@@ -29,7 +29,9 @@
   static string host() { return "shop.example"; }
 
   /// Hands a lot with one item of a size in as an edge does; the number of the error, or 0 once it is accepted.
-  int submit(string const& id, std::size_t bytes) {
+  int submit(string const& id, std::size_t bytes) { return submitFor("", id, bytes, 0); }
+  /// The same for a tenant of whose tokens so many may wait; 0: no limit.
+  int submitFor(string const& tenant, string const& id, std::size_t bytes, std::uint64_t maxQueuedTokens) {
     string const items = serialize(vector<ItemRecord>{{"item-" + id, "/night/x", string(bytes, 'b'), {}, 10}});
     OpenLot open;
     open.lot.id = id;
@@ -39,9 +41,12 @@
     open.lot.tokens = 10;
     open.lot.keepForMs = 60000;
     open.lot.dueInMs = 30000;
+    open.lot.tenant = tenant;
+    open.maxQueuedTokens = maxQueuedTokens;
     open.itemBytes = items.size();
     std::pair<int, OpenLotReply> const opened = ask(controlAddress(), open);
     if (opened.first) return opened.first;
+    if (opened.second.alreadyAccepted) return 0;
     LotRecord const& record = opened.second.lot;
     int const created = ask(record.holders.at(0).address, CreateReplica{record, items, {}, true}).first;
     if (created) return created;
--- /dev/null
+++ b/tests/older_formats_test.cpp
@@ -0,0 +1,93 @@
+// Bytes that older releases wrote are read, with the fields that they did not know at their defaults.
+#include "tests/formats.hpp"
+
+using namespace tealshelf;
+using namespace tealshelf::formats;
+
+TEST_GROUP(olderFormats){};
+
+/// Bytes that releases wrote before lots named their tenant.
+TEST(olderFormats, lotsWithoutTenants) {
+  LotRecord sealed = lot();
+  sealed.sealedStamp = GenerationStamp(4);
+  sealed.sealedResults = 2;
+  expectReads("9fa36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e302e302e39cd1ded0402",
+              sealed);
+  expectReads("9fa36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e302e302e39cd1ded0000",
+              lot());
+  LotRecord tenanted = lot();
+  tenanted.tenant = "t";
+  expectBytes(
+      "dc0010a36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e302e302e39cd1ded0000a174",
+      tenanted);
+}
+
+/// Bytes that releases wrote before lots were sealed and stores told their load.
+TEST(olderFormats, lotsOfOlderReleases) {
+  expectReads("9da36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e302e302e39cd1ded", lot());
+  expectReads(
+      "949da36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e302e302e39cd1deda5"
+      "6974656d7391a161c3",
+      CreateReplica{lot(), "items", {"a"}, true});
+  expectReads(
+      "949da36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e302e302e39cd1ded64"
+      "019109",
+      OpenLot{lot(), 100, 1, {NodeId(9)}, 0});
+  ReplicaVersion const replica{"h", "lot", GenerationStamp(5)};
+  StoreHeartbeat heartbeat;
+  heartbeat.self = store();
+  heartbeat.lease = 3;
+  heartbeat.process = 4;
+  heartbeat.revision = 5;
+  heartbeat.countsAsLoss = true;
+  heartbeat.progress = {{"h", "lot", GenerationStamp(5), 10, 1, false}};
+  heartbeat.replicas = {replica};
+  heartbeat.failures = {{"h", "lot", GenerationStamp(5), NodeId(9)}};
+  heartbeat.diskFailing = true;
+  expectReads(
+      "9a9409a27374a17a92a831302e302e302e39cd1ded030405c39195a168a36c6f74050a019193a168a36c6f74059194a1"
+      "68a36c6f740509c2c3",
+      heartbeat);
+  StoreHeartbeatReply reply;
+  reply.granted = true;
+  reply.process = 4;
+  reply.revision = 5;
+  reply.lots = {lot()};
+  reply.staleReplicas = {replica};
+  reply.ownedKeyspaces = {"lots/h"};
+  reply.members = {founder};
+  reply.fencedUpTo = 2;
+  expectReads(
+      "99c3c20405919da36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e302e302e"
+      "39cd1ded9193a168a36c6f740591a66c6f74732f68919701a26e31a831302e302e302e31a27a31c3c30002",
+      reply);
+}
+
+/// Bytes that releases wrote before nodes confirmed rollouts.
+TEST(olderFormats, nodesWithoutRollouts) {
+  expectReads("95a16ea17aa46564676592a831302e302e302e31cd1deecd012c", dataNode());
+  UpdateRequest request;
+  request.self = dataNode();
+  request.holdMs = 5;
+  request.isFirst = true;
+  request.configurationVersion = 1;
+  request.commonDigest = 2;
+  request.zoneDigest = 3;
+  request.nodesDigest = 4;
+  request.carriesNodes = true;
+  request.nodes = {dataNode()};
+  request.tallies = {{"i", 1, 2}};
+  request.isIntroduction = true;
+  expectReads(
+      "9c0295a16ea17aa46564676592a831302e302e302e31cd1deecd012c05c301020304c39195a16ea17aa46564676592a8"
+      "31302e302e302e31cd1deecd012c9193a1690102c3",
+      request);
+}
+TEST(olderFormats, heartbeatsWithoutRollouts) {
+  expectReads(
+      "99969701a26e31a831302e302e302e31a27a31c3c30002c39205cd02589192029206cd02bc9195a16b9203010605c393"
+      "02929701a26e31a831302e302e302e31a27a31c3c3009702a26e32a831302e302e302e32a27a32c2c32c919701a26e31"
+      "a831302e302e302e31a27a31c3c300919ea3692d31a173a17aa17692a831302e302e302e31500407c3c203c201c302c3"
+      "0405c39195a16ea17aa46564676592a831302e302e302e31cd1deecd012c9193a1690102",
+      HeartbeatMessage{heartbeat(), membership(), {worker()}, true, 4, 5, true, {dataNode()}, {{"i", 1, 2}}, {}});
+}
--- a/tests/updates/updates_sim.hpp
+++ b/tests/updates/updates_sim.hpp
@@ -63,8 +63,8 @@
       Node& x = nodes_[i];
       x.name = "n" + std::to_string(i);
       x.at = {"10.1." + std::to_string(i / 200) + "." + std::to_string(i % 200), 2};
-      x.row =
-          DataNode{x.name, zoneName(i % c.zones), "edge", x.at, static_cast<std::uint32_t>(i / c.zones < 3 ? 300 : 40)};
+      x.row = DataNode{
+          x.name, zoneName(i % c.zones), "edge", x.at, static_cast<std::uint32_t>(i / c.zones < 3 ? 300 : 40), 0, 0};
       start(x);
     }
   }
--- a/updates/fleet_view.cpp
+++ b/updates/fleet_view.cpp
@@ -16,8 +16,13 @@
 
 DataNode selfOf(Settings const& settings, string role, Address address) {
   double const cores = settings.cpuFraction * static_cast<double>(settings.cpuCores);
-  return DataNode{settings.nodeName, settings.zone, std::move(role), std::move(address),
-                  static_cast<std::uint32_t>(1000 * cores)};
+  return DataNode{settings.nodeName,
+                  settings.zone,
+                  std::move(role),
+                  std::move(address),
+                  static_cast<std::uint32_t>(1000 * cores),
+                  0,
+                  0};
 }
 }  // namespace
 
--- a/updates/fleet_view.hpp
+++ b/updates/fleet_view.hpp
@@ -31,6 +31,9 @@
   bool isReady() const { return knowsFleetWithin(5 * settings_.bounds.inTouch); }
   /// True if what is known here is recent.
   bool isFresh() const { return knowsFleetWithin(settings_.bounds.inTouch / 3); }
+  /// True if the keys that are known here may still be gone by: always, unless the deployment wants nodes to fail
+  /// closed.
+  bool mayTrustKeys() const { return !settings_.bounds.failClosed || knowsFleetWithin(settings_.bounds.revokeWithin); }
   /// Control nodes to call, those that failed lately last.
   vector<Address> controlAddresses() const { return subscriber_.controlAddresses(Clock::now()); }
   /// The members of the control plane, as far as they are known here.
