rollouts: one majority of versions, ended rollouts are not judged; formats tests share a request

Read over the whole change: the choice of the version that most workers have stood twice; inputs were worked out for rollouts that had ended.

--- a/control/rollout_handler.cpp
+++ b/control/rollout_handler.cpp
@@ -2,6 +2,7 @@
 
 #include "consensus/keyspace_names.hpp"
 #include "control/call_input.hpp"
+#include "rollouts/version_groups.hpp"
 
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
@@ -66,8 +67,8 @@
   std::optional<RolloutRecord> record;
   if (found != present.end()) record = found->second;
   Ms const elapsed = record ? elapsedOf(*record, Clock::now()) : Ms(0);
-  OrderDecision decision =
-      decideOrder(record, order, servingVersion(order.service), elapsed, 2 * settings_.bounds.confirmWithin);
+  OrderDecision decision = decideOrder(record, order, majorityVersion(workers_.versionsOf(order.service)), elapsed,
+                                       2 * settings_.bounds.confirmWithin);
   if (decision.kind == OrderDecision::Kind::refuse) throw Error(decision.code, order.service);
   if (decision.kind == OrderDecision::Kind::acknowledge) co_return CallReply{200, "{}"};
   bool const begins = decision.record.isServing() || !record;
@@ -133,17 +134,6 @@
   return elapsedOf(record, now) - Ms(record.elapsedMs);
 }
 
-string RolloutHandler::servingVersion(string const& service) const {
-  string best;
-  std::size_t most = 0;
-  for (auto const& [version, count] : workers_.versionsOf(service)) {
-    if (count <= most) continue;
-    best = version;
-    most = count;
-  }
-  return best;
-}
-
 vector<VersionTally> RolloutHandler::evidence() const {
   vector<VersionTally> all = own_.all();
   for (auto const& [node, tallies] : peers_) all.insert(all.end(), tallies.begin(), tallies.end());
@@ -216,6 +206,7 @@
   noteEvidence(now);
   if (!driver_.consensus().owns(rolloutsKeyspace)) co_return;
   for (auto const& [service, record] : present) {
+    if (!record.isServing()) continue;
     std::optional<RolloutRecord> next = nextRecord(record, plan_, inputsFor(record, now));
     if (!next) continue;
     co_await keyspace_.confirmOwnership(Clock::now() + settings_.bounds.inTouch / 4);
--- a/control/rollout_handler.hpp
+++ b/control/rollout_handler.hpp
@@ -45,8 +45,6 @@
   /// By all that was seen, and by what was seen lately: a fault may begin late.
   VersionJudgement judge(RolloutRecord const& record, TimePoint now) const;
   void noteEvidence(TimePoint now);
-  /// The version that most of a service's workers have.
-  string servingVersion(string const& service) const;
   void noteSightings(TimePoint now);
 
   asio::io_context& io_;
--- a/rollouts/version_groups.cpp
+++ b/rollouts/version_groups.cpp
@@ -19,12 +19,10 @@
 }
 }  // namespace
 
-string majorityVersion(vector<Worker const*> const& workers) {
-  std::map<string, std::size_t> counts;
-  for (Worker const* const worker : workers) ++counts[worker->version];
+string majorityVersion(std::map<string, std::size_t> const& workersByVersion) {
   string best;
   std::size_t most = 0;
-  for (auto const& [version, count] : counts) {
+  for (auto const& [version, count] : workersByVersion) {
     if (count <= most) continue;
     best = version;
     most = count;
@@ -42,7 +40,9 @@
                              UnorderedVersions unordered) {
   VersionGroups groups;
   if (!record) {
-    string const admitted = unordered == UnorderedVersions::majorityServes ? majorityVersion(workers) : "";
+    std::map<string, std::size_t> counts;
+    for (Worker const* const worker : workers) ++counts[worker->version];
+    string const admitted = majorityVersion(counts);
     for (Worker const* const worker : workers)
       if (unordered == UnorderedVersions::allServe || worker->version == admitted) groups.stable.push_back(worker);
     return groups;
--- a/rollouts/version_groups.hpp
+++ b/rollouts/version_groups.hpp
@@ -24,7 +24,8 @@
 /// True if a worker of a version may still be sent requests by what a record says.
 bool isAdmitted(RolloutRecord const& record, string const& version);
 
-/// The version that most workers have; of several, the one of the smallest name; "" if there are no workers.
-string majorityVersion(vector<Worker const*> const& workers);
+/// The version that most workers have, by how many have each; of several, the one of the smallest name; "" if there are
+/// none.
+string majorityVersion(std::map<string, std::size_t> const& workersByVersion);
 
 }  // namespace tealshelf
--- a/tests/formats.hpp
+++ b/tests/formats.hpp
@@ -103,6 +103,22 @@
   return DataNode{"n", "z", "edge", {"10.0.0.1", 7662}, 300, 0, 0};
 }
 
+inline UpdateRequest updateRequest() {
+  UpdateRequest request;
+  request.self = dataNode();
+  request.holdMs = 5;
+  request.isFirst = true;
+  request.configurationVersion = 1;
+  request.commonDigest = 2;
+  request.zoneDigest = 3;
+  request.nodesDigest = 4;
+  request.carriesNodes = true;
+  request.nodes = {dataNode()};
+  request.tallies = {{"i", 1, 2}};
+  request.isIntroduction = true;
+  return request;
+}
+
 inline void expectRecords(vector<string> const& expected, vector<string> const& records) {
   LONGS_EQUAL(expected.size(), records.size());
   for (std::size_t i = 0; i < records.size(); ++i) STRCMP_EQUAL(expected[i].c_str(), toHex(records[i]).c_str());
--- a/tests/formats_test.cpp
+++ b/tests/formats_test.cpp
@@ -200,22 +200,10 @@
   expectBytes("9ea3692d31a173a17aa17692a831302e302e302e31500407c3c203c201c302", worker());
   expectBytes("9294000003a16494010306a165", (vector<AcceptedChange>{{0, 0, 3, Digest("d")}, {1, 3, 6, Digest("e")}}));
   expectBytes("96a3505554a92f73657474696e6773a135a27b7d01cd02bc", ForwardedCall{"PUT", "/settings", "5", "{}", 1, 700});
-  UpdateRequest request;
-  request.self = dataNode();
-  request.holdMs = 5;
-  request.isFirst = true;
-  request.configurationVersion = 1;
-  request.commonDigest = 2;
-  request.zoneDigest = 3;
-  request.nodesDigest = 4;
-  request.carriesNodes = true;
-  request.nodes = {dataNode()};
-  request.tallies = {{"i", 1, 2}};
-  request.isIntroduction = true;
   expectBytes(
       "9d0297a16ea17aa46564676592a831302e302e302e31cd1deecd012c000005c301020304c39197a16ea17aa465646765"
       "92a831302e302e302e31cd1deecd012c00009193a1690102c390",
-      request);
+      updateRequest());
   UpdateReply reply;
   reply.healthy = true;
   reply.configuration = "c";
--- a/tests/older_formats_test.cpp
+++ b/tests/older_formats_test.cpp
@@ -66,22 +66,10 @@
 /// Bytes that releases wrote before nodes confirmed rollouts.
 TEST(olderFormats, nodesWithoutRollouts) {
   expectReads("95a16ea17aa46564676592a831302e302e302e31cd1deecd012c", dataNode());
-  UpdateRequest request;
-  request.self = dataNode();
-  request.holdMs = 5;
-  request.isFirst = true;
-  request.configurationVersion = 1;
-  request.commonDigest = 2;
-  request.zoneDigest = 3;
-  request.nodesDigest = 4;
-  request.carriesNodes = true;
-  request.nodes = {dataNode()};
-  request.tallies = {{"i", 1, 2}};
-  request.isIntroduction = true;
   expectReads(
       "9c0295a16ea17aa46564676592a831302e302e302e31cd1deecd012c05c301020304c39195a16ea17aa46564676592a8"
       "31302e302e302e31cd1deecd012c9193a1690102c3",
-      request);
+      updateRequest());
 }
 TEST(olderFormats, heartbeatsWithoutRollouts) {
   expectReads(
