tests: a worker that warms up is flooded (FAILBACK), failing as the code is

Cause: the registrar reads warmupLeftMs and publishedForm throws it away, so a cold worker looks idle to every node.

--- a/tests/traffic/worker_stand_in.hpp
+++ b/tests/traffic/worker_stand_in.hpp
@@ -2,6 +2,8 @@
 #include "edge/edge_node.hpp"
 #include "tenants/messages.hpp"
 #include "tests/wire/loopback.hpp"
+#include "workers/registry_digest.hpp"
+#include "workers/worker_heartbeat.hpp"
 
 namespace tealshelf {
 
@@ -184,6 +186,16 @@
     customers_ = customers;
     install(configuration(++version_, ClientLimits(), true));
   }
+  /// A worker's heartbeat reaches the control plane, and this edge is told what it would publish.
+  void hearHeartbeat(int number, Ms warmupLeft) {
+    string const heartbeat = R"({"service":"app","address":")" + ip + ":" + std::to_string(17685 + number) +
+                             R"(","zone":"z","version":"","capacity":8,"state":"ready","warmupLeftMs":)" +
+                             std::to_string(warmupLeft.count()) + R"(,"callCount":)" + std::to_string(++heartbeats_) +
+                             "}";
+    string const id = "i-" + std::to_string(number);
+    publisher_.common.put("w/" + id, serialize(publishedForm(parseWorkerHeartbeat(id, heartbeat))));
+    awaitUpdate();
+  }
   /// What the only shard answers.
   CreditVerdict creditVerdict = CreditVerdict::granted;
   Ms creditDelay{0};
@@ -224,8 +236,11 @@
     return settings_;
   }
   void install(string text) {
-    std::uint64_t const repliesBefore = publisher_.repliesSent();
     publisher_.setConfiguration(version_, std::move(text));
+    awaitUpdate();
+  }
+  void awaitUpdate() {
+    std::uint64_t const repliesBefore = publisher_.repliesSent();
     publisher_.notifyAfter(Ms(0));
     for (int turn = 0; turn < 400 && publisher_.repliesSent() == repliesBefore; ++turn) run(Ms(5));
     run(Ms(20));
@@ -251,7 +266,7 @@
       }
     return "{\"version\":" + std::to_string(version) + ",\"routes\":[" + routes +
            "],\"services\":[{\"name\":\"app\",\"healthPath\":\"/h\",\"maxConnections\":100,\"protocol\":\"h1\","
-           "\"useTls\":false}],\"limits\":" +
+           "\"useTls\":false,\"warmUpS\":3,\"warmupPerS\":2}],\"limits\":" +
            limitsText(limits) + (customers_.empty() ? "" : ",\"customers\":" + customers_) + "}";
   }
   Task<void> client(string q, std::shared_ptr<Got> got) {
@@ -286,7 +301,7 @@
   Settings settings_;
   RpcServer server_;
   UpdatePublisher publisher_;
-  std::uint64_t version_ = 1;
+  std::uint64_t version_ = 1, heartbeats_ = 0;
   string customers_;
 
  public:
