--- a/base/errors.cpp
+++ b/base/errors.cpp
@@ -64,6 +64,7 @@
     {ErrorCode::badRollout, ErrorKind::badInput, "the order of a rollout can't be read or names no known service"},
     {ErrorCode::rolloutUnderWay, ErrorKind::conflict, "another rollout of the service is under way"},
     {ErrorCode::unknownRollout, ErrorKind::notFound, "the service has no rollout"},
+    {ErrorCode::unknownZone, ErrorKind::notFound, "there is no such zone"},
     {ErrorCode::notConnected, ErrorKind::rejected, "the other node can't be reached"},
     {ErrorCode::connectionLost, ErrorKind::undetermined, "the connection to the other node broke"},
     {ErrorCode::timedOut, ErrorKind::undetermined, "the other node didn't answer in time"},
--- a/base/errors.hpp
+++ b/base/errors.hpp
@@ -86,6 +86,7 @@
   badRollout = 412,
   rolloutUnderWay = 413,
   unknownRollout = 414,
+  unknownZone = 415,
   notConnected = 500,
   connectionLost = 501,
   timedOut = 502,
--- a/base/settings.cpp
+++ b/base/settings.cpp
@@ -172,6 +172,9 @@
       {"bounds.quotaMargin", realBoundField(&Bounds::quotaMargin)},
       {"bounds.exposureFraction", realBoundField(&Bounds::exposureFraction)},
       {"bounds.exposureMargin", realBoundField(&Bounds::exposureMargin)},
+      {"bounds.warmUpOverrun", realBoundField(&Bounds::warmUpOverrun)},
+      {"bounds.warmUpMargin", realBoundField(&Bounds::warmUpMargin)},
+      {"bounds.evacuateWithinMs", boundField(&Bounds::evacuateWithin, millisecond)},
       {"bounds.revertWithinMs", boundField(&Bounds::revertWithin, millisecond)},
       {"bounds.failClosed",
        [](Settings& settings, string const& value) {
--- a/configuration/configuration.hpp
+++ b/configuration/configuration.hpp
@@ -53,6 +53,9 @@
 struct ServiceSettings {
   string name, healthPath;
   std::uint64_t maxConnections = 0, capacity = 0, cacheTokens = 0;
+  Ms warmUp{0};                ///< for so long a worker warms up after its start
+  double warmUpPerSecond = 0;  ///< requests that it bears then
+  bool warmsUp() const { return warmUp > Ms(0) || warmUpPerSecond > 0; }
 };
 
 /// What a client may send, and how long it may take or stay idle.
--- a/configuration/configuration_reader.cpp
+++ b/configuration/configuration_reader.cpp
@@ -149,12 +149,26 @@
   return route;
 }
 
+/// A real number from 0 to a limit.
+double readLimit(FieldReader& reader, Tree const& object, char const* name, string const& where) {
+  boost::optional<Tree const&> const field = object.get_child_optional(name);
+  if (!field) return 0;
+  char* end = nullptr;
+  double const real = std::strtod(field->data().c_str(), &end);
+  bool const isReal = field->empty() && !field->data().empty() && end && !*end;
+  if (isReal && real >= 0 && real <= maxRate) return real;
+  reader.fault(isReal ? ErrorCode::outOfRange : ErrorCode::wrongType, where + "." + name);
+  return 0;
+}
+
 ServiceSettings readService(FieldReader& reader, Tree const& object) {
   ServiceSettings service;
   service.name = reader.text(object, "name", "service", Presence::required);
   string const where = "service " + service.name;
   service.healthPath = reader.text(object, "healthPath", where, Presence::optional);
   service.maxConnections = reader.number(object, "maxConnections", where, 0);
+  service.warmUp = Ms(static_cast<std::int64_t>(1000 * readLimit(reader, object, "warmUpS", where)));
+  service.warmUpPerSecond = readLimit(reader, object, "warmupPerS", where);
   if (boost::optional<Tree const&> const runtime = object.get_child_optional("runtime")) {
     string const whereRuntime = "runtime of " + service.name;
     service.capacity = reader.number(*runtime, "capacity", whereRuntime, 0);
@@ -187,18 +201,6 @@
   return limits;
 }
 
-/// A real number from 0 to a limit.
-double readLimit(FieldReader& reader, Tree const& object, char const* name, string const& where) {
-  boost::optional<Tree const&> const field = object.get_child_optional(name);
-  if (!field) return 0;
-  char* end = nullptr;
-  double const real = std::strtod(field->data().c_str(), &end);
-  bool const isReal = field->empty() && !field->data().empty() && end && !*end;
-  if (isReal && real >= 0 && real <= maxRate) return real;
-  reader.fault(isReal ? ErrorCode::outOfRange : ErrorCode::wrongType, where + "." + name);
-  return 0;
-}
-
 /// Texts of faults never hold a key.
 void readKeys(FieldReader& reader, Tree const& object, string const& where, std::uint32_t tenant,
               Configuration& configuration) {
--- a/control/control_node.cpp
+++ b/control/control_node.cpp
@@ -28,12 +28,15 @@
       configuration_(io, settings, rpc_, driver_, publisher_),
       retirements_(settings, rpc_, driver_, lots_),
       rollouts_(io, settings, rpc_, driver_, publisher_, workers_, nodes_),
-      quotas_(settings.bounds) {
+      evacuations_(settings, rpc_, driver_, publisher_),
+      quotas_(settings.bounds),
+      warmUps_(warmUpTiming(settings.bounds)) {
   publisher_.proof = [this] {
     bool const healthy = driver_.inContactWithMajority() && workers_.isComplete() && !stopping_;
     return UpdatePublisher::Proof{healthy, 0, driver_.consensus().majorityContact(Clock::now())};
   };
   workers_.onChange = [this] { publish(); };
+  workers_.zoneRevision = [this](string const& zone) { return evacuations_.revisionOf(zone); };
   driver_.onHeartbeat = [this](HeartbeatMessage const& message) { onHeartbeat(message); };
   driver_.fillHeartbeat = [this](HeartbeatMessage& message, bool isExtra) {
     workers_.fillHeartbeat(message, isExtra);
@@ -62,7 +65,9 @@
       [this](CompareRegistry request) -> Task<RegistryDifference> { co_return workers_.differenceFor(request); });
   rpcServer_.on<TakeCredit>([this](TakeCredit request) -> Task<TakeCreditReply> {
     TimePoint const now = Clock::now();
-    co_return quotas_.take(request.tenant, driver_.consensus().majorityContact(now), now);
+    TimePoint const contact = driver_.consensus().majorityContact(now);
+    bool const isWarmUp = request.kind == CreditKind::warmUp;
+    co_return isWarmUp ? warmUps_.take(request.subject, contact, now) : quotas_.take(request.subject, contact, now);
   });
   rpcServer_.on<ForwardedCall>([this](ForwardedCall call) -> Task<CallReply> {
     if (call.budgetMs <= 0) call.budgetMs = callBudgetMs();
@@ -100,6 +105,7 @@
   if (call.path.starts_with("/servers/")) co_return co_await workers_.handle(std::move(call));
   if (call.path == "/settings") co_return co_await configuration_.handle(std::move(call));
   if (call.path.starts_with("/retire/")) co_return co_await retirements_.handle(std::move(call));
+  if (call.path.starts_with("/evacuation/")) co_return co_await evacuations_.handle(std::move(call));
   bool const isRollout = call.path == "/rollouts" || call.path.starts_with("/rollouts/");
   if (isRollout) co_return co_await rollouts_.handle(std::move(call));
   throw Error(ErrorCode::unknownPath, call.path.substr(0, 40));
@@ -134,23 +140,34 @@
   bool const newConfiguration = configuration_.publishCommitted();
   updateQuotas();
   bool const newRollout = rollouts_.publishCommitted();
+  bool const newEvacuation = evacuations_.publishCommitted();
   bool const healthy = publisher_.proof().healthy;
   bool const newMembership = driver_.consensus().membership().number != publishedMembership_;
-  if (newConfiguration || newRollout || newMembership || healthy != wasHealthy_) publish();
+  if (newConfiguration || newRollout || newEvacuation || newMembership || healthy != wasHealthy_) publish();
   wasHealthy_ = healthy;
 }
 
 void ControlNode::updateQuotas() {
   TimePoint const now = Clock::now();
   Consensus const& consensus = driver_.consensus();
-  if (consensus.membership().exists()) quotas_.setMembership(consensus.membership(), consensus.self(), now);
+  if (consensus.membership().exists()) {
+    quotas_.setMembership(consensus.membership(), consensus.self(), now);
+    warmUps_.setMembership(consensus.membership(), consensus.self(), now);
+  }
   std::shared_ptr<Configuration const> const configuration = configuration_.published();
   if (configuration && configuration != countedConfiguration_) quotas_.setConfiguration(configuration, now);
   countedConfiguration_ = configuration;
 }
 
+void ControlNode::updateWarmUps() {
+  std::shared_ptr<Configuration const> const configuration = configuration_.published();
+  if (configuration) warmUps_.setLimits(workers_.warmUpLimits(*configuration), Clock::now());
+}
+
 void ControlNode::publish() {
   workers_.publishRows();
+  // Before the data plane hears of a worker, so that the first question finds its limit.
+  updateWarmUps();
   publishMembers();
   publisher_.notifyAfter(settings_.bounds.inTouch / 80);
 }
--- a/control/control_node.hpp
+++ b/control/control_node.hpp
@@ -1,6 +1,7 @@
 #pragma once
 #include "control/configuration_handler.hpp"
 #include "control/control_metrics.hpp"
+#include "control/evacuation_handler.hpp"
 #include "control/node_directory.hpp"
 #include "control/retirement_handler.hpp"
 #include "control/rollout_handler.hpp"
@@ -37,6 +38,8 @@
   void publishMembers();
   /// Brings the counting of requests up to the committed configuration and the membership.
   void updateQuotas();
+  /// Brings the counting of requests at workers that warm up to the registry.
+  void updateWarmUps();
 
   asio::io_context& io_;
   Settings const& settings_;
@@ -51,7 +54,9 @@
   ConfigurationHandler configuration_;
   RetirementHandler retirements_;
   RolloutHandler rollouts_;
+  EvacuationHandler evacuations_;
   QuotaShard quotas_;
+  CreditShard warmUps_;
   std::shared_ptr<Configuration const> countedConfiguration_;  ///< that quotas_ has
   MembershipNumber publishedMembership_;
   bool wasHealthy_ = false;
--- /dev/null
+++ b/control/evacuation_handler.cpp
@@ -0,0 +1,73 @@
+#include "control/evacuation_handler.hpp"
+
+#include "control/call_input.hpp"
+
+namespace tealshelf {
+
+namespace {
+string const keyPrefix = "evacuation/";
+/// Waits for a change that is being written are so many in confirmWithin.
+constexpr int waitsInConfirmation = 500;
+}  // namespace
+
+EvacuationHandler::EvacuationHandler(Settings const& settings, RpcClient& rpc, ConsensusDriver& driver,
+                                     UpdatePublisher& publisher)
+    : settings_(settings), driver_(driver), publisher_(publisher), keyspace_(settings, rpc, driver, membersKeyspace) {}
+
+std::map<string, Evacuation> EvacuationHandler::records() const {
+  std::map<string, Evacuation> records;
+  std::optional<Values> const values = driver_.consensus().lastKnownValues(membersKeyspace);
+  if (!values) return records;
+  for (auto const& [key, value] : *values)
+    if (key.starts_with(keyPrefix)) records[key.substr(keyPrefix.size())] = deserialize<Evacuation>(value);
+  return records;
+}
+
+std::uint64_t EvacuationHandler::revisionOf(string const& zone) const {
+  auto const found = revisions_.find(zone);
+  return found == revisions_.end() ? 0 : found->second;
+}
+
+Task<CallReply> EvacuationHandler::handle(ForwardedCall call) {
+  if (call.verb != "POST" && call.verb != "DELETE") throw Error(ErrorCode::methodNotAllowed);
+  string const zone = idInPath(call.path, "/evacuation/");
+  if (!settings_.zones.contains(zone)) throw Error(ErrorCode::unknownZone, zone);
+  TimePoint const end = Clock::now() + Ms(call.budgetMs);
+  std::optional<CallReply> const forwarded = co_await keyspace_.forward(call);
+  if (forwarded) co_return *forwarded;
+  co_await keyspace_.confirmOwnership(end);
+  // Two orders at once must not both build on the same revision.
+  while (changing_ && Clock::now() < end) co_await sleepFor(settings_.bounds.confirmWithin / waitsInConfirmation);
+  if (changing_) throw Error(ErrorCode::busy);
+  std::map<string, Evacuation> present = records();
+  Evacuation next = present[zone];
+  bool const isWanted = call.verb == "POST";
+  if (next.isActive == isWanted) co_return CallReply{200, "{}"};
+  next.zone = zone;
+  next.isActive = isWanted;
+  ++next.revision;
+  changing_ = true;
+  try {
+    vector<KeyChange> changes(1, KeyChange{keyPrefix + zone, serialize(next), false});
+    co_await keyspace_.commit(std::move(changes));
+  } catch (...) {
+    changing_ = false;
+    throw;
+  }
+  changing_ = false;
+  logInfo("control", zone + (isWanted ? " is evacuated" : " is no longer evacuated"));
+  driver_.onChange();
+  co_return CallReply{200, "{}"};
+}
+
+bool EvacuationHandler::publishCommitted() {
+  bool changed = false;
+  for (auto const& [zone, record] : records()) {
+    if (record.revision <= revisions_[zone]) continue;
+    revisions_[zone] = record.revision;
+    changed = publisher_.common.put(string(evacuationRowPrefix) + zone, serialize(record)) || changed;
+  }
+  return changed;
+}
+
+}  // namespace tealshelf
--- /dev/null
+++ b/control/evacuation_handler.hpp
@@ -0,0 +1,30 @@
+#pragma once
+#include "control/owned_keyspace.hpp"
+#include "fleet/evacuation.hpp"
+#include "updates/update_publisher.hpp"
+
+namespace tealshelf {
+
+/// Handles `/evacuation/ZONE`: the operator asks that a zone's workers get nothing (POST), and withdraws that (DELETE).
+class EvacuationHandler {
+ public:
+  EvacuationHandler(Settings const& settings, RpcClient& rpc, ConsensusDriver& driver, UpdatePublisher& publisher);
+  /// Acknowledges an order once a majority has it. Orders may be repeated. Throws unknownZone, noOwner, noQuorum.
+  Task<CallReply> handle(ForwardedCall call);
+  /// Publishes the committed records; true if one is newer than what was published.
+  bool publishCommitted();
+  /// Revision of a zone's record as published here; 0 if the zone was never evacuated.
+  std::uint64_t revisionOf(string const& zone) const;
+
+ private:
+  std::map<string, Evacuation> records() const;
+
+  Settings const& settings_;
+  ConsensusDriver& driver_;
+  UpdatePublisher& publisher_;
+  OwnedKeyspace keyspace_;
+  std::map<string, std::uint64_t> revisions_;  ///< by zone, as published
+  bool changing_ = false;                      ///< a change is being written
+};
+
+}  // namespace tealshelf
--- a/control/worker_directory.cpp
+++ b/control/worker_directory.cpp
@@ -65,6 +65,7 @@
   Worker worker;
   if (call.verb == "PUT") {
     worker = parseWorkerHeartbeat(id, call.body);
+    if (zoneRevision) worker.zoneRevision = zoneRevision(worker.zone);
   } else {
     if (Worker const* const known = registry_.find(id)) worker = *known;
     worker.id = id;
@@ -197,6 +198,20 @@
   if (changed) onChange();
 }
 
+std::map<string, RateAllowance> WorkerDirectory::warmUpLimits(Configuration const& configuration) const {
+  std::map<string, RateAllowance> limits;
+  for (Worker const& worker : registry_.present()) {
+    auto const service = configuration.services.find(worker.service);
+    bool const warmsUp = service != configuration.services.end() && service->second.warmsUp();
+    if (!warmsUp || worker.removed) continue;
+    bool const mayBeCold = worker.warmingUp || (zoneRevision && worker.zoneRevision < zoneRevision(worker.zone));
+    if (!mayBeCold) continue;
+    RateAllowance const limit = warmUpAllowance(service->second, settings_.bounds);
+    if (grantsAnything(limit)) limits[worker.id] = limit;
+  }
+  return limits;
+}
+
 std::map<string, std::size_t> WorkerDirectory::versionsOf(string const& service) const {
   std::map<string, std::size_t> versions;
   for (Worker const& worker : registry_.present())
--- a/control/worker_directory.hpp
+++ b/control/worker_directory.hpp
@@ -1,6 +1,7 @@
 #pragma once
 #include "consensus/consensus_driver.hpp"
 #include "control/messages.hpp"
+#include "tenants/warm_up_allowance.hpp"
 #include "updates/update_publisher.hpp"
 #include "workers/outlier_detector.hpp"
 #include "workers/worker_registry.hpp"
@@ -34,6 +35,10 @@
   bool isComplete() const;
   /// Live workers of a service that take requests, by version.
   std::map<string, std::size_t> versionsOf(string const& service) const;
+  /// What all nodes together may send to each worker that warms up, or may do so, by its id.
+  std::map<string, RateAllowance> warmUpLimits(Configuration const& configuration) const;
+  /// Gives the revision of a zone's evacuation, 0 for none.
+  std::function<std::uint64_t(string const& zone)> zoneRevision;
   /// Called when the registry changed.
   std::function<void()> onChange;
 
--- a/edge/edge_node.cpp
+++ b/edge/edge_node.cpp
@@ -30,7 +30,7 @@
       rpcServer_(io, settings.relayAddress(settings.ip), settings.bounds.inTouch / 2),
       view_(io, settings, rpc_, "edge", settings.relayAddress(settings.ip)),
       quotas_(settings, rpc_, view_),
-      forwarder_(io, settings, view_, quotas_, stopping_),
+      forwarder_(io, settings, rpc_, view_, quotas_, stopping_),
       lots_(settings, rpc_, view_),
       readiness_(
           io, settings.readiness,
--- a/edge/request_forwarder.cpp
+++ b/edge/request_forwarder.cpp
@@ -5,8 +5,6 @@
 namespace tealshelf {
 
 namespace {
-/// Parts of a route's target: until when all workers are tried once more, and the pause before that.
-constexpr int startOverWithin = 4, startOverPause = 20;
 /// Part of a route's target within which it must be known that a request is inside its tenant's limit.
 constexpr int quotaWithin = 5;
 /// A worker that is silent for so many targets counts as failed.
@@ -60,6 +58,7 @@
 void RequestForwarder::sweep() {
   pool_.sweep(view_);
   balancer_.sweep(view_);
+  warmUps_.sweep();
 }
 
 Task<void> RequestForwarder::forward(ClientConnection& client, HttpRequest const& request, RequestPlan const& plan) {
@@ -68,11 +67,9 @@
   while (next == NextStep::tryAnother && retries.sends < plan.tries && Clock::now() < plan.deadline) {
     bool const mayBeSent = co_await holdCredit(plan, retries);
     if (!mayBeSent || retries.watch.clientIsGone()) break;
-    Pick const pick = co_await nextWorker(client, plan, retries);
-    if (!pick.worker || retries.watch.clientIsGone()) break;
-    // The list of workers may change while the request is under way.
-    Worker const target = *pick.worker;
-    next = co_await tryWorker(client, request, plan, target, pick.prefix, retries);
+    std::optional<Target> const target = co_await nextTarget(client, plan, retries);
+    if (!target || retries.watch.clientIsGone()) break;
+    next = co_await tryWorker(client, request, plan, *target, retries);
   }
   bool const ranNowhere = next != NextStep::done && !retries.mayHaveRun;
   if (ranNowhere && retries.credit && plan.caller.tenant) quotas_.giveBack(plan.caller.tenant->name, *retries.credit);
@@ -96,26 +93,14 @@
   co_return true;
 }
 
-Task<Pick> RequestForwarder::nextWorker(ClientConnection const& client, RequestPlan const& plan, RetryState& retries) {
-  Pick pick = balancer_.pick(view_, plan.pick, retries.triedWorkers);
-  if (pick.worker || retries.startedOver || client.headSent) co_return std::move(pick);
-  retries.startedOver = true;
-  Ms const target = plan.route->target;
-  if (Clock::now() - plan.receivedAt > target / startOverWithin) co_return Pick();
-  retries.triedWorkers.clear();
-  co_await sleepFor(std::max(Ms(1), target / startOverPause));
-  if (Clock::now() >= plan.deadline) co_return Pick();
-  pick = balancer_.pick(view_, plan.pick, retries.triedWorkers);
-  co_return std::move(pick);
-}
-
 Task<RequestForwarder::NextStep> RequestForwarder::tryWorker(ClientConnection& client, HttpRequest const& request,
-                                                             RequestPlan const& plan, Worker const& worker,
-                                                             std::optional<PrefixPlacement> const& placement,
+                                                             RequestPlan const& plan, Target const& target,
                                                              RetryState& retries) {
+  Worker const& worker = target.worker;
   retries.triedWorkers.insert(worker.id);
   HttpRequest const forwarded = requestForWorker(request, plan, worker, retries.events);
   Exchange exchange(pool_, worker, plan.mayRepeat);
+  exchange.mustBeSentBy(target.sendBy);
   // Any other request is left to its worker: the client may have ended its sending only, and sends it to nobody else.
   bool const endsWithClient = plan.mayRepeat || plan.isStream;
   if (endsWithClient) retries.watch.onGone([&exchange] { exchange.cancel(); });
@@ -126,8 +111,8 @@
   view_.tallyVersion(worker, plan.route->name, sentTally());
   SendResult const result = co_await exchange.send(forwarded, plan.attempt, plan.deadline);
   balancer_.promptRead(worker.id, unreadTokens);
-  if (placement && result == SendResult::answered)
-    prefixes_.record(*placement, std::chrono::duration_cast<Ms>(Clock::now() - sentAt));
+  if (target.placement && result == SendResult::answered)
+    prefixes_.record(*target.placement, std::chrono::duration_cast<Ms>(Clock::now() - sentAt));
   logDebug("request", plan.attempt + " at " + worker.id + " result " + std::to_string(static_cast<int>(result)) +
                           (result == SendResult::answered ? " status " + std::to_string(exchange.status()) : ""));
   NextStep next = NextStep::done;
--- a/edge/request_forwarder.hpp
+++ b/edge/request_forwarder.hpp
@@ -7,6 +7,7 @@
 #include "traffic/event_stream.hpp"
 #include "traffic/exchange.hpp"
 #include "traffic/prefix_report.hpp"
+#include "traffic/warm_up_gate.hpp"
 
 namespace tealshelf {
 
@@ -16,7 +17,7 @@
 class RequestForwarder {
  public:
   /// `stopping` is true once the process is told to end: answers then close their connections.
-  RequestForwarder(asio::io_context& io, Settings const& settings, FleetView& view, QuotaClient& quotas,
+  RequestForwarder(asio::io_context& io, Settings const& settings, RpcClient& rpc, FleetView& view, QuotaClient& quotas,
                    bool const& stopping)
       : io_(io),
         settings_(settings),
@@ -24,6 +25,7 @@
         quotas_(quotas),
         stopping_(stopping),
         pool_(io, settings),
+        warmUps_(settings, rpc, view, pool_),
         balancer_(settings) {}
   /// Answers a request, or closes the connection where no honest answer can be given.
   Task<void> forward(ClientConnection& client, HttpRequest const& request, RequestPlan const& plan);
@@ -52,10 +54,22 @@
 
   /// Makes sure that the request is counted for its tenant; false if it may not be sent now.
   Task<bool> holdCredit(RequestPlan const& plan, RetryState& retries);
+  /// A worker that a request may be sent to now, until a time.
+  struct Target {
+    Worker worker;
+    std::optional<PrefixPlacement> placement;
+    TimePoint sendBy = TimePoint::max();
+  };
+  // Choice of a worker: request_targets.cpp.
   /// The worker to try next, if there is one. Waits a moment once every worker was tried.
-  Task<Pick> nextWorker(ClientConnection const& client, RequestPlan const& plan, RetryState& retries);
+  Task<std::optional<Target>> nextTarget(ClientConnection const& client, RequestPlan const& plan, RetryState& retries);
+  /// The best worker that may be sent the request; workers that may not count as tried.
+  Task<std::optional<Target>> admittedTarget(RequestPlan const& plan, RetryState& retries);
+  /// A worker that warms up, if the warm ones have no room and all nodes together have sent it little enough.
+  Task<std::optional<Target>> warmingTarget(RequestPlan const& plan, RetryState const& retries);
+  bool hasRoom(Worker const& worker) const { return balancer_.load(worker, Clock::now()) < 1; }
   Task<NextStep> tryWorker(ClientConnection& client, HttpRequest const& request, RequestPlan const& plan,
-                           Worker const& worker, std::optional<PrefixPlacement> const& placement, RetryState& retries);
+                           Target const& target, RetryState& retries);
   /// The end of a request whose client is gone: it says nothing of its worker, and no other gets it.
   void abandon(ClientConnection& client, Exchange& exchange);
   /// What comes after a send that ended.
@@ -83,6 +97,7 @@
   QuotaClient& quotas_;
   bool const& stopping_;
   ConnectionPool pool_;
+  WarmUpGate warmUps_;
   LoadBalancer balancer_;
   ForwardMetrics metrics_;
   PrefixReport prefixes_{metrics()};
--- /dev/null
+++ b/edge/request_targets.cpp
@@ -0,0 +1,64 @@
+// How a request's next worker is found.
+#include "edge/request_forwarder.hpp"
+
+namespace tealshelf {
+
+namespace {
+/// Parts of a route's target: until when all workers are tried once more, and the pause before that.
+constexpr int startOverWithin = 4, startOverPause = 20;
+/// Part of a route's target within which a worker that warms up must be free to take a request.
+constexpr int creditWithin = 10;
+/// Workers that a request may turn out not to be for, before it is refused.
+constexpr int maxUnadmitted = 4;
+}  // namespace
+
+Task<std::optional<RequestForwarder::Target>> RequestForwarder::warmingTarget(RequestPlan const& plan,
+                                                                              RetryState const& retries) {
+  Worker const* const candidate = balancer_.pickWarmingUp(view_, plan.pick, retries.triedWorkers);
+  if (!candidate) co_return std::nullopt;
+  // The list of workers may change while this waits.
+  Worker const worker = *candidate;
+  TimePoint const until = std::min(plan.deadline, Clock::now() + plan.route->target / creditWithin);
+  WarmUpGate::Admission const admission = co_await warmUps_.ask(worker, until);
+  bool const isThere = view_.find(worker.id) && view_.takesRequests(*view_.find(worker.id));
+  if (!admission.isGranted || !isThere) co_return std::nullopt;
+  co_return Target{worker, std::nullopt, admission.sendBy};
+}
+
+Task<std::optional<RequestForwarder::Target>> RequestForwarder::admittedTarget(RequestPlan const& plan,
+                                                                               RetryState& retries) {
+  Pick pick = balancer_.pick(view_, plan.pick, retries.triedWorkers);
+  bool const mayWarmUp = !pick.worker || !hasRoom(*pick.worker);
+  if (mayWarmUp && balancer_.hasWarmingUp(view_, plan.pick.service)) {
+    std::optional<Target> target = co_await warmingTarget(plan, retries);
+    if (target) co_return target;
+    pick = balancer_.pick(view_, plan.pick, retries.triedWorkers);
+  }
+  for (int asked = 0; pick.worker && asked < maxUnadmitted && Clock::now() < plan.deadline; ++asked) {
+    Target target{*pick.worker, pick.prefix, TimePoint::max()};
+    if (warmUps_.isOpen(target.worker)) co_return target;
+    WarmUpGate::Admission const admission = co_await warmUps_.ask(target.worker, plan.deadline);
+    target.sendBy = admission.sendBy;
+    if (admission.isGranted) co_return target;
+    retries.triedWorkers.insert(target.worker.id);
+    pick = balancer_.pick(view_, plan.pick, retries.triedWorkers);
+  }
+  co_return std::nullopt;
+}
+
+Task<std::optional<RequestForwarder::Target>> RequestForwarder::nextTarget(ClientConnection const& client,
+                                                                           RequestPlan const& plan,
+                                                                           RetryState& retries) {
+  std::optional<Target> target = co_await admittedTarget(plan, retries);
+  if (target || retries.startedOver || client.headSent) co_return target;
+  retries.startedOver = true;
+  Ms const inTime = plan.route->target;
+  if (Clock::now() - plan.receivedAt > inTime / startOverWithin) co_return std::nullopt;
+  retries.triedWorkers.clear();
+  co_await sleepFor(std::max(Ms(1), inTime / startOverPause));
+  if (Clock::now() >= plan.deadline) co_return std::nullopt;
+  target = co_await admittedTarget(plan, retries);
+  co_return target;
+}
+
+}  // namespace tealshelf
--- a/fleet/nodes.hpp
+++ b/fleet/nodes.hpp
@@ -17,8 +17,11 @@
   NodeId registrar;                    ///< the control node that receives its heartbeats
   bool ejected = false;                ///< it fails more than its like, whatever its health answers: used last
   std::uint64_t ejectionRevision = 0;  ///< rises with each change of `ejected`
+  bool warmingUp = false;              ///< by its last heartbeat
+  /// Revision of its zone's evacuation that the registrar knew when it got the last heartbeat.
+  std::uint64_t zoneRevision = 0;
   MSGPACK_DEFINE(id, service, zone, version, address, capacity, callCount, draining, removed, warmupLeftMs, lost,
-                 registrar, ejected, ejectionRevision)
+                 registrar, ejected, ejectionRevision, warmingUp, zoneRevision)
 };
 
 /// How requests at a worker went, as seen by those who sent them.
--- a/lots/item_execution.cpp
+++ b/lots/item_execution.cpp
@@ -123,6 +123,13 @@
   startTimer_.cancel();
 }
 
+std::optional<Worker> LotRunner::workerFor(PickRequest const& pick) {
+  Worker const* worker = balancer_.pick(view_, pick, {}).worker;
+  if (!worker && !balancer_.hasWarm(view_, pick.service)) worker = balancer_.pickWarmingUp(view_, pick, {});
+  if (!worker) return std::nullopt;
+  return *worker;
+}
+
 Task<bool> LotRunner::tryItem(RunPtr run, std::size_t index, EventStreamReader& events) {
   ItemRecord const& item = run->items[index].record;
   LotRecord const& lot = run->lot;
@@ -142,13 +149,19 @@
   pick.draw = randomId();
   bool const relaxed = remainingTimeMs(lot, Clock::now()) > lot.dueInMs / 2;
   pick.reservedShare = relaxed ? reservedRelaxed : reservedUrgent;
-  Worker const* const worker = balancer_.pick(view_, pick, {}).worker;
+  std::optional<Worker> const worker = workerFor(pick);
   if (!worker) co_return false;
+  WarmUpGate::Admission admission;
+  if (!warmUps_.isOpen(*worker)) {
+    admission = co_await warmUps_.ask(*worker, Clock::now() + settings_.bounds.step);
+    if (!admission.isGranted || !isActive(*run)) co_return false;
+  }
   string const workerId = worker->id;
   HttpRequest const request = requestFor(item, lot, *route, *worker, *configuration, events);
   TimePoint const startedAt = Clock::now();
   std::uint64_t const unreadTokens = item.tokens / 2;
   Exchange exchange(pool_, *worker, true);
+  exchange.mustBeSentBy(admission.sendBy);
   balancer_.requestStarted(workerId, unreadTokens);
   VersionTally sent;
   sent.sent = 1;
--- a/lots/lot_runner.cpp
+++ b/lots/lot_runner.cpp
@@ -19,6 +19,7 @@
       view_(view),
       replicas_(replicas),
       pool_(io, settings),
+      warmUps_(settings, rpc, view, pool_),
       balancer_(settings),
       meanItemMs_(static_cast<double>((8 * settings.bounds.step).count())),
       startTimer_(io),
@@ -116,6 +117,7 @@
     co_await sleepFor(settings_.bounds.inTouch / 2);
     pool_.sweep(view_);
     balancer_.sweep(view_);
+    warmUps_.sweep();
     logState();
   }
 }
--- a/lots/lot_runner.hpp
+++ b/lots/lot_runner.hpp
@@ -6,6 +6,7 @@
 #include "traffic/event_stream.hpp"
 #include "traffic/exchange.hpp"
 #include "traffic/load_balancer.hpp"
+#include "traffic/warm_up_gate.hpp"
 
 namespace tealshelf {
 
@@ -68,6 +69,8 @@
   Task<void> runItem(RunPtr run, std::size_t index);
   /// One try at one worker; true once the item has its result.
   Task<bool> tryItem(RunPtr run, std::size_t index, EventStreamReader& events);
+  /// The worker for an item: a warm one with room, or, if no worker of the service is warm, any other.
+  std::optional<Worker> workerFor(PickRequest const& pick);
   Task<bool> readAnswer(RunPtr run, std::size_t index, Exchange& exchange, EventStreamReader& events,
                         std::uint64_t tries, TimePoint startedAt);
   void noteFailedSend(SendResult result, Exchange const& exchange, string const& worker);
@@ -101,6 +104,7 @@
   FleetView& view_;
   ReplicaStore& replicas_;
   ConnectionPool pool_;
+  WarmUpGate warmUps_;
   LoadBalancer balancer_;
   LotAges ages_;
   std::map<LotKey, RunPtr> runs_;
--- /dev/null
+++ b/tenants/credit_shard.cpp
@@ -0,0 +1,136 @@
+#include "tenants/credit_shard.hpp"
+
+namespace tealshelf {
+
+namespace {
+/// The longest time for which a node is put off, in parts of the window.
+constexpr int windowInLongestPause = 10;
+
+bool contains(vector<Member> const& members, Member const& wanted) {
+  return std::any_of(members.begin(), members.end(), [&wanted](Member const& member) {
+    return member.id == wanted.id && member.incarnation == wanted.incarnation;
+  });
+}
+}  // namespace
+
+bool CreditShard::countsFor(string const& subject, Bucket const& bucket, vector<Member> const& members) const {
+  return contains(shardsOf(members, subject, bucket.total), self_);
+}
+
+double CreditShard::divisor(Bucket const& bucket) const {
+  std::size_t const members = std::max({membership_.members.size(), largestSize_, std::size_t{1}});
+  return static_cast<double>(std::min(members, maxShards(bucket.total)));
+}
+
+void CreditShard::refill(Bucket& bucket, TimePoint now) const {
+  double const seconds = std::chrono::duration<double>(now - bucket.refilledAt).count();
+  if (seconds <= 0) return;
+  double const parts = divisor(bucket);
+  bucket.tokens = std::min(bucket.tokens + seconds * bucket.total.perSecond / parts, bucket.total.burst / parts);
+  bucket.refilledAt = now;
+}
+
+/// A subject that came while this process has long been counting had no tokens anywhere before, so that its bucket may
+/// begin full. All others begin empty.
+CreditShard::Bucket CreditShard::makeBucket(string const& subject, RateAllowance const& total, TimePoint now) const {
+  Bucket bucket;
+  bucket.total = total;
+  bucket.refilledAt = now;
+  bool const isNew = firstLimitsAt_ && now - *firstLimitsAt_ > memory();
+  if (isNew) bucket.tokens = total.burst / divisor(bucket);
+  bucket.waitsUntil = mayCountFrom_;
+  bool const isTakenOver = membership_.exists() && !countsFor(subject, bucket, membership_.formerMembers);
+  if (isTakenOver) bucket.waitsUntil = now + timing_.shards.takeOver;
+  return bucket;
+}
+
+void CreditShard::setLimits(std::map<string, RateAllowance> const& limits, TimePoint now) {
+  for (auto& [subject, bucket] : buckets_) {
+    refill(bucket, now);
+    if (bucket.present) bucket.absentSince = now;
+    bucket.present = false;
+  }
+  for (auto const& [subject, total] : limits) {
+    auto const known = buckets_.find(subject);
+    if (known == buckets_.end()) {
+      buckets_.emplace(subject, makeBucket(subject, total, now));
+      continue;
+    }
+    Bucket& bucket = known->second;
+    bool const counted = countsFor(subject, bucket, membership_.members);
+    bucket.total = total;
+    bucket.present = true;
+    bucket.tokens = std::min(bucket.tokens, total.burst / divisor(bucket));
+    // The set of shards depends on the burst.
+    if (!counted && countsFor(subject, bucket, membership_.members)) bucket.waitsUntil = now + timing_.shards.takeOver;
+  }
+  // What a subject spent must not be forgotten while a window may still hold it, also if it is put back.
+  std::erase_if(buckets_,
+                [&](auto const& item) { return !item.second.present && now - item.second.absentSince > memory(); });
+  if (!firstLimitsAt_) firstLimitsAt_ = now;
+}
+
+void CreditShard::setMembership(Membership const& membership, Member const& self, TimePoint now) {
+  bool const isFirst = !membership_.exists();
+  if (membership.number == membership_.number && self == self_) return;
+  vector<Member> const before = isFirst ? membership.formerMembers : membership_.members;
+  for (auto& [name, bucket] : buckets_) refill(bucket, now);
+  if (now >= largestUntil_) largestSize_ = 0;
+  largestSize_ = std::max(largestSize_, before.size());
+  largestUntil_ = now + timing_.shards.takeOver;
+  membership_ = membership;
+  self_ = self;
+  if (!contains(before, self_)) mayCountFrom_ = now + timing_.shards.takeOver;
+  for (auto& [name, bucket] : buckets_) {
+    bool const isTakenOver = !countsFor(name, bucket, before) && countsFor(name, bucket, membership_.members);
+    if (isTakenOver) bucket.waitsUntil = now + timing_.shards.takeOver;
+    bucket.tokens = std::min(bucket.tokens, bucket.total.burst / divisor(bucket));
+  }
+}
+
+bool CreditShard::mayCount(TimePoint majorityContact, TimePoint now) const {
+  bool const hasLease = majorityContact != TimePoint() && now - majorityContact <= timing_.shards.lease;
+  return hasLease && contains(membership_.members, self_);
+}
+
+TakeCreditReply CreditShard::take(string const& subject, TimePoint majorityContact, TimePoint now) {
+  TakeCreditReply reply;
+  auto const found = buckets_.find(subject);
+  bool const hasLimit = found != buckets_.end() && found->second.present;
+  if (!hasLimit || !mayCount(majorityContact, now)) return reply;
+  if (now >= largestUntil_) largestSize_ = 0;
+  Bucket& bucket = found->second;
+  if (now < bucket.waitsUntil || !countsFor(subject, bucket, membership_.members)) return reply;
+  refill(bucket, now);
+  if (bucket.tokens >= 1) {
+    bucket.tokens -= 1;
+    ++bucket.granted;
+    reply.verdict = CreditVerdict::granted;
+    return reply;
+  }
+  ++bucket.refused;
+  reply.verdict = CreditVerdict::exhausted;
+  // Each of those who are refused is put off until its turn, so that many nodes don't ask for one token.
+  double const rate = bucket.total.perSecond / divisor(bucket);
+  std::chrono::duration<double> const untilToken((1 - bucket.tokens) / rate), perToken(1 / rate);
+  TimePoint const nextToken = now + std::chrono::duration_cast<Clock::duration>(untilToken);
+  bucket.nextSlot = std::max(nextToken, bucket.nextSlot + std::chrono::duration_cast<Clock::duration>(perToken));
+  bucket.nextSlot = std::min(bucket.nextSlot, now + timing_.window / windowInLongestPause);
+  reply.retryAfterMs = std::max<std::int64_t>(1, std::chrono::duration_cast<Ms>(bucket.nextSlot - now).count());
+  return reply;
+}
+
+std::map<string, CreditShard::Use> CreditShard::uses(TimePoint now) const {
+  std::map<string, Use> uses;
+  for (auto const& [name, bucket] : buckets_) {
+    if (!bucket.granted && !bucket.refused) continue;
+    Bucket current = bucket;
+    refill(current, now);
+    double const parts = divisor(bucket);
+    RateAllowance const limit{bucket.total.perSecond / parts, bucket.total.burst / parts};
+    uses[name] = Use{limit, current.tokens, bucket.granted, bucket.refused};
+  }
+  return uses;
+}
+
+}  // namespace tealshelf
--- a/tenants/messages.hpp
+++ b/tenants/messages.hpp
@@ -1,18 +1,25 @@
 #pragma once
 #include "wire/rpc.hpp"
 
-/// Calls by which edges have requests of tenants counted.
+/// Calls by which data-plane nodes have requests counted against limits that all nodes share.
 namespace tealshelf {
 
 /// What came of a question for a credit.
 enum class CreditVerdict : int {
   granted = 0,
   exhausted = 1,   ///< the shard's part of the limit is used up
-  notCounting = 2  ///< the node doesn't count for this tenant now: not a member, without a majority, or too new
+  notCounting = 2  ///< the node doesn't count for this subject now: not a member, without a majority, or too new
+};
+
+/// What a limit that all nodes share belongs to.
+enum class CreditKind : int {
+  tenant = 0,  ///< the requests of one tenant
+  warmUp = 1   ///< the requests that one worker gets while it warms up
 };
 
 }  // namespace tealshelf
 MSGPACK_ADD_ENUM(tealshelf::CreditVerdict)
+MSGPACK_ADD_ENUM(tealshelf::CreditKind)
 namespace tealshelf {
 
 struct TakeCreditReply {
@@ -21,12 +28,13 @@
   MSGPACK_DEFINE(verdict, retryAfterMs)
 };
 
-/// Asks a shard to let one request of a tenant through.
+/// Asks a shard to let one request through.
 struct TakeCredit {
   using Reply = TakeCreditReply;
   static constexpr RpcMethod method = RpcMethod::takeCredit;
-  string tenant;
-  MSGPACK_DEFINE(tenant)
+  string subject;  ///< the name of a tenant, or the id of a worker
+  CreditKind kind = CreditKind::tenant;
+  MSGPACK_DEFINE(subject, kind)
 };
 
 }  // namespace tealshelf
--- a/tenants/shard_choice.cpp
+++ b/tenants/shard_choice.cpp
@@ -6,20 +6,20 @@
 /// Parts of inTouch: the rest of a shard after its first failure, and after many.
 constexpr int firstRestPart = 16, longestRestPart = 4;
 constexpr int maxCountedFailures = 4;
-/// A tenant counts as at its limit for this part of the window after all its shards had nothing left.
+/// A subject counts as at its limit for this part of the window after all its shards had nothing left.
 constexpr int windowInLimitMemory = 5;
 constexpr std::size_t askedAtLimit = 2;
 }  // namespace
 
-ShardChoice::ShardChoice(string self, string zone, Bounds const& bounds)
+ShardChoice::ShardChoice(string self, string zone, Ms inTouch, Ms window)
     : self_(std::move(self)),
       zone_(std::move(zone)),
-      firstRest_(bounds.inTouch / firstRestPart),
-      longestRest_(bounds.inTouch / longestRestPart),
-      limitMemory_(bounds.quotaWindow / windowInLimitMemory) {}
+      firstRest_(inTouch / firstRestPart),
+      longestRest_(inTouch / longestRestPart),
+      limitMemory_(window / windowInLimitMemory) {}
 
-bool ShardChoice::isExhausted(NodeId shard, string const& tenant, TimePoint now) const {
-  auto const found = exhausted_.find({tenant, shard});
+bool ShardChoice::isExhausted(NodeId shard, string const& subject, TimePoint now) const {
+  auto const found = exhausted_.find({subject, shard});
   return found != exhausted_.end() && now < found->second;
 }
 
@@ -28,13 +28,13 @@
   return found != failures_.end() && now < found->second.restsUntil;
 }
 
-std::optional<Member> ShardChoice::next(vector<Member> const& shards, string const& tenant,
+std::optional<Member> ShardChoice::next(vector<Member> const& shards, string const& subject,
                                         std::set<NodeId> const& asked, TimePoint now) const {
   Member const* best = nullptr;
   std::pair<bool, std::uint64_t> bestRank;
-  std::uint64_t const order = hash64(tenant, hash64(self_));
+  std::uint64_t const order = hash64(subject, hash64(self_));
   for (Member const& shard : shards) {
-    if (asked.contains(shard.id) || rests(shard.id, now) || isExhausted(shard.id, tenant, now)) continue;
+    if (asked.contains(shard.id) || rests(shard.id, now) || isExhausted(shard.id, subject, now)) continue;
     std::pair<bool, std::uint64_t> const rank(shard.zone != zone_, hash64(shard.name, order));
     if (best && rank >= bestRank) continue;
     best = &shard;
@@ -44,30 +44,30 @@
   return *best;
 }
 
-ShardChoice::Obstacle ShardChoice::obstacle(vector<Member> const& shards, string const& tenant, TimePoint now) const {
+ShardChoice::Obstacle ShardChoice::obstacle(vector<Member> const& shards, string const& subject, TimePoint now) const {
   for (Member const& shard : shards)
-    if (isExhausted(shard.id, tenant, now)) return Obstacle::exhausted;
+    if (isExhausted(shard.id, subject, now)) return Obstacle::exhausted;
   return Obstacle::unreachable;
 }
 
-std::size_t ShardChoice::maxAsked(string const& tenant, TimePoint now) const {
-  auto const found = atLimit_.find(tenant);
+std::size_t ShardChoice::maxAsked(string const& subject, TimePoint now) const {
+  auto const found = atLimit_.find(subject);
   bool const isAtLimit = found != atLimit_.end() && now < found->second;
   return isAtLimit ? askedAtLimit : std::numeric_limits<std::size_t>::max();
 }
 
-void ShardChoice::noteGranted(NodeId shard, string const& tenant) {
+void ShardChoice::noteGranted(NodeId shard, string const& subject) {
   failures_.erase(shard);
-  exhausted_.erase({tenant, shard});
+  exhausted_.erase({subject, shard});
 }
 
-void ShardChoice::noteExhausted(NodeId shard, string const& tenant, Ms retryAfter, TimePoint now) {
+void ShardChoice::noteExhausted(NodeId shard, string const& subject, Ms retryAfter, TimePoint now) {
   failures_.erase(shard);
-  exhausted_[{tenant, shard}] = now + retryAfter;
+  exhausted_[{subject, shard}] = now + retryAfter;
 }
 
-void ShardChoice::noteAllExhausted(string const& tenant, TimePoint now) {
-  atLimit_[tenant] = now + limitMemory_;
+void ShardChoice::noteAllExhausted(string const& subject, TimePoint now) {
+  atLimit_[subject] = now + limitMemory_;
 }
 
 void ShardChoice::noteFailed(NodeId shard, TimePoint now) {
--- a/tests/edge/cold_worker_test.cpp
+++ b/tests/edge/cold_worker_test.cpp
@@ -6,6 +6,19 @@
 
 namespace {
 Script const answersWell{"", true, answerText(200, "$ID", "Server-Seal: s\r\n", "own $ID"), Script::End::keep, ""};
+constexpr Ms warmUpLeft{3000};
+
+/// An edge with two workers that answer well.
+struct ColdRig : EdgeRig {
+  ColdRig() : EdgeRig(answersWell) { CHECK(prime()); }
+  /// Sends so many requests one after the other; how many were answered with a status.
+  int answered(int status, int requests) {
+    int count = 0;
+    for (int number = 0; number < requests; ++number) count += call("/once/x", "id1").status == status;
+    return count;
+  }
+  std::size_t probes() const { return workers[0].probes + workers[1].probes; }
+};
 }  // namespace
 
 /// A worker that warms up bears few requests a second, from all nodes together.
@@ -21,3 +34,96 @@
   LONGS_EQUAL(40, rig.workers[0].sends);
   LONGS_EQUAL(0, rig.workers[1].sends);
 }
+TEST(coldWorkers, getRequestsOnceTheySayThatTheyAreWarm) {
+  ColdRig rig;
+  rig.hearHeartbeat(1, warmUpLeft);
+  rig.hearHeartbeat(1, Ms(0));
+  LONGS_EQUAL(200, rig.call("/once/x", "id1").status);
+  LONGS_EQUAL(40, rig.answered(200, 40));
+  CHECK(rig.workers[1].sends > 5);
+  LONGS_EQUAL(0, rig.creditsAsked);
+}
+TEST(coldWorkers, serveCountedRequestsWhereNoneIsWarm) {
+  ColdRig rig;
+  rig.hearHeartbeat(0, warmUpLeft);
+  rig.hearHeartbeat(1, warmUpLeft);
+  LONGS_EQUAL(20, rig.answered(200, 20));
+  LONGS_EQUAL(20, rig.sends());
+  LONGS_EQUAL(20, rig.creditsAsked);
+}
+TEST(coldWorkers, areNotAskedByThoseWithoutACredit) {
+  for (CreditVerdict const verdict : {CreditVerdict::exhausted, CreditVerdict::notCounting}) {
+    ColdRig rig;
+    rig.hearHeartbeat(0, warmUpLeft);
+    rig.hearHeartbeat(1, warmUpLeft);
+    rig.creditVerdict = verdict;
+    LONGS_EQUAL(5, rig.answered(503, 5));
+    LONGS_EQUAL(0, rig.sends());
+  }
+}
+/// The credit lapses while it is on its way.
+TEST(coldWorkers, areNotSentWhatComesTooLate) {
+  ColdRig rig;
+  rig.hearHeartbeat(0, warmUpLeft);
+  rig.hearHeartbeat(1, warmUpLeft);
+  rig.creditDelay = warmUpCreditLife() + Ms(10);
+  LONGS_EQUAL(3, rig.answered(503, 3));
+  LONGS_EQUAL(0, rig.sends());
+}
+
+/// An evacuated zone's workers get nothing, and may be cold when it is taken back.
+TEST_GROUP(evacuatedZone){};
+
+TEST(evacuatedZone, getsNothing) {
+  ColdRig rig;
+  rig.setEvacuation(true, 1);
+  LONGS_EQUAL(3, rig.answered(503, 3));
+  LONGS_EQUAL(0, rig.sends());
+}
+TEST(evacuatedZone, isTakenForColdUntilItsWorkersWereHeardSince) {
+  ColdRig rig;
+  rig.setEvacuation(true, 1);
+  rig.setEvacuation(false, 2);
+  rig.creditVerdict = CreditVerdict::exhausted;
+  LONGS_EQUAL(3, rig.answered(503, 3));
+  // The registrar had not heard of the change yet.
+  rig.hearHeartbeat(0, Ms(0), 1);
+  LONGS_EQUAL(3, rig.answered(503, 3));
+  rig.hearHeartbeat(0, Ms(0), 2);
+  rig.hearHeartbeat(1, warmUpLeft, 2);
+  LONGS_EQUAL(20, rig.answered(200, 20));
+  LONGS_EQUAL(20, rig.workers[0].sends);
+}
+
+/// A node that hears nothing from control can't know who has gone cold since.
+TEST_GROUP(coldUnheard){};
+
+TEST(coldUnheard, workersAreAskedBeforeEachRequest) {
+  ColdRig rig;
+  rig.loseMajority();
+  LONGS_EQUAL(5, rig.answered(200, 5));
+  LONGS_EQUAL(5, rig.probes());
+  rig.workers[0].warmUpMs = 500;
+  LONGS_EQUAL(5, rig.answered(200, 5));
+  LONGS_EQUAL(5, rig.workers[1].sends + rig.workers[0].sends - 5);
+  rig.workers[1].warmUpMs = 500;
+  std::size_t const before = rig.sends();
+  LONGS_EQUAL(3, rig.answered(503, 3));
+  LONGS_EQUAL(before, rig.sends());
+}
+TEST(coldUnheard, anAnswerOfAnotherWorkerIsNone) {
+  ColdRig rig;
+  rig.workers[0].id = rig.workers[1].id = "i-9";
+  rig.loseMajority();
+  LONGS_EQUAL(2, rig.answered(503, 2));
+  LONGS_EQUAL(0, rig.sends());
+}
+TEST(coldUnheard, thoseThatWarmedUpGetNothing) {
+  ColdRig rig;
+  rig.hearHeartbeat(1, warmUpLeft);
+  rig.loseMajority();
+  LONGS_EQUAL(10, rig.answered(200, 10));
+  LONGS_EQUAL(0, rig.workers[1].sends);
+  LONGS_EQUAL(0, rig.workers[1].probes);
+  LONGS_EQUAL(0, rig.creditsAsked);
+}
--- a/tests/formats.hpp
+++ b/tests/formats.hpp
@@ -3,8 +3,10 @@
 #include "configuration/change_history.hpp"
 #include "consensus/control_messages.hpp"
 #include "control/messages.hpp"
+#include "fleet/evacuation.hpp"
 #include "lots/messages.hpp"
 #include "segments/replica_table.hpp"
+#include "tenants/messages.hpp"
 #include "updates/messages.hpp"
 #include "wire/frames.hpp"
 
--- a/tests/formats_test.cpp
+++ b/tests/formats_test.cpp
@@ -42,8 +42,8 @@
   expectBytes(
       "9a969701a26e31a831302e302e302e31a27a31c3c30002c39205cd02589192029206cd02bc9195a16b9203010605c393"
       "02929701a26e31a831302e302e302e31a27a31c3c3009702a26e32a831302e302e302e32a27a32c2c32c919701a26e31"
-      "a831302e302e302e31a27a31c3c300919ea3692d31a173a17aa17692a831302e302e302e31500407c3c203c201c302c3"
-      "0405c39197a16ea17aa46564676592a831302e302e302e31cd1deecd012c00009193a169010290",
+      "a831302e302e302e31a27a31c3c30091dc0010a3692d31a173a17aa17692a831302e302e302e31500407c3c203c201c302c200"
+      "c30405c39197a16ea17aa46564676592a831302e302e302e31cd1deecd012c00009193a169010290",
       HeartbeatMessage{heartbeat(), membership(), {worker()}, true, 4, 5, true, {dataNode()}, {{"i", 1, 2}}, {}});
   expectBytes(
       "929701a26e31a831302e302e302e31a27a31c3c3009194a16b92030182a1619492030b05a176c2a1629492030b06a0c3"
@@ -197,7 +197,13 @@
 }
 
 TEST(formats, workersConfigurationsAndUpdates) {
-  expectBytes("9ea3692d31a173a17aa17692a831302e302e302e31500407c3c203c201c302", worker());
+  expectBytes("dc0010a3692d31a173a17aa17692a831302e302e302e31500407c3c203c201c302c200", worker());
+  Worker warming = worker();
+  warming.warmingUp = true;
+  warming.zoneRevision = 5;
+  expectBytes("dc0010a3692d31a173a17aa17692a831302e302e302e31500407c3c203c201c302c305", warming);
+  expectBytes("93a17ac302", Evacuation{"z", true, 2});
+  expectBytes("92a36c6d2d01", TakeCredit{"lm-", CreditKind::warmUp});
   expectBytes("9294000003a16494010306a165", (vector<AcceptedChange>{{0, 0, 3, Digest("d")}, {1, 3, 6, Digest("e")}}));
   expectBytes("96a3505554a92f73657474696e6773a135a27b7d01cd02bc", ForwardedCall{"PUT", "/settings", "5", "{}", 1, 700});
   expectBytes(
--- a/tests/older_formats_test.cpp
+++ b/tests/older_formats_test.cpp
@@ -63,6 +63,18 @@
       reply);
 }
 
+/// Bytes that releases wrote before workers told the data plane that they warm up.
+TEST(olderFormats, workersThatDoNotWarmUp) {
+  expectReads("9ea3692d31a173a17aa17692a831302e302e302e31500407c3c203c201c302", worker());
+  expectReads("91a174", TakeCredit{"t", CreditKind::tenant});
+  expectReads(
+      "9a969701a26e31a831302e302e302e31a27a31c3c30002c39205cd02589192029206cd02bc9195a16b9203010605c393"
+      "02929701a26e31a831302e302e302e31a27a31c3c3009702a26e32a831302e302e302e32a27a32c2c32c919701a26e31"
+      "a831302e302e302e31a27a31c3c300919ea3692d31a173a17aa17692a831302e302e302e31500407c3c203c201c302c3"
+      "0405c39197a16ea17aa46564676592a831302e302e302e31cd1deecd012c00009193a169010290",
+      HeartbeatMessage{heartbeat(), membership(), {worker()}, true, 4, 5, true, {dataNode()}, {{"i", 1, 2}}, {}});
+}
+
 /// Bytes that releases wrote before nodes confirmed rollouts.
 TEST(olderFormats, nodesWithoutRollouts) {
   expectReads("95a16ea17aa46564676592a831302e302e302e31cd1deecd012c", dataNode());
--- /dev/null
+++ b/tests/traffic/warm_up_fleet_test.cpp
@@ -0,0 +1,98 @@
+#include "tests/traffic/warm_up_fleet_sim.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace tealshelf;
+using sim::WarmUpFleet;
+
+namespace {
+std::uint64_t seedCount() {
+  char const* const wanted = std::getenv("TEALSHELF_SEEDS");
+  return wanted ? std::strtoull(wanted, nullptr, 10) : 60;
+}
+
+/// The largest part of the bound that any window of any seed used.
+double worstShare(WarmUpFleet::Faults faults) {
+  double worst = 0;
+  for (std::uint64_t seed = 1; seed <= seedCount(); ++seed) worst = std::max(worst, WarmUpFleet(seed, faults).run());
+  return worst;
+}
+
+ServiceSettings warmingService(double perSecond) {
+  ServiceSettings service;
+  service.warmUp = Ms(3000);
+  service.warmUpPerSecond = perSecond;
+  return service;
+}
+
+Bounds boundsOf(double overrun, double margin) {
+  Bounds bounds;
+  bounds.warmUpOverrun = overrun;
+  bounds.warmUpMargin = margin;
+  return bounds;
+}
+}  // namespace
+
+/// However nodes and shards fail, no second of a worker that warms up holds more than the rule allows, from 320 nodes.
+TEST_GROUP(warmUpFleet){};
+
+TEST(warmUpFleet, noWindowIsOverItsBound) {
+  double const worst = worstShare({});
+  CHECK(worst <= 1);
+  // The search does press against what is granted.
+  CHECK(worst > 0.5);
+}
+/// The search finds what it is there to find.
+TEST(warmUpFleet, uncountedRequestsAreFound) {
+  WarmUpFleet::Faults faults;
+  faults.sendsUncounted = true;
+  CHECK(worstShare(faults) > 1);
+}
+TEST(warmUpFleet, nodesThatTrustOldKnowledgeAreFound) {
+  WarmUpFleet::Faults faults;
+  faults.trustsOldKnowledge = true;
+  CHECK(worstShare(faults) > 1);
+}
+TEST(warmUpFleet, evacuationsThatAreForgottenAreFound) {
+  WarmUpFleet::Faults faults;
+  faults.forgetsEvacuations = true;
+  CHECK(worstShare(faults) > 1);
+}
+TEST(warmUpFleet, creditsThatDoNotLapseAreFound) {
+  WarmUpFleet::Faults faults;
+  faults.keepsCreditsForever = true;
+  CHECK(worstShare(faults) > 1);
+}
+TEST(warmUpFleet, shardsThatStartFullAreFound) {
+  WarmUpFleet::Faults faults;
+  faults.startsShardsFull = true;
+  CHECK(worstShare(faults) > 1);
+}
+
+TEST_GROUP(warmUpAllowance){};
+
+TEST(warmUpAllowance, fitsTheBoundWithAReserve) {
+  for (double const perSecond : {1.0, 2.5, 12.0, 20.0, 400.0})
+    for (double const overrun : {1.0, 1.5, 3.0})
+      for (double const margin : {0.0, 5.0, 50.0}) {
+        Bounds const bounds = boundsOf(overrun, margin);
+        ServiceSettings const service = warmingService(perSecond);
+        RateAllowance const allowance = warmUpAllowance(service, bounds);
+        double const span = std::chrono::duration<double>(warmUpWindow + warmUpCreditLife()).count();
+        CHECK(allowance.perSecond * span + allowance.burst <= 0.71 * warmUpBound(service, bounds));
+        CHECK(allowance.perSecond <= perSecond);
+        CHECK(allowance.perSecond > 0 && allowance.burst > 0);
+      }
+}
+TEST(warmUpAllowance, aBoundWithoutRoomForATokenGrantsNothing) {
+  CHECK_FALSE(grantsAnything(warmUpAllowance(warmingService(1), boundsOf(1, 0))));
+  CHECK_FALSE(grantsAnything(warmUpAllowance(warmingService(0), boundsOf(1.5, 5))));
+  CHECK(grantsAnything(warmUpAllowance(warmingService(12), boundsOf(1.5, 5))));
+}
+TEST(warmUpAllowance, theStepsOfANode) {
+  CHECK(warmUpStep({false, true, false}) == WarmUpStep::send);
+  CHECK(warmUpStep({true, false, true}) == WarmUpStep::send);
+  CHECK(warmUpStep({true, true, true}) == WarmUpStep::takeCredit);
+  CHECK(warmUpStep({true, true, false}) == WarmUpStep::pass);
+  CHECK(warmUpStep({true, false, false}) == WarmUpStep::probe);
+}
--- a/tests/traffic/worker_stand_in.hpp
+++ b/tests/traffic/worker_stand_in.hpp
@@ -36,8 +36,10 @@
     acceptor_.listen(16);
     spawnTask(io_, "stand-in", take());
   }
-  std::size_t primed = 0, sends = 0;
-  bool onUsed = false;  ///< the last send came on a connection that had answered before
+  std::size_t primed = 0, sends = 0, probes = 0;
+  string id;                  ///< that its health answers name
+  std::int64_t warmUpMs = 0;  ///< that its health answers tell
+  bool onUsed = false;        ///< the last send came on a connection that had answered before
   vector<string> lastEventIds;
   http::fields lastHead;  ///< of the last request, priming ones too
   Script onResume;        ///< for requests that bear Last-Event-Id
@@ -75,6 +77,10 @@
       string const id(p.get()["Attempt-Id"].data(), p.get()["Attempt-Id"].size());
       string const resume(p.get()["Last-Event-Id"].data(), p.get()["Last-Event-Id"].size());
       lastHead = p.get();
+      if (p.get().target() == "/h") {
+        co_await answerProbe(s);
+        continue;
+      }
       bool const primes = p.get().target().ends_with("prime");
       Script const& script = resume.empty() ? script_ : onResume;
       if (primes)
@@ -101,6 +107,11 @@
       co_return end(s, script.end);
     }
   }
+  Task<void> answerProbe(tcp::socket& s) {
+    ++probes;
+    string const more = "Server-Id: " + this->id + "\r\nWarm-Up-Ms: " + std::to_string(warmUpMs) + "\r\n";
+    co_await write(s, answerText(200, "", more, ""), "");
+  }
   Task<void> write(tcp::socket& s, string text, string const& id) {
     for (std::size_t p = 0; (p = text.find("$ID")) != string::npos;) text.replace(p, 3, id);
     error_code e;
@@ -138,12 +149,14 @@
         publisher_(io, settings_, 0),
         workers{{{io, {ip, 17685}, script}, {io, {ip, 17686}, script}}},
         edge_(io, settings_) {
-    publisher_.proof = [] { return UpdatePublisher::Proof{true, 0, Clock::now()}; };
+    publisher_.proof = [this] { return UpdatePublisher::Proof{hasMajority, 0, Clock::now()}; };
     publisher_.setConfiguration(version_, configuration(version_, ClientLimits{16384, 33554432}, true));
     for (int n = 0; n < 2; ++n) {
       Worker w;
       w.id = "i-" + std::to_string(n);
+      workers[static_cast<std::size_t>(n)].id = w.id;
       w.service = "app";
+      w.zone = "z";
       w.address = {ip, 17685 + n};
       w.capacity = 8;
       publisher_.common.put("w/" + w.id, serialize(w));
@@ -187,15 +200,28 @@
     install(configuration(++version_, ClientLimits(), true));
   }
   /// A worker's heartbeat reaches the control plane, and this edge is told what it would publish.
-  void hearHeartbeat(int number, Ms warmupLeft) {
+  void hearHeartbeat(int number, Ms warmupLeft, std::uint64_t zoneRevision = 0) {
     string const heartbeat = R"({"service":"app","address":")" + ip + ":" + std::to_string(17685 + number) +
                              R"(","zone":"z","version":"","capacity":8,"state":"ready","warmupLeftMs":)" +
                              std::to_string(warmupLeft.count()) + R"(,"callCount":)" + std::to_string(++heartbeats_) +
                              "}";
     string const id = "i-" + std::to_string(number);
-    publisher_.common.put("w/" + id, serialize(publishedForm(parseWorkerHeartbeat(id, heartbeat))));
+    Worker worker = parseWorkerHeartbeat(id, heartbeat);
+    worker.zoneRevision = zoneRevision;
+    publisher_.common.put("w/" + id, serialize(publishedForm(worker)));
     awaitUpdate();
   }
+  /// The zone of all workers is evacuated, or taken back.
+  void setEvacuation(bool isActive, std::uint64_t revision) {
+    publisher_.common.put("z/z", serialize(Evacuation{"z", isActive, revision}));
+    awaitUpdate();
+  }
+  /// Control loses its majority, for long enough that the edge's knowledge is no longer recent.
+  void loseMajority() {
+    hasMajority = false;
+    run(settings_.bounds.inTouch / 3 + Ms(100));
+  }
+  bool hasMajority = true;
   /// What the only shard answers.
   CreditVerdict creditVerdict = CreditVerdict::granted;
   Ms creditDelay{0};
@@ -233,6 +259,7 @@
     settings_.readiness = {ip, 17681};
     settings_.seeds = {{ip, 17682}};
     settings_.bounds.grace = Ms(600);
+    settings_.bounds.warmUpMargin = 20;
     return settings_;
   }
   void install(string text) {
--- a/traffic/exchange.cpp
+++ b/traffic/exchange.cpp
@@ -68,6 +68,10 @@
       co_return SendResult::notSent;
     }
   }
+  if (Clock::now() >= sendBy_) {
+    abort();
+    co_return SendResult::notSent;
+  }
   deadline_->expireAt(until);
   WriteResult const written = co_await write(request);
   if (written == WriteResult::nothing && !deadline_->expired()) {
--- a/traffic/exchange.hpp
+++ b/traffic/exchange.hpp
@@ -37,6 +37,8 @@
   Exchange(ConnectionPool& pool, Worker const& worker, bool mayRepeat)
       : pool_(pool), worker_(worker), mayRepeat_(mayRepeat) {}
   ~Exchange();
+  /// From this time on the request is no longer written; send() then ends as notSent.
+  void mustBeSentBy(TimePoint sendBy) { sendBy_ = sendBy; }
   /// Sends the request and reads the head of the answer that bears its id. Any doubt closes the connection and ends as
   /// maybeRun.
   Task<SendResult> send(HttpRequest const& request, string attempt, TimePoint until);
@@ -80,6 +82,7 @@
   std::unique_ptr<SocketDeadline> deadline_;
   std::optional<http::response_parser<http::buffer_body>> parser_;
   string attempt_;
+  TimePoint sendBy_ = TimePoint::max();
   bool mayRepeat_ = false;
   bool newConnection_ = false;
   Ms idleBefore_{0};  ///< how long a used connection was idle
--- a/traffic/load_balancer.cpp
+++ b/traffic/load_balancer.cpp
@@ -105,11 +105,33 @@
   CandidateList& list = candidateLists_[{service, group}];
   if (list.revision == view.revision()) return list.candidates;
   list.revision = view.revision();
-  list.candidates.clear();
+  list.candidates = makeCandidates(view, service, group);
+  return list.candidates;
+}
+
+vector<LoadBalancer::Candidate> LoadBalancer::makeCandidates(FleetView const& view, string const& service,
+                                                             Group group) {
   VersionGroups const& groups = view.groupsOf(service);
+  bool const wantsWarmingUp = group == Group::warmingUp;
+  vector<Candidate> candidates;
   for (Worker const* const worker : group == Group::trial ? groups.trial : groups.stable)
-    list.candidates.push_back({worker, hash64(worker->id), &workers_[worker->id]});
-  return list.candidates;
+    if (view.isWarmingUp(*worker) == wantsWarmingUp)
+      candidates.push_back({worker, hash64(worker->id), &workers_[worker->id]});
+  return candidates;
+}
+
+bool LoadBalancer::hasWarmingUp(FleetView const& view, string const& service) {
+  return !candidatesFor(view, service, Group::warmingUp).empty();
+}
+
+bool LoadBalancer::hasWarm(FleetView const& view, string const& service) {
+  return !candidatesFor(view, service, Group::stable).empty();
+}
+
+Worker const* LoadBalancer::pickWarmingUp(FleetView const& view, PickRequest const& request,
+                                          std::set<string> const& tried) {
+  vector<Candidate> const& candidates = candidatesFor(view, request.service, Group::warmingUp);
+  return candidates.empty() ? nullptr : pickAny(candidates, request, tried, Clock::now());
 }
 
 LoadBalancer::Fitness LoadBalancer::fitnessOf(Candidate const& candidate, PickRequest const& request,
--- a/traffic/load_balancer.hpp
+++ b/traffic/load_balancer.hpp
@@ -26,9 +26,14 @@
 class LoadBalancer {
  public:
   explicit LoadBalancer(Settings const& settings) : settings_(settings) {}
-  /// The best worker; null if there is none. Those that were tried are passed over.
+  /// The best worker that is warm; null if there is none. Those that were tried are passed over.
   Pick pick(FleetView const& view, PickRequest const& request, std::set<string> const& tried);
 
+  /// The best worker that warms up; null if there is none. What it may be sent is decided elsewhere (WarmUpGate).
+  Worker const* pickWarmingUp(FleetView const& view, PickRequest const& request, std::set<string> const& tried);
+  /// True if a worker of a service that takes ordinary traffic warms up, or is warm.
+  bool hasWarmingUp(FleetView const& view, string const& service);
+  bool hasWarm(FleetView const& view, string const& service);
   /// A request goes to a worker that has so many prompt tokens of it to read; then its first output came; then it
   /// ended.
   void requestStarted(string const& worker, std::uint64_t unreadTokens);
@@ -78,8 +83,9 @@
     double cost = 0;
   };
 
-  /// The group of workers that a request goes to, by the version.
-  enum class Group { stable, trial };
+  /// The group of workers that a request goes to, by the version, and whether they warm up.
+  enum class Group { stable, trial, warmingUp };
+  vector<Candidate> makeCandidates(FleetView const& view, string const& service, Group group);
   vector<Candidate> const& candidatesFor(FleetView const& view, string const& service, Group group);
   Pick pickFrom(vector<Candidate> const& candidates, PickRequest const& request, std::set<string> const& tried,
                 TimePoint now);
--- /dev/null
+++ b/traffic/warm_up_gate.cpp
@@ -0,0 +1,74 @@
+#include "traffic/warm_up_gate.hpp"
+
+#include "traffic/exchange.hpp"
+
+namespace tealshelf {
+
+namespace {
+/// A health answer is awaited, and trusted, for these parts of inTouch.
+constexpr int probeLimitPart = 16, probeTrustPart = 64;
+
+/// The time for which a worker says that it warms up yet; nothing if it doesn't say that it is well.
+std::optional<Ms> warmUpLeft(Exchange const& exchange) {
+  bool const isWell = exchange.status() == 200 && exchange.header("Server-Id") == exchange.worker().id;
+  if (!isWell) return std::nullopt;
+  return Ms(std::strtoll(exchange.header("Warm-Up-Ms").c_str(), nullptr, 10));
+}
+
+HttpRequest healthRequest(Worker const& worker, string const& healthPath) {
+  HttpRequest request(http::verb::get, healthPath, 11);
+  request.set(http::field::host, worker.address.text());
+  request.set("Wanted-Server", worker.id);
+  return request;
+}
+}  // namespace
+
+WarmUpGate::WarmUpGate(Settings const& settings, RpcClient& rpc, FleetView& view, ConnectionPool& pool)
+    : settings_(settings),
+      view_(view),
+      pool_(pool),
+      credits_(settings, rpc, view, CreditKind::warmUp, warmUpCreditLife(), warmUpWindow) {}
+
+WarmUpStep WarmUpGate::stepFor(Worker const& worker) const {
+  bool const isBounded = view_.warmUpService(worker) != nullptr;
+  return warmUpStep({isBounded, isBounded && view_.isWarmingUp(worker), view_.isFresh()});
+}
+
+Task<WarmUpGate::Admission> WarmUpGate::ask(Worker worker, TimePoint until) {
+  WarmUpStep const step = stepFor(worker);
+  if (step == WarmUpStep::send) co_return Admission();
+  ServiceSettings const service = *view_.warmUpService(worker);
+  Admission admission{false, TimePoint::max()};
+  if (step == WarmUpStep::takeCredit)
+    admission = co_await takeCredit(worker, warmUpAllowance(service, settings_.bounds), until);
+  else if (step == WarmUpStep::probe)
+    admission = co_await probe(worker, service.healthPath, until);
+  if (!admission.isGranted) denied_.increment();
+  co_return admission;
+}
+
+Task<WarmUpGate::Admission> WarmUpGate::takeCredit(Worker worker, RateAllowance limit, TimePoint until) {
+  if (!grantsAnything(limit)) co_return Admission{false, TimePoint::max()};
+  CreditClient::Outcome const outcome = co_await credits_.take(worker.id, limit, until);
+  if (!outcome.credit) co_return Admission{false, TimePoint::max()};
+  co_return Admission{true, outcome.credit->lapsesAt};
+}
+
+Task<WarmUpGate::Admission> WarmUpGate::probe(Worker worker, string healthPath, TimePoint until) {
+  if (healthPath.empty()) co_return Admission{false, TimePoint::max()};
+  Ms const inTouch = settings_.bounds.inTouch;
+  TimePoint const askedAt = Clock::now();
+  HttpRequest const request = healthRequest(worker, healthPath);
+  Exchange exchange(pool_, worker, true);
+  probes_.increment();
+  SendResult const result = co_await exchange.send(request, "", std::min(until, askedAt + inTouch / probeLimitPart));
+  bool const isWarm = result == SendResult::answered && warmUpLeft(exchange) == Ms(0);
+  if (!isWarm) co_return Admission{false, TimePoint::max()};
+  string body;
+  BodyState state = BodyState::partial;
+  while (state == BodyState::partial) state = co_await exchange.readBody(body, askedAt + inTouch / probeLimitPart);
+  if (state == BodyState::complete) exchange.release();
+  co_return Admission{true, Clock::now() + inTouch / probeTrustPart};
+}
+
+}  // namespace tealshelf
--- a/updates/fleet_view.cpp
+++ b/updates/fleet_view.cpp
@@ -48,6 +48,7 @@
 
 void FleetView::applyRow(TableRow const& row) {
   if (row.key.starts_with(rolloutRowPrefix)) applyRollout(row);
+  if (row.key.starts_with(evacuationRowPrefix)) applyEvacuation(row);
   if (!row.key.starts_with(workerRowPrefix)) return;
   ++revision_;
   string const id = row.key.substr(workerRowPrefix.size());
@@ -60,6 +61,8 @@
 void FleetView::installConfiguration() {
   try {
     configuration_ = compileConfiguration(publisher_.configuration());
+    // It says of which services workers warm up.
+    ++revision_;
   } catch (Error const& error) {
     logWarning("updates", error.what());
   }
@@ -152,6 +155,25 @@
   return {requestsSent_, publisher_.repliesSent(), publisher_.bytesSent(), publisher_.heldRequests()};
 }
 
+bool FleetView::takesRequests(Worker const& worker) const {
+  auto const evacuation = evacuations_.find(worker.zone);
+  bool const isEvacuated = evacuation != evacuations_.end() && evacuation->second.isActive;
+  return !worker.draining && !worker.removed && !isEvacuated;
+}
+
+ServiceSettings const* FleetView::warmUpService(Worker const& worker) const {
+  if (!configuration_) return nullptr;
+  auto const service = configuration_->services.find(worker.service);
+  bool const warmsUp = service != configuration_->services.end() && service->second.warmsUp();
+  return warmsUp ? &service->second : nullptr;
+}
+
+bool FleetView::isWarmingUp(Worker const& worker) const {
+  if (!warmUpService(worker)) return false;
+  auto const evacuation = evacuations_.find(worker.zone);
+  return mayBeWarmingUp(worker, evacuation == evacuations_.end() ? nullptr : &evacuation->second);
+}
+
 VersionGroups const& FleetView::groupsOf(string const& service) const {
   if (groupsRevision_ != revision_) {
     groupsByService_.clear();
@@ -161,7 +183,7 @@
   if (known != groupsByService_.end()) return known->second;
   vector<Worker const*> workers;
   for (auto const& [id, worker] : workers_)
-    if (worker.service == service && !worker.draining && !worker.removed) workers.push_back(&worker);
+    if (worker.service == service && takesRequests(worker)) workers.push_back(&worker);
   auto const rollout = rollouts_.find(service);
   UnorderedVersions const unordered =
       settings_.isRuleInForce("rollout") ? UnorderedVersions::majorityServes : UnorderedVersions::allServe;
@@ -195,6 +217,15 @@
   ++revision_;
 }
 
+void FleetView::applyEvacuation(TableRow const& row) {
+  if (row.removed) return;
+  Evacuation const record = deserialize<Evacuation>(row.value);
+  Evacuation& known = evacuations_[record.zone];
+  if (record.revision <= known.revision) return;
+  known = record;
+  ++revision_;
+}
+
 bool FleetView::runsAtExcludedVersion() const {
   for (auto const& [id, worker] : workers_) {
     auto const rollout = rollouts_.find(worker.service);
--- a/updates/fleet_view.hpp
+++ b/updates/fleet_view.hpp
@@ -1,5 +1,6 @@
 #pragma once
 #include "configuration/configuration.hpp"
+#include "fleet/evacuation.hpp"
 #include "rollouts/version_groups.hpp"
 #include "updates/update_subscriber.hpp"
 
@@ -21,6 +22,12 @@
   VersionGroups const& groupsOf(string const& service) const;
   /// Those of them that get ordinary traffic.
   vector<Worker const*> const& workersOf(string const& service) const { return groupsOf(service).stable; }
+  /// True if a worker may get new requests, as far as its state and its zone go.
+  bool takesRequests(Worker const& worker) const;
+  /// The settings of a worker's service if it bounds what workers get while they warm up, else null.
+  ServiceSettings const* warmUpService(Worker const& worker) const;
+  /// True if a worker warms up, or may do so for all that is known here, and its service is bounded then.
+  bool isWarmingUp(Worker const& worker) const;
   /// Null if there is none of that id.
   Worker const* find(string const& id) const;
   /// Rises whenever the workers change.
@@ -72,6 +79,7 @@
   void installConfiguration();
   void applyRow(TableRow const& row);
   void applyRollout(TableRow const& row);
+  void applyEvacuation(TableRow const& row);
   /// Fills in what this node has confirmed of rollouts.
   void confirmRollouts(DataNode& self) const;
   /// True while a rollout is in its last stage, and all wait for the last confirmations.
@@ -87,6 +95,7 @@
   std::shared_ptr<Configuration const> configuration_;
   std::map<string, Worker> workers_;
   std::map<string, RolloutRecord> rollouts_;                 ///< by service
+  std::map<string, Evacuation> evacuations_;                 ///< by zone
   std::uint64_t rolloutRevision_ = 0;                        ///< highest of those records
   mutable std::map<string, VersionGroups> groupsByService_;  ///< of the revision below
   mutable std::uint64_t groupsRevision_ = 0;
--- a/updates/messages.hpp
+++ b/updates/messages.hpp
@@ -11,6 +11,8 @@
 /// Prefixes of the keys in the common table: workers and members of the control plane.
 constexpr string_view workerRowPrefix = "w/";
 constexpr string_view memberRowPrefix = "m/";
+/// Prefix of the keys of evacuations, by zone.
+constexpr string_view evacuationRowPrefix = "z/";
 /// Prefix of the keys of rollouts, by service.
 constexpr string_view rolloutRowPrefix = "r/";
 
--- a/workers/worker_heartbeat.cpp
+++ b/workers/worker_heartbeat.cpp
@@ -42,6 +42,7 @@
   worker.capacity = std::max<std::uint64_t>(1, numberField(heartbeat, "capacity"));
   worker.callCount = numberField(heartbeat, "callCount");
   worker.warmupLeftMs = static_cast<std::int64_t>(numberField(heartbeat, "warmupLeftMs"));
+  worker.warmingUp = worker.warmupLeftMs > 0;
   worker.draining = isDraining(heartbeat);
   return worker;
 }
--- a/workers/worker_registry.cpp
+++ b/workers/worker_registry.cpp
@@ -50,9 +50,14 @@
   if (nothingNew && !worker.removed) return false;
   // A worker that drains never serves again.
   bool const draining = known.draining || worker.draining;
+  // Another node's word of an ejection may be older than the last heartbeat.
+  bool const warmingUp = worker.callCount >= known.callCount ? worker.warmingUp : known.warmingUp;
+  // What was heard after a change of the zone stays heard.
+  std::uint64_t const zoneRevision = std::max(worker.zoneRevision, known.zoneRevision);
   bool const changed = row.lost || worker.removed != known.removed || draining != known.draining ||
                        worker.address != known.address || worker.service != known.service ||
-                       worker.capacity != known.capacity || ejected != known.ejected;
+                       worker.capacity != known.capacity || ejected != known.ejected || warmingUp != known.warmingUp ||
+                       zoneRevision != known.zoneRevision;
   bool const moved = worker.registrar != known.registrar;
   std::uint64_t const callCount = std::max(worker.callCount, known.callCount);
   known = worker;
@@ -60,6 +65,8 @@
   known.draining = draining;
   known.ejectionRevision = ejectionRevision;
   known.ejected = ejected;
+  known.warmingUp = warmingUp;
+  known.zoneRevision = zoneRevision;
   row.heardAt = now;
   row.lost = false;
   if (changed) noteChange(row);
