warm-ups: the registry isn't copied for limits that no service sets

Cause: the limits of warming workers were made from a copy of the whole registry at each change of a worker, also where nothing is bounded. Change: nothing is looked at where no service has a bound; elsewhere the registry is walked without a copy.

--- a/control/worker_directory.cpp
+++ b/control/worker_directory.cpp
@@ -199,16 +199,20 @@
 }
 
 std::map<string, RateAllowance> WorkerDirectory::warmUpLimits(Configuration const& configuration) const {
+  std::map<string, RateAllowance> allowances;
+  for (auto const& [name, service] : configuration.services) {
+    RateAllowance const allowance = warmUpAllowance(service, settings_.bounds);
+    if (service.warmsUp() && grantsAnything(allowance)) allowances[name] = allowance;
+  }
   std::map<string, RateAllowance> limits;
-  for (Worker const& worker : registry_.present()) {
-    auto const service = configuration.services.find(worker.service);
-    bool const warmsUp = service != configuration.services.end() && service->second.warmsUp();
-    if (!warmsUp || worker.removed) continue;
+  // Most deployments bound nothing, and this is asked for at each change of a worker.
+  if (allowances.empty()) return limits;
+  registry_.forEachPresent([&](Worker const& worker) {
+    auto const allowance = allowances.find(worker.service);
+    if (allowance == allowances.end()) return;
     bool const mayBeCold = worker.warmingUp || (zoneRevision && worker.zoneRevision < zoneRevision(worker.zone));
-    if (!mayBeCold) continue;
-    RateAllowance const limit = warmUpAllowance(service->second, settings_.bounds);
-    if (grantsAnything(limit)) limits[worker.id] = limit;
-  }
+    if (mayBeCold) limits[worker.id] = allowance->second;
+  });
   return limits;
 }
 
--- a/workers/worker_registry.cpp
+++ b/workers/worker_registry.cpp
@@ -161,6 +161,11 @@
   return workers;
 }
 
+void WorkerRegistry::forEachPresent(std::function<void(Worker const&)> const& take) const {
+  for (auto const& [id, row] : rows_)
+    if (!row.lost && !row.worker.removed) take(row.worker);
+}
+
 vector<Worker> WorkerRegistry::presentIn(std::set<std::uint32_t> const& buckets) const {
   vector<Worker> workers;
   for (auto const& [id, row] : rows_)
--- a/workers/worker_registry.hpp
+++ b/workers/worker_registry.hpp
@@ -32,6 +32,8 @@
   /// Workers that changed after a revision, without the lost ones; the removed ones stand in it so that they don't come
   /// back.
   vector<Worker> present(std::uint64_t sinceRevision = 0) const;
+  /// Hands each present worker that has not ended to a function.
+  void forEachPresent(std::function<void(Worker const&)> const& take) const;
   /// The present ones in some buckets.
   vector<Worker> presentIn(std::set<std::uint32_t> const& buckets) const;
   /// Digest of what data-plane nodes are told; the same at nodes that know the same.
