evacuations: turns by AsyncMutex, as for configurations; searches share their seeds

Cause: the handler waited for its turn with a flag of its own, polled, beside the mutex that the configuration's handler uses; two searches over failures read the same environment variable with the same function. Change: the mutex; tests/seeds.hpp.

--- a/control/control_node.cpp
+++ b/control/control_node.cpp
@@ -28,7 +28,7 @@
       configuration_(io, settings, rpc_, driver_, publisher_),
       retirements_(settings, rpc_, driver_, lots_),
       rollouts_(io, settings, rpc_, driver_, publisher_, workers_, nodes_),
-      evacuations_(settings, rpc_, driver_, publisher_),
+      evacuations_(io, settings, rpc_, driver_, publisher_),
       quotas_(settings.bounds),
       warmUps_(warmUpTiming(settings.bounds)) {
   publisher_.proof = [this] {
--- a/control/evacuation_handler.cpp
+++ b/control/evacuation_handler.cpp
@@ -6,13 +6,17 @@
 
 namespace {
 string const keyPrefix = "evacuation/";
-/// Waits for a change that is being written are so many in confirmWithin.
-constexpr int waitsInConfirmation = 500;
+/// Orders that wait for another to be written.
+constexpr std::size_t maxWaitingOrders = 64;
 }  // namespace
 
-EvacuationHandler::EvacuationHandler(Settings const& settings, RpcClient& rpc, ConsensusDriver& driver,
-                                     UpdatePublisher& publisher)
-    : settings_(settings), driver_(driver), publisher_(publisher), keyspace_(settings, rpc, driver, membersKeyspace) {}
+EvacuationHandler::EvacuationHandler(asio::io_context& io, Settings const& settings, RpcClient& rpc,
+                                     ConsensusDriver& driver, UpdatePublisher& publisher)
+    : settings_(settings),
+      driver_(driver),
+      publisher_(publisher),
+      keyspace_(settings, rpc, driver, membersKeyspace),
+      changes_(io, maxWaitingOrders) {}
 
 std::map<string, Evacuation> EvacuationHandler::records() const {
   std::map<string, Evacuation> records;
@@ -36,9 +40,7 @@
   std::optional<CallReply> const forwarded = co_await keyspace_.forward(call);
   if (forwarded) co_return *forwarded;
   co_await keyspace_.confirmOwnership(end);
-  // Two orders at once must not both build on the same revision.
-  while (changing_ && Clock::now() < end) co_await sleepFor(settings_.bounds.confirmWithin / waitsInConfirmation);
-  if (changing_) throw Error(ErrorCode::busy);
+  AsyncMutex::Lock const turn = co_await changes_.lock(Ms(remainingMs(end)));
   std::map<string, Evacuation> present = records();
   Evacuation next = present[zone];
   bool const isWanted = call.verb == "POST";
@@ -46,15 +48,8 @@
   next.zone = zone;
   next.isActive = isWanted;
   ++next.revision;
-  changing_ = true;
-  try {
-    vector<KeyChange> changes(1, KeyChange{keyPrefix + zone, serialize(next), false});
-    co_await keyspace_.commit(std::move(changes));
-  } catch (...) {
-    changing_ = false;
-    throw;
-  }
-  changing_ = false;
+  vector<KeyChange> changes(1, KeyChange{keyPrefix + zone, serialize(next), false});
+  co_await keyspace_.commit(std::move(changes));
   logInfo("control", zone + (isWanted ? " is evacuated" : " is no longer evacuated"));
   driver_.onChange();
   co_return CallReply{200, "{}"};
--- a/control/evacuation_handler.hpp
+++ b/control/evacuation_handler.hpp
@@ -1,4 +1,5 @@
 #pragma once
+#include "base/async_mutex.hpp"
 #include "control/owned_keyspace.hpp"
 #include "fleet/evacuation.hpp"
 #include "updates/update_publisher.hpp"
@@ -8,7 +9,8 @@
 /// Handles `/evacuation/ZONE`: the operator asks that a zone's workers get nothing (POST), and withdraws that (DELETE).
 class EvacuationHandler {
  public:
-  EvacuationHandler(Settings const& settings, RpcClient& rpc, ConsensusDriver& driver, UpdatePublisher& publisher);
+  EvacuationHandler(asio::io_context& io, Settings const& settings, RpcClient& rpc, ConsensusDriver& driver,
+                    UpdatePublisher& publisher);
   /// Acknowledges an order once a majority has it. Orders may be repeated. Throws unknownZone, noOwner, noQuorum.
   Task<CallReply> handle(ForwardedCall call);
   /// Publishes the committed records; true if one is newer than what was published.
@@ -23,8 +25,8 @@
   ConsensusDriver& driver_;
   UpdatePublisher& publisher_;
   OwnedKeyspace keyspace_;
+  AsyncMutex changes_;                         ///< two orders must not build on the same revision
   std::map<string, std::uint64_t> revisions_;  ///< by zone, as published
-  bool changing_ = false;                      ///< a change is being written
 };
 
 }  // namespace tealshelf
--- a/tests/tenants/quota_shard_test.cpp
+++ b/tests/tenants/quota_shard_test.cpp
@@ -1,3 +1,4 @@
+#include "tests/seeds.hpp"
 #include "tests/tenants/quota_fleet_sim.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -6,11 +7,6 @@
 using sim::QuotaFleet;
 
 namespace {
-std::uint64_t seedCount() {
-  char const* const wanted = std::getenv("TEALSHELF_SEEDS");
-  return wanted ? std::strtoull(wanted, nullptr, 10) : 60;
-}
-
 /// The largest part of the bound that any window of any seed used.
 double worstShare(QuotaFleet::Faults faults) {
   double worst = 0;
