--- a/apps/daemon.cpp
+++ b/apps/daemon.cpp
@@ -1,5 +1,6 @@
 #include "apps/daemon.hpp"
 
+#include "apps/exit_codes.hpp"
 #include "base/invariant_metrics.hpp"
 #include "wire/rpc_traffic.hpp"
 #include "wire/tasks.hpp"
@@ -10,7 +11,6 @@
 namespace tealshelf {
 
 namespace {
-constexpr int exitBadArguments = 2, exitFailure = 3;
 constexpr int maxPort = 65535;
 
 /// Lets the daemon finish what is under way, for nine tenths of the grace at the most.
--- a/apps/status_reader.cpp
+++ b/apps/status_reader.cpp
@@ -1,5 +1,6 @@
 #include "apps/status_reader.hpp"
 
+#include "apps/exit_codes.hpp"
 #include "base/settings.hpp"
 #include "traffic/prefix_report.hpp"
 #include "wire/metrics_server.hpp"
@@ -13,7 +14,6 @@
 namespace tealshelf {
 
 namespace {
-constexpr int exitBadArguments = 2, exitFailure = 3;
 constexpr Ms answerLimit{5000};
 constexpr std::uint64_t maxAnswerBytes = 64u << 20;
 
--- a/tenants/rate_allowance.cpp
+++ b/tenants/rate_allowance.cpp
@@ -11,8 +11,12 @@
 constexpr int leaseHalves = 5;
 }  // namespace
 
+Ms creditLifeIn(Ms window) {
+  return std::max(Ms(1), window / windowInCreditLives);
+}
+
 Ms creditLife(Bounds const& bounds) {
-  return std::max(Ms(1), bounds.quotaWindow / windowInCreditLives);
+  return creditLifeIn(bounds.quotaWindow);
 }
 
 Ms shardLease(Bounds const& bounds) {
--- a/tenants/rate_allowance.hpp
+++ b/tenants/rate_allowance.hpp
@@ -15,7 +15,10 @@
   double perSecond = 0, burst = 0;
 };
 
-/// The life of a credit: until when a granted request must be on its way to a worker.
+/// The life of a credit of a rule with such a window.
+Ms creditLifeIn(Ms window);
+
+/// The life of a credit for a tenant: until when a granted request must be on its way to a worker.
 Ms creditLife(Bounds const& bounds);
 
 /// For how long a shard counts on without contact to a majority, and for how long a node that becomes a shard waits
--- a/tenants/warm_up_allowance.cpp
+++ b/tenants/warm_up_allowance.cpp
@@ -3,8 +3,6 @@
 namespace tealshelf {
 
 namespace {
-/// A credit lives for this part of the window.
-constexpr int windowInCreditLives = 20;
 /// Parts of the bound that the shards grant in a window, and of that which are depth. The rest of the bound is a
 /// reserve for what their sum doesn't count: requests that are on their way for longer than a credit lives, and those
 /// that nodes had sent before they could know.
@@ -12,7 +10,7 @@
 }  // namespace
 
 Ms warmUpCreditLife() {
-  return warmUpWindow / windowInCreditLives;
+  return creditLifeIn(warmUpWindow);
 }
 
 CreditTiming warmUpTiming(Bounds const& bounds) {
--- a/tenants/warm_up_allowance.hpp
+++ b/tenants/warm_up_allowance.hpp
@@ -1,6 +1,7 @@
 #pragma once
 #include "configuration/configuration.hpp"
 #include "tenants/credit_shard.hpp"
+#include "tenants/rate_allowance.hpp"
 
 /// How many requests workers that warm up may be sent, by all nodes together.
 ///
--- a/tests/configuration/change_simulation_test.cpp
+++ b/tests/configuration/change_simulation_test.cpp
@@ -1,9 +1,9 @@
 #include "configuration/configuration.hpp"
 #include "tests/configuration/change_checker.hpp"
 #include "tests/consensus/consensus_sim.hpp"
+#include "tests/seeds.hpp"
 
 #include <CppUTest/TestHarness.h>
-#include <cstdlib>
 
 using namespace tealshelf;
 
@@ -12,9 +12,8 @@
 /// The rules of an owner: the real ones, and variants that are known to be wrong.
 enum class Rules { real, currentTextOnly, withoutConfirm, withoutSettling };
 
-std::uint64_t seeds() {
-  char const* const text = std::getenv("TEALSHELF_SEEDS");
-  return text ? std::strtoull(text, nullptr, 10) : 12;
+std::uint64_t changeSeeds() {
+  return seedCount(12);
 }
 string configuration(std::uint64_t version, std::uint64_t mark) {
   return "{\"version\":" + std::to_string(version) + ",\"routes\":[],\"services\":[{\"name\":\"s" +
@@ -256,7 +255,7 @@
 
 TEST(changeSimulation, everyHistoryIsLinearizable) {
   std::uint64_t taken = 0, repeated = 0, refused = 0, reads = 0, wipes = 0;
-  for (std::uint64_t seed = 1; seed <= seeds(); ++seed) {
+  for (std::uint64_t seed = 1; seed <= changeSeeds(); ++seed) {
     OrdersSimulation simulation(seed, 3 + seed % 3, Rules::real);
     string const fault = simulation.play(3000);
     if (!fault.empty()) FAIL(("seed " + std::to_string(seed) + ": " + fault).c_str());
@@ -270,7 +269,8 @@
                         std::to_string(refused) + " refused, " + std::to_string(reads) + " reads, " +
                         std::to_string(wipes) + " disks wiped";
   UT_PRINT(totals.c_str());
-  CHECK(taken > 10 * seeds() && repeated > taken && refused > seeds() && reads > seeds() && wipes > 0);
+  CHECK(taken > 10 * changeSeeds() && repeated > taken && refused > changeSeeds() && reads > changeSeeds() &&
+        wipes > 0);
 }
 TEST(changeSimulation, theRuleOfTheCurrentTextOnlyIsCaught) {
   CHECK(caught(Rules::currentTextOnly, 100));
--- a/tests/consensus/consensus_test.cpp
+++ b/tests/consensus/consensus_test.cpp
@@ -1,12 +1,11 @@
 #include "tests/consensus/consensus_sim.hpp"
+#include "tests/seeds.hpp"
 
 #include <CppUTest/TestHarness.h>
-#include <cstdlib>
 
 using namespace tealshelf;
 
-TEST_GROUP(consensus){static std::uint64_t seeds(){char const* const s = std::getenv("TEALSHELF_SEEDS");
-return s ? std::strtoull(s, nullptr, 10) : 12;
+TEST_GROUP(consensus){static std::uint64_t seeds(){return seedCount(12);
 }
 static void trouble(sim::Cluster& cluster) {
   std::size_t const n = cluster.nodes().size();
--- a/tests/consensus/epoch_test.cpp
+++ b/tests/consensus/epoch_test.cpp
@@ -1,15 +1,12 @@
 #include "tests/consensus/consensus_sim.hpp"
+#include "tests/seeds.hpp"
 
 #include <CppUTest/TestHarness.h>
-#include <cstdlib>
 
 using namespace tealshelf;
 
 namespace {
-std::uint64_t seeds() {
-  char const* const given = std::getenv("TEALSHELF_SEEDS");
-  return given ? std::strtoull(given, nullptr, 10) : 40;
-}
+constexpr std::uint64_t epochSeeds = 40;
 
 void load(sim::Cluster& cluster, std::size_t steps) {
   for (std::size_t k = 0; k < steps && cluster.broken.empty(); ++k) {
@@ -61,12 +58,12 @@
   std::uint64_t acknowledged = 0;
   std::size_t broken = 0;
   string first;
-  for (std::uint64_t seed = 1; seed <= seeds(); ++seed) {
+  for (std::uint64_t seed = 1; seed <= seedCount(epochSeeds); ++seed) {
     string const what = ownerWithASlowDisk(seed, acknowledged);
     if (what.empty()) continue;
     if (!broken++) first = "seed " + std::to_string(seed) + ": " + what;
   }
-  string const text = std::to_string(broken) + " of " + std::to_string(seeds()) + " seeds; " + first;
+  string const text = std::to_string(broken) + " of " + std::to_string(seedCount(epochSeeds)) + " seeds; " + first;
   CHECK_TEXT(!broken, text.c_str());
   CHECK(acknowledged > 0);
 }
--- a/tests/consensus/membership_runs.hpp
+++ b/tests/consensus/membership_runs.hpp
@@ -1,14 +1,12 @@
 #pragma once
 #include "tests/consensus/consensus_sim.hpp"
-
-#include <cstdlib>
+#include "tests/seeds.hpp"
 
 /// Steps that the tests of the membership have in common.
 namespace tealshelf::sim {
 
 inline std::uint64_t seeds() {
-  char const* const s = std::getenv("TEALSHELF_SEEDS");
-  return s ? std::strtoull(s, nullptr, 10) : 8;
+  return seedCount(8);
 }
 inline void write(Cluster& cluster, int n) {
   for (int k = 0; k < 8 * n; ++k) {
--- a/tests/edge/tenant_requests_test.cpp
+++ b/tests/edge/tenant_requests_test.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 string const answer = answerText(200, "$ID", "Server-Seal: s\r\n", "own $ID");
-Script const answersWell{"", true, answer, Script::End::keep, ""};
+Script const answersTenants{"", true, answer, Script::End::keep, ""};
 Script const refuses{"", true, answerText(503, "$ID", "Not-Run: 1\r\n", ""), Script::End::keep, ""};
 string const firstKey = "planted0key1planted2", secondKey = "second0key1second2", thirdKey = "third0key1third2";
 /// A limited tenant, and one without a limit.
@@ -23,7 +23,7 @@
 
 /// An edge with two tenants and a client with a kept connection.
 struct TenantRig {
-  explicit TenantRig(Script const& script = answersWell) : rig(script) {
+  explicit TenantRig(Script const& script = answersTenants) : rig(script) {
     CHECK(rig.prime());
     rig.changeTenants(twoTenants);
     client.emplace(rig);
--- a/tests/edge/unanswered_test.cpp
+++ b/tests/edge/unanswered_test.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 string const seal = "Server-Seal: s\r\n", own = answerText(200, "$ID", seal, "own $ID");
-Script const answersWell{"", true, own, Script::End::keep, ""};
+Script const answersOwn{"", true, own, Script::End::keep, ""};
 Script const answersSlowly{"", true, own, Script::End::keep, "", Ms(100)};
 
 bool says(Got const& got, string_view text) {
@@ -19,7 +19,7 @@
 TEST_GROUP(unanswered){};
 
 TEST(unanswered, aRequestThatCrossesTheStopIsAnswered) {
-  EdgeRig rig(answersWell);
+  EdgeRig rig(answersOwn);
   CHECK(rig.prime());
   KeptClient client(rig);
   CHECK(client.send(requestText("POST", "/once/x", "id1", "b")));
@@ -33,7 +33,7 @@
   LONGS_EQUAL(sends + 1, rig.sends());
 }
 TEST(unanswered, idleConnectionsEndWithTheStop) {
-  EdgeRig rig(answersWell);
+  EdgeRig rig(answersOwn);
   CHECK(rig.prime());
   KeptClient client(rig);
   CHECK(client.send(requestText("POST", "/once/x", "id1", "b")));
@@ -59,7 +59,7 @@
 }
 /// An exception of a library ends in an answer, and the request no longer counts as under way.
 TEST(unanswered, aFailureOfTheEdgeItselfIsAnswered) {
-  EdgeRig rig(answersWell);
+  EdgeRig rig(answersOwn);
   CHECK(rig.prime());
   KeptClient client(rig);
   // A TRACE with a body: the library refuses to write such a request.
@@ -73,7 +73,7 @@
 }
 /// The limits are those in force when a request comes, not those of the time at which its connection fell idle.
 TEST(unanswered, aChangeOfTheLimitsHoldsForIdleConnections) {
-  EdgeRig rig(answersWell);
+  EdgeRig rig(answersOwn);
   rig.changeLimits({16384, 8, Ms(3000), Ms(200)});
   CHECK(rig.prime());
   KeptClient client(rig);
@@ -88,14 +88,14 @@
 }
 /// The answer comes though the edge reads no more of the body.
 TEST(unanswered, aBodyOverTheLimitIsAnswered) {
-  EdgeRig rig(answersWell);
+  EdgeRig rig(answersOwn);
   rig.changeLimits({16384, 1u << 20, Ms(3000), Ms(15000)});
   Got const got = rig.call("/once/x", "id1", 12u << 20);
   LONGS_EQUAL(413, got.status);
   LONGS_EQUAL(0, rig.sends());
 }
 TEST(unanswered, aClientThatWaitsForTheGoAheadGetsIt) {
-  EdgeRig rig(answersWell);
+  EdgeRig rig(answersOwn);
   CHECK(rig.prime());
   KeptClient client(rig);
   string const request = requestText("POST", "/once/x", "id1", "body", "Expect: 100-continue\r\n");
@@ -106,7 +106,7 @@
 }
 /// The answer to a HEAD has no body; bytes after it would be taken for the next answer.
 TEST(unanswered, answersToAHeadHaveNoBody) {
-  EdgeRig rig(answersWell);
+  EdgeRig rig(answersOwn);
   CHECK(rig.prime());
   KeptClient client(rig);
   CHECK(client.send(requestText("HEAD", "/nowhere/x", "id1")));
@@ -116,7 +116,7 @@
   LONGS_EQUAL(200, client.answer().status);
 }
 TEST(unanswered, aClientThatEndsItsSendingStillGetsItsAnswer) {
-  EdgeRig rig(answersWell);
+  EdgeRig rig(answersOwn);
   CHECK(rig.prime());
   KeptClient client(rig);
   CHECK(client.send(requestText("POST", "/once/x", "id1", "b")));
--- a/tests/lots/clocks_and_seeds_test.cpp
+++ b/tests/lots/clocks_and_seeds_test.cpp
@@ -8,7 +8,7 @@
 using namespace tealshelf;
 
 namespace {
-LotKey const lot("host", "lot");
+LotKey const agedLot("host", "lot");
 
 /// Three members with disks and three control nodes without; all start at once and have the latter as seeds.
 /// Gives how many know the membership after so many rounds of heartbeats.
@@ -45,19 +45,19 @@
 TEST(clocksAndSeeds, aStepOfTheTimeOfDayAgesNoLot) {
   LotAges ages;
   TimePoint const start = TimePoint() + std::chrono::hours(1);
-  ages.learn(lot, start);
-  ages.learn(lot, start + Ms(500));
+  ages.learn(agedLot, start);
+  ages.learn(agedLot, start + Ms(500));
   Ms const due(8000);
   for (Ms const age : {Ms(0), Ms(700), Ms(7000), Ms(30000)})
     for (Ms const step : {Ms(-600000), Ms(-2000), Ms(0), Ms(2000), Ms(600000)}) {
       TimePoint const now = start + age;
-      LONGS_EQUAL(age.count(), ages.atLeast(lot, now).count());
-      Ms const likely = ages.likely(lot, now, age + step, due);
+      LONGS_EQUAL(age.count(), ages.atLeast(agedLot, now).count());
+      Ms const likely = ages.likely(agedLot, now, age + step, due);
       CHECK(likely >= age);
       CHECK(likely <= std::max(age, due));
     }
-  ages.forget(lot);
-  LONGS_EQUAL(0, ages.atLeast(lot, start + due).count());
+  ages.forget(agedLot);
+  LONGS_EQUAL(0, ages.atLeast(agedLot, start + due).count());
 }
 
 TEST(clocksAndSeeds, aStoreWhoseClockWentBackGetsItsLeaseAtOnce) {
--- a/tests/lots/full_stores_test.cpp
+++ b/tests/lots/full_stores_test.cpp
@@ -3,17 +3,17 @@
 using namespace tealshelf;
 
 namespace {
-constexpr std::size_t lotBytes = 150u << 10;
+constexpr std::size_t largeLotBytes = 150u << 10;
 constexpr int lotsAtMost = 40;
 
 /// Hands lots in until stores with small disks take no more; gives those that were accepted.
 vector<string> fill(StoreFleet& fleet) {
   vector<string> accepted;
-  fleet.runUntil([&fleet] { return fleet.submit("first", lotBytes) == 0; }, Ms(20000));
+  fleet.runUntil([&fleet] { return fleet.submit("first", largeLotBytes) == 0; }, Ms(20000));
   accepted.emplace_back("first");
   for (int number = 0; number < lotsAtMost; ++number) {
     string const id = "lot-" + std::to_string(number);
-    if (fleet.submit(id, lotBytes) == 0) accepted.push_back(id);
+    if (fleet.submit(id, largeLotBytes) == 0) accepted.push_back(id);
   }
   return accepted;
 }
--- a/tests/lots/lot_api_test.cpp
+++ b/tests/lots/lot_api_test.cpp
@@ -6,8 +6,8 @@
 using namespace tealshelf;
 
 namespace {
-string const ip = loopbackOfThisProcess(), host = "shop.example";
-string const configuration =
+string const ip = loopbackOfThisProcess(), apiHost = "shop.example";
+string const apiConfiguration =
     "{\"version\":1,\"routes\":[{\"name\":\"night\",\"host\":\"shop.example\",\"pathStart\":\"/night/\",\"kind\":"
     "\"bulk\",\"timeLimitMs\":9000,\"targetMs\":500,\"priority\":2,\"service\":\"app\",\"tries\":3,\"dueInMs\":300,"
     "\"keepForS\":60,\"maxQueuedTokens\":0}],\"services\":[{\"name\":\"app\",\"healthPath\":\"/h\",\"maxConnections\":"
@@ -27,7 +27,7 @@
         relay(io, {ip, 17697}, settings.bounds.inTouch),
         lots(settings, rpc, view) {
     publisher.proof = [] { return UpdatePublisher::Proof{true, 0, Clock::now()}; };
-    publisher.setConfiguration(1, configuration);
+    publisher.setConfiguration(1, apiConfiguration);
     control.on<UpdateRequest>([this](UpdateRequest request) { return publisher.serve(std::move(request)); });
     control.on<FindLot>([this](FindLot request) -> Task<FindLotReply> {
       askedFor = request.lot;
@@ -37,7 +37,7 @@
     store.on<ReadResults>([](ReadResults) -> Task<ReadResultsReply> { co_return ReadResultsReply{1, {}, {}}; });
     store.on<ReadItem>([](ReadItem) -> Task<ReadItemReply> { co_return ReadItemReply{true, false, "body"}; });
     record.id = "lot";
-    record.host = host;
+    record.host = apiHost;
     record.state = LotState::accepted;
     control.start();
     store.start();
@@ -62,7 +62,7 @@
   /// The status of a call of a client.
   int call(string const& target, Ms hold, string const& tenant = "") {
     std::shared_ptr<int> const status = std::make_shared<int>(0);
-    asio::co_spawn(io, lots.call(LotCaller{host, tenant}, "GET", target, hold),
+    asio::co_spawn(io, lots.call(LotCaller{apiHost, tenant}, "GET", target, hold),
                    [status](std::exception_ptr failure, HttpReply reply) { *status = failure ? -1 : reply.status; });
     for (int turn = 0; turn < 800 && !*status; ++turn) run(Ms(5));
     return *status;
--- a/tests/lots/refusing_store_test.cpp
+++ b/tests/lots/refusing_store_test.cpp
@@ -3,25 +3,12 @@
 using namespace tealshelf;
 
 namespace {
-constexpr int firstPort = 17840;
-constexpr std::size_t lotBytes = 30u << 10;
+constexpr int refusingStorePort = 17840;
+constexpr std::size_t copiedBytes = 30u << 10;
 constexpr int lots = 12;
 
-Address addressOf(std::size_t store) {
-  Settings settings;
-  settings.firstInternalPort = firstPort;
-  return settings.storeAddress("127.0.0." + std::to_string(61 + store));
-}
-
-/// Puts a replica on a store of a host whose lots nobody owns, so that it stays there; false if it was refused.
-bool putFiller(StoreFleet& fleet, std::size_t store, std::size_t number, std::size_t bytes) {
-  LotRecord lot;
-  lot.host = "filler.example";
-  lot.id = "filler-" + std::to_string(number);
-  lot.state = LotState::ended;
-  lot.stamp = GenerationStamp(1);
-  string const items = serialize(vector<ItemRecord>{{"item", "/x", string(bytes, 'f'), {}, 1}});
-  return fleet.ask(addressOf(store), CreateReplica{lot, items, {}, false}).first == 0;
+string fillerName(std::size_t number) {
+  return "filler-" + std::to_string(number);
 }
 }  // namespace
 
@@ -30,21 +17,21 @@
 /// One of four stores is as full as it gets, and two of the three others have room. After the loss of one each lot
 /// finds its second copy there, whichever store comes first in the order of its choice.
 TEST(refusingStore, aCopyGoesToAnotherStoreThanTheOneThatRefuses) {
-  StoreFleet fleet("/tmp/tealshelf-refusing-store", 4, 1, firstPort);
+  StoreFleet fleet("/tmp/tealshelf-refusing-store", 4, 1, refusingStorePort);
   CHECK(fleet.runUntil([&fleet] { return fleet.submit("first", 1000) == 0; }, Ms(20000)));
   std::size_t number = 0;
   // The full one takes smaller and smaller replicas until it refuses even a small one.
   for (std::size_t bytes = 256u << 10; bytes >= 8u << 10; bytes /= 2)
-    while (putFiller(fleet, 3, ++number, bytes)) {
+    while (fleet.putFiller(3, bytes, 1, fillerName(++number))) {
     }
   // The others are so full that no spare copies are made.
   for (std::size_t store = 0; store < 3; ++store)
-    for (int part = 0; part < 4; ++part) CHECK(putFiller(fleet, store, ++number, 256u << 10));
+    for (int part = 0; part < 4; ++part) CHECK(fleet.putFiller(store, 256u << 10, 1, fillerName(++number)));
   fleet.runUntil([] { return false; }, Ms(1000));
   vector<string> accepted;
   for (int lot = 0; lot < lots; ++lot) {
     string const id = "lot-" + std::to_string(lot);
-    if (fleet.submit(id, lotBytes) == 0) accepted.push_back(id);
+    if (fleet.submit(id, copiedBytes) == 0) accepted.push_back(id);
   }
   CHECK(accepted.size() > lots / 2);
   fleet.halt(0);
--- a/tests/lots/store_fleet.hpp
+++ b/tests/lots/store_fleet.hpp
@@ -91,6 +91,18 @@
     }
     return true;
   }
+  /// Puts a replica of a host whose lots nobody owns on a store, so that it stays there; false if it was refused. Under
+  /// a higher stamp it may grow past the limit, as open lots may.
+  bool putFiller(std::size_t store, std::size_t bytes, std::uint64_t stamp = 1, string const& id = "filler") {
+    LotRecord lot;
+    lot.host = "filler.example";
+    lot.id = id;
+    lot.state = LotState::ended;
+    lot.stamp = GenerationStamp(stamp);
+    string const items = serialize(vector<ItemRecord>{{"item", "/x", string(bytes, 'f'), {}, 1}});
+    Settings const& holder = stores_.at(store)->settings;
+    return ask(holder.storeAddress(holder.ip), CreateReplica{lot, items, {}, false}).first == 0;
+  }
   /// The answer to a call, or the number of the error.
   template <class Request>
   std::pair<int, typename Request::Reply> ask(Address const& to, Request const& request) {
--- a/tests/rollouts/version_evidence_test.cpp
+++ b/tests/rollouts/version_evidence_test.cpp
@@ -70,7 +70,7 @@
 }
 TEST(versionEvidence, aFaultOnOneRouteOfManyIsFound) {
   VersionEvidence evidence;
-  for (string const& route : {"a", "b", "c"}) evidence.add(tallies({0.01, 0, 8, 0.01, 1000, 200}, 3, route));
+  for (char const* const route : {"a", "b", "c"}) evidence.add(tallies({0.01, 0, 8, 0.01, 1000, 200}, 3, route));
   evidence.add(tallies({0.4, 0, 8, 0.01, 100, 30}, 3, "d"));
   CHECK(judgeVersion(rollout(), evidence.all()).verdict == VersionVerdict::bad);
 }
--- a/tests/seeds.hpp
+++ b/tests/seeds.hpp
@@ -3,10 +3,10 @@
 
 namespace tealshelf {
 
-/// How many seeds a search over failures tries: 60, or what TEALSHELF_SEEDS says.
-inline std::uint64_t seedCount() {
+/// How many seeds a search over failures tries: what TEALSHELF_SEEDS says, or else so many.
+inline std::uint64_t seedCount(std::uint64_t unlessSaid = 60) {
   char const* const wanted = std::getenv("TEALSHELF_SEEDS");
-  return wanted ? std::strtoull(wanted, nullptr, 10) : 60;
+  return wanted ? std::strtoull(wanted, nullptr, 10) : unlessSaid;
 }
 
 }  // namespace tealshelf
--- a/tests/traffic/warm_up_fleet_test.cpp
+++ b/tests/traffic/warm_up_fleet_test.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 /// The largest part of the bound that any window of any seed used.
-double worstShare(WarmUpFleet::Faults faults) {
+double worstShareOfBound(WarmUpFleet::Faults faults) {
   double worst = 0;
   for (std::uint64_t seed = 1; seed <= seedCount(); ++seed) worst = std::max(worst, WarmUpFleet(seed, faults).run());
   return worst;
@@ -33,7 +33,7 @@
 TEST_GROUP(warmUpFleet){};
 
 TEST(warmUpFleet, noWindowIsOverItsBound) {
-  double const worst = worstShare({});
+  double const worst = worstShareOfBound({});
   CHECK(worst <= 1);
   // The search does press against what is granted.
   CHECK(worst > 0.5);
@@ -42,27 +42,27 @@
 TEST(warmUpFleet, uncountedRequestsAreFound) {
   WarmUpFleet::Faults faults;
   faults.sendsUncounted = true;
-  CHECK(worstShare(faults) > 1);
+  CHECK(worstShareOfBound(faults) > 1);
 }
 TEST(warmUpFleet, nodesThatTrustOldKnowledgeAreFound) {
   WarmUpFleet::Faults faults;
   faults.trustsOldKnowledge = true;
-  CHECK(worstShare(faults) > 1);
+  CHECK(worstShareOfBound(faults) > 1);
 }
 TEST(warmUpFleet, evacuationsThatAreForgottenAreFound) {
   WarmUpFleet::Faults faults;
   faults.forgetsEvacuations = true;
-  CHECK(worstShare(faults) > 1);
+  CHECK(worstShareOfBound(faults) > 1);
 }
 TEST(warmUpFleet, creditsThatDoNotLapseAreFound) {
   WarmUpFleet::Faults faults;
   faults.keepsCreditsForever = true;
-  CHECK(worstShare(faults) > 1);
+  CHECK(worstShareOfBound(faults) > 1);
 }
 TEST(warmUpFleet, shardsThatStartFullAreFound) {
   WarmUpFleet::Faults faults;
   faults.startsShardsFull = true;
-  CHECK(worstShare(faults) > 1);
+  CHECK(worstShareOfBound(faults) > 1);
 }
 
 TEST_GROUP(warmUpAllowance){};
--- a/tests/updates/updates_test.cpp
+++ b/tests/updates/updates_test.cpp
@@ -1,15 +1,13 @@
+#include "tests/seeds.hpp"
 #include "tests/updates/updates_sim.hpp"
 
 #include <CppUTest/TestHarness.h>
-#include <cstdlib>
 
 using namespace tealshelf;
 
 namespace {
-std::uint64_t seeds() {
-  char const* const s = std::getenv("TEALSHELF_SEEDS");
-  return s ? std::strtoull(s, nullptr, 10) : 6;
-}
+constexpr std::uint64_t updateSeeds = 6;
+
 /// A day of random troubles; says which invariant broke, if any.
 string play(std::uint64_t seed, sim::Fleet::Config c) {
   sim::Fleet f(seed, c);
@@ -266,14 +264,14 @@
 }
 
 TEST(updates, aFleetWithRelaysConverges) {
-  for (std::uint64_t s = 1; s <= seeds(); ++s) {
+  for (std::uint64_t s = 1; s <= seedCount(updateSeeds); ++s) {
     string const b = play(s, {});
     if (!b.empty()) FAIL(("seed " + std::to_string(s) + ": " + b).c_str());
   }
 }
 
 TEST(updates, aSmallFleetHasNoTierAndConverges) {
-  for (std::uint64_t s = 1; s <= seeds(); ++s) {
+  for (std::uint64_t s = 1; s <= seedCount(updateSeeds); ++s) {
     sim::Fleet::Config const c{4, 4, 3, false, false, false, false};
     string const b = play(100 + s, c);
     if (!b.empty()) FAIL(("seed " + std::to_string(s) + ": " + b).c_str());
@@ -281,7 +279,7 @@
 }
 
 TEST(updates, aZoneWithoutControlConverges) {
-  for (std::uint64_t s = 1; s <= seeds(); ++s) {
+  for (std::uint64_t s = 1; s <= seedCount(updateSeeds); ++s) {
     sim::Fleet::Config const c{3, 5, 20, false, false, false, false};
     string const b = play(200 + s, c);
     if (!b.empty()) FAIL(("seed " + std::to_string(s) + ": " + b).c_str());
--- a/tools/soak/kept_client.cpp
+++ b/tools/soak/kept_client.cpp
@@ -3,7 +3,7 @@
 namespace tealshelf::soak {
 
 namespace {
-constexpr Ms connectLimit{1000}, minPause{5}, maxPause{250};
+constexpr Ms connectLimit{1000}, minRequestPause{5}, maxRequestPause{250};
 }  // namespace
 
 Task<void> KeptClient::hold() {
@@ -12,7 +12,7 @@
     ClusterNode& edge = drawEdge(cluster_, random_);
     bool isThere = true;
     while (isThere && !stopping_) isThere = co_await useOne(edge);
-    co_await sleepFor(maxPause);
+    co_await sleepFor(maxRequestPause);
   }
   --underWay_;
 }
@@ -26,7 +26,7 @@
   bool more = true;
   while (more && !stopping_) {
     more = co_await requests_.requestOn(edge, connection);
-    co_await sleepFor(random_.duration(minPause, maxPause));
+    co_await sleepFor(random_.duration(minRequestPause, maxRequestPause));
   }
   co_return true;
 }
--- a/tools/soak/sabotage.cpp
+++ b/tools/soak/sabotage.cpp
@@ -6,7 +6,7 @@
 namespace tealshelf::soak {
 
 namespace {
-constexpr Ms askAgainAfter{20}, unsaidWarmUp{6000};
+constexpr Ms sabotagePollInterval{20}, unsaidWarmUp{6000};
 /// Lots whose items stay on their shelf have bodies to ask for until the end; of the others all results are listed.
 constexpr std::size_t runningLots = 3;
 string const sabotageLog = "sabotage.log", invariantLine = "E invariant soak: written on purpose";
@@ -16,7 +16,7 @@
 Task<void> Sabotage::run() {
   vector<Lot*> running;
   while (running.size() < runningLots || !bodiless_) {
-    co_await sleepFor(askAgainAfter);
+    co_await sleepFor(sabotagePollInterval);
     running = book_.accepted();
     for (Lot* const lot : running)
       if (!lot->runs() && !bodiless_) bodiless_ = lot;
--- a/tools/soak/soak_run.cpp
+++ b/tools/soak/soak_run.cpp
@@ -7,7 +7,7 @@
 namespace tealshelf::soak {
 
 namespace {
-constexpr Ms startLimit{40000}, drainLimit{20000}, askAgainAfter{100};
+constexpr Ms startLimit{40000}, drainLimit{20000}, pollInterval{100};
 constexpr int firstWorkerNumber = 601, workerPort = 8080, observers = 4;
 
 string emptyFolder(string const& parent, std::uint64_t seed) {
@@ -86,7 +86,7 @@
                 std::to_string(book_.countOf(Lot::State::refused)) + " refused; the last checks begin");
   co_await checks_.run();
   // What reaches a worker after all is told, too.
-  co_await sleepFor(askAgainAfter);
+  co_await sleepFor(pollInterval);
 }
 
 Task<bool> SoakRun::startUp() {
@@ -99,7 +99,7 @@
   bool served = false;
   while (configured && ready && !served && Clock::now() < until) {
     served = co_await requests_.requestAt(*cluster_.nodesOf(NodeRole::edge)[0], RequestKind::repeatable);
-    if (!served) co_await sleepFor(askAgainAfter);
+    if (!served) co_await sleepFor(pollInterval);
   }
   if (!served) verdict_.fail("start", "the processes don't serve in time");
   verdict_.note("up, at " + block_.ip(1));
@@ -145,7 +145,7 @@
   auto const underWay = [this] {
     return lots_.underWay() + requests_.underWay() + kept_.underWay() + probe_.underWay() + operators_.underWay();
   };
-  while (underWay() && Clock::now() < until) co_await sleepFor(askAgainAfter);
+  while (underWay() && Clock::now() < until) co_await sleepFor(pollInterval);
   if (operators_.underWay()) verdict_.fail("CONFIG", "a change has no clear end long after all faults");
 }
 
