--- a/base/settings.cpp
+++ b/base/settings.cpp
@@ -11,8 +11,8 @@
 constexpr std::uint64_t maxPort = 65535;
 /// The control, store and relay servers each use one of the internal ports.
 constexpr std::uint64_t internalServers = 3;
-constexpr double maxReal = 1e15;
-constexpr double maxDurationMs = 1e12;
+constexpr double maxSettingNumber = 1e15;
+constexpr double maxSettingMs = 1e12;
 constexpr std::int64_t maxCount = 1 << 24;
 constexpr std::int64_t maxLosses = 1000;
 
@@ -23,7 +23,7 @@
   char* end = nullptr;
   double const value = std::strtod(text.c_str(), &end);
   bool const whole = !text.empty() && end && !*end;
-  if (!whole || !(value >= 0 && value < maxReal)) return std::nullopt;
+  if (!whole || !(value >= 0 && value < maxSettingNumber)) return std::nullopt;
   return value;
 }
 
@@ -71,7 +71,7 @@
   return [field, unit](Settings& settings, string const& value) {
     std::optional<double> const count = parseReal(value);
     double const unitMs = static_cast<double>(unit.count());
-    if (!count || *count * unitMs > maxDurationMs) return false;
+    if (!count || *count * unitMs > maxSettingMs) return false;
     settings.bounds.*field = Ms(static_cast<std::int64_t>(*count * unitMs));
     return true;
   };
--- a/control/evacuation_handler.cpp
+++ b/control/evacuation_handler.cpp
@@ -5,7 +5,7 @@
 namespace tealshelf {
 
 namespace {
-string const keyPrefix = "evacuation/";
+string const evacuationPrefix = "evacuation/";
 /// Orders that wait for another to be written.
 constexpr std::size_t maxWaitingOrders = 64;
 }  // namespace
@@ -23,7 +23,8 @@
   std::optional<Values> const values = driver_.consensus().lastKnownValues(membersKeyspace);
   if (!values) return records;
   for (auto const& [key, value] : *values)
-    if (key.starts_with(keyPrefix)) records[key.substr(keyPrefix.size())] = deserialize<Evacuation>(value);
+    if (key.starts_with(evacuationPrefix))
+      records[key.substr(evacuationPrefix.size())] = deserialize<Evacuation>(value);
   return records;
 }
 
@@ -48,7 +49,7 @@
   next.zone = zone;
   next.isActive = isWanted;
   ++next.revision;
-  vector<KeyChange> changes(1, KeyChange{keyPrefix + zone, serialize(next), false});
+  vector<KeyChange> changes(1, KeyChange{evacuationPrefix + zone, serialize(next), false});
   co_await keyspace_.commit(std::move(changes));
   logInfo("control", zone + (isWanted ? " is evacuated" : " is no longer evacuated"));
   driver_.onChange();
--- a/control/retirement_handler.cpp
+++ b/control/retirement_handler.cpp
@@ -5,7 +5,7 @@
 namespace tealshelf {
 
 namespace {
-string const keyPrefix = "retire/";
+string const retirementPrefix = "retire/";
 }
 
 RetirementHandler::RetirementHandler(Settings const& settings, RpcClient& rpc, ConsensusDriver& driver,
@@ -17,7 +17,7 @@
   std::optional<Values> const values = consensus.lastKnownValues(membersKeyspace);
   if (!values) return names;
   for (auto const& [key, value] : *values)
-    if (key.starts_with(keyPrefix)) names.insert(key.substr(keyPrefix.size()));
+    if (key.starts_with(retirementPrefix)) names.insert(key.substr(retirementPrefix.size()));
   return names;
 }
 
@@ -29,12 +29,12 @@
   std::optional<CallReply> const forwarded = co_await keyspace_.forward(call);
   if (forwarded) co_return *forwarded;
   co_await keyspace_.confirmOwnership(end);
-  bool const asked = keyspace_.values().contains(keyPrefix + node);
+  bool const asked = keyspace_.values().contains(retirementPrefix + node);
   if (!asked && !lots_.isKnownStore(node)) throw Error(ErrorCode::unknownNode, node);
   if (call.verb == "POST") {
     if (!asked) {
       checkEnoughStay(node);
-      vector<KeyChange> changes(1, KeyChange{keyPrefix + node, "1", false});
+      vector<KeyChange> changes(1, KeyChange{retirementPrefix + node, "1", false});
       co_await keyspace_.commit(std::move(changes));
       logInfo("control", node + " is to be emptied");
     }
--- a/tests/consensus/failing_disk_test.cpp
+++ b/tests/consensus/failing_disk_test.cpp
@@ -18,7 +18,7 @@
   std::size_t nextOwner = 0, lastOwner = 0, first = 0;
   string broken;
 };
-Refusal play(std::uint64_t seed, bool abstains, std::size_t nodes) {
+Refusal playWithFailingDisk(std::uint64_t seed, bool abstains, std::size_t nodes) {
   sim::Cluster c(seed, nodes);
   c.run(400);
   Refusal o;
@@ -119,13 +119,13 @@
   std::size_t stuck = 0;
   for (std::size_t const nodes : {3u, 4u, 5u})
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-      Refusal const o = play(seed, true, nodes);
+      Refusal const o = playWithFailingDisk(seed, true, nodes);
       STRCMP_EQUAL("", o.broken.c_str());
       CHECK(o.during > 0);
       CHECK(o.nextOwner != o.first);
       CHECK(o.after > 0);
       LONGS_EQUAL(o.first, o.lastOwner);
-      Refusal const kept = play(seed, false, nodes);
+      Refusal const kept = playWithFailingDisk(seed, false, nodes);
       stuck += kept.nextOwner == kept.first;
     }
   CHECK_TEXT(stuck > 0, "an owner that keeps its keyspaces with a refusing disk was never caught");
--- a/tests/consensus/membership_test.cpp
+++ b/tests/consensus/membership_test.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 /// Joins, wipes of up to two disks at once, cuts, freezes and losses of power.
-string play(std::uint64_t seed, bool keepIdentity, std::uint64_t& changes, bool corruptVotes = false) {
+string playMembership(std::uint64_t seed, bool keepIdentity, std::uint64_t& changes, bool corruptVotes = false) {
   sim::Cluster cluster(seed, 8, false, 3);
   cluster.joins = true;
   cluster.survive = 2;
@@ -76,7 +76,7 @@
 TEST(membership, wipesJoinsAndCutsKeepEveryPromise) {
   std::uint64_t wipes = 0;
   for (std::uint64_t s = 1; s <= seeds(); ++s) {
-    string const b = play(s, false, wipes);
+    string const b = playMembership(s, false, wipes);
     if (!b.empty()) FAIL(("seed " + std::to_string(s) + ": " + b).c_str());
   }
   CHECK(wipes > 10);
@@ -85,14 +85,14 @@
 TEST(membership, aCorruptDiskThatVotesIsCaught) {
   bool caught = false;
   std::uint64_t wipes = 0;
-  for (std::uint64_t s = 1; s <= 300 && !caught; ++s) caught = !play(s, false, wipes, true).empty();
+  for (std::uint64_t s = 1; s <= 300 && !caught; ++s) caught = !playMembership(s, false, wipes, true).empty();
   CHECK_TEXT(caught, "the broken variant was never caught");
 }
 
 TEST(membership, aWipedDiskThatVotesIsCaught) {
   bool caught = false;
   std::uint64_t wipes = 0;
-  for (std::uint64_t s = 1; s <= 300 && !caught; ++s) caught = !play(s, true, wipes).empty();
+  for (std::uint64_t s = 1; s <= 300 && !caught; ++s) caught = !playMembership(s, true, wipes).empty();
   CHECK_TEXT(caught, "the broken variant was never caught");
 }
 
--- a/tests/control/evacuation_test.cpp
+++ b/tests/control/evacuation_test.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 string const evacuation = "/evacuation/z";
-string const configuration =
+string const evacuatedConfiguration =
     R"({"version":1,"routes":[{"name":"r","host":"h","pathStart":"/","kind":"repeatable","timeLimitMs":1000,"targetMs":100,)"
     R"("service":"app"}],"services":[{"name":"app","warmUpS":3,"warmupPerS":12}],"limits":{}})";
 
@@ -56,7 +56,7 @@
   ControlPlane plane{Ms(2000)};
   /// Puts the configuration in force, and has a worker heard everywhere.
   void begin(int warmupLeftMs) {
-    CHECK(plane.callUntil(200, 0, "/settings", configuration));
+    CHECK(plane.callUntil(200, 0, "/settings", evacuatedConfiguration));
     CHECK(plane.callUntil(200, 0, "/servers/i-1", heartbeat(warmupLeftMs, 1)));
     for (std::size_t node = 0; node < ControlPlane::nodeCount; ++node) CHECK(plane.getsToKnow(node, "i-1"));
   }
--- a/tests/lots/two_primaries_test.cpp
+++ b/tests/lots/two_primaries_test.cpp
@@ -6,8 +6,8 @@
 using namespace tealshelf;
 
 namespace {
-constexpr std::size_t itemCount = 12;
-string const host = "shop.example", lotId = "lot";
+constexpr std::size_t primaryItems = 12;
+string const primaryHost = "shop.example", lotId = "lot";
 
 /// Two stores on loopback, a worker, and a control node that grants every lease and tells each store what the
 /// test wants it to believe.
@@ -90,7 +90,7 @@
   }
   /// Reads the lot at a store under a stamp; false if a position differs from what any reader saw before.
   bool read(StoreRef const& at, GenerationStamp stamp) {
-    std::optional<ReadResultsReply> const r = ask(at, ReadResults{host, lotId, stamp, 0, 1u << 20, 0});
+    std::optional<ReadResultsReply> const r = ask(at, ReadResults{primaryHost, lotId, stamp, 0, 1u << 20, 0});
     if (!r) return true;
     bool same = true;
     for (std::size_t n = 0; n < r->itemIds.size(); ++n) {
@@ -135,18 +135,18 @@
   StoreRef const a = rig.refs["store-1"], b = rig.refs["store-2"];
   LotRecord l;
   l.id = lotId;
-  l.host = host;
+  l.host = primaryHost;
   l.route = "night";
   l.service = "app";
-  l.itemCount = itemCount;
+  l.itemCount = primaryItems;
   l.sentAtMs = wallClockMs();
   l.dueInMs = 300;
   l.keepForMs = 60000;
   l.state = LotState::accepted;
   l.stamp = GenerationStamp(1);
   l.holders = {a, b};
-  vector<ItemRecord> items(itemCount);
-  for (std::size_t n = 0; n < itemCount; ++n) items[n] = {"item-" + std::to_string(n), "/night/x", "b", {}, 10};
+  vector<ItemRecord> items(primaryItems);
+  for (std::size_t n = 0; n < primaryItems; ++n) items[n] = {"item-" + std::to_string(n), "/night/x", "b", {}, 10};
   CreateReplica const create{l, serialize(items), {}, true};
   CHECK(rig.ask(a, create).has_value());
   // The very same again is no second lot, and an older one is refused.
@@ -162,7 +162,7 @@
   });
   LotRecord next = l;
   next.stamp = GenerationStamp(2);
-  std::optional<InspectReplicaReply> const at = rig.ask(b, InspectReplica{host, lotId});
+  std::optional<InspectReplicaReply> const at = rig.ask(b, InspectReplica{primaryHost, lotId});
   std::uint64_t cut = at->results;
   bool const moves = course != Course::freshStamp;
   if (moves) {
@@ -171,29 +171,29 @@
       LotRecord& apart = rig.told["store-1"];
       apart.holders = {a};
       apart.stamp = GenerationStamp(3);
-      CHECK(rig.ask(a, SettleReplica{host, lotId, GenerationStamp(1), GenerationStamp(3), cut}).has_value());
+      CHECK(rig.ask(a, SettleReplica{primaryHost, lotId, GenerationStamp(1), GenerationStamp(3), cut}).has_value());
     }
   } else {
-    cut = std::min(cut, rig.ask(a, InspectReplica{host, lotId})->results);
-    CHECK(rig.ask(a, SettleReplica{host, lotId, GenerationStamp(1), GenerationStamp(2), cut}).has_value());
+    cut = std::min(cut, rig.ask(a, InspectReplica{primaryHost, lotId})->results);
+    CHECK(rig.ask(a, SettleReplica{primaryHost, lotId, GenerationStamp(1), GenerationStamp(2), cut}).has_value());
     rig.told["store-1"] = next;
   }
-  CHECK(rig.ask(b, SettleReplica{host, lotId, GenerationStamp(1), GenerationStamp(2), cut}).has_value());
+  CHECK(rig.ask(b, SettleReplica{primaryHost, lotId, GenerationStamp(1), GenerationStamp(2), cut}).has_value());
   rig.told["store-2"] = next;
   // Whoever still writes under the old stamp is refused.
   AppendResults stale;
-  stale.parts = {{host, lotId, GenerationStamp(1), cut, {serialize(ResultRecord{0, true, "stale"})}}};
+  stale.parts = {{primaryHost, lotId, GenerationStamp(1), cut, {serialize(ResultRecord{0, true, "stale"})}}};
   CHECK_FALSE(rig.ask(b, stale)->accepted.at(0));
   rig.until([&] {
     same = rig.read(a, course == Course::broken ? GenerationStamp(3) : GenerationStamp(1)) && same;
     same = rig.read(moves ? b : a, GenerationStamp(2)) && same;
-    return rig.seen.size() == itemCount || !same;
+    return rig.seen.size() == primaryItems || !same;
   });
   if (moves && same) {
     // The first primary learns of the other at last and serves nothing under either stamp.
     rig.told["store-1"] = next;
-    rig.until([&] { return !rig.ask(a, ReadResults{host, lotId, GenerationStamp(1), 0, 1u << 20, 0}); });
-    CHECK_FALSE(rig.ask(a, ReadResults{host, lotId, GenerationStamp(2), 0, 1u << 20, 0}).has_value());
+    rig.until([&] { return !rig.ask(a, ReadResults{primaryHost, lotId, GenerationStamp(1), 0, 1u << 20, 0}); });
+    CHECK_FALSE(rig.ask(a, ReadResults{primaryHost, lotId, GenerationStamp(2), 0, 1u << 20, 0}).has_value());
   }
   int most = 0;
   for (std::pair<string const, int> const& r : rig.runs) most = std::max(most, r.second);
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -7,7 +7,7 @@
 # which are unique within a unit. Fails too if a source belongs to no unit.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-sources_per_unit=8
+sources_per_unit=24
 # Boost 1.74 takes clang for a compiler without standard coroutines unless told otherwise.
 coroutines=(--extra-arg=-DBOOST_ASIO_HAS_CO_AWAIT=1 --extra-arg=-DBOOST_ASIO_HAS_STD_COROUTINE=1)
 # Not held yet, see .clang-tidy.
--- a/tools/soak/fault_driver.cpp
+++ b/tools/soak/fault_driver.cpp
@@ -5,7 +5,7 @@
 namespace tealshelf::soak {
 
 namespace {
-constexpr double lostAnswerShare = 0.2;
+constexpr double lostAnswersInFault = 0.2;
 constexpr Ms waitForAcknowledgement{3000}, pollPeriod{5}, betweenRepeats{250};
 /// Times confirmWithin for which an order about a zone is sent again.
 constexpr int orderPatience = 6;
@@ -123,7 +123,7 @@
 void FaultDriver::beginAtNode(Fault const& fault, ClusterNode& node) {
   if (fault.kind == FaultKind::pauseNode) return cluster_.pause(node);
   if (fault.kind == FaultKind::hangUp) return cluster_.hangUp(node);
-  if (fault.kind == FaultKind::loseAnswers) return cluster_.cuts().loseAnswers(node.plan.ip, lostAnswerShare);
+  if (fault.kind == FaultKind::loseAnswers) return cluster_.cuts().loseAnswers(node.plan.ip, lostAnswersInFault);
   cluster_.kill(node);
   if (fault.kind == FaultKind::loseDisk) cluster_.emptyDisk(node);
 }
--- a/tools/soak/http_call.hpp
+++ b/tools/soak/http_call.hpp
@@ -21,6 +21,13 @@
   string describe() const;
 };
 
+/// How near to a fault of its node an answer may be that isn't judged.
+constexpr Ms aroundFaults{300};
+/// True for a status that says that nothing ran or will.
+constexpr bool isPromise(int status) {
+  return status == 429 || status == 503 || status == 408 || status == 421;
+}
+
 HttpRequest makeRequest(http::verb verb, string const& target, string const& host);
 /// A connection that is kept for many requests.
 struct KeptConnection {
--- a/tools/soak/lot_client.cpp
+++ b/tools/soak/lot_client.cpp
@@ -8,7 +8,7 @@
 namespace {
 constexpr int maxSubmissions = 8;
 constexpr Ms firstPause{100}, maxPause{1000}, submitLimit{12000}, readLimit{6000}, endLimit{10000};
-constexpr Ms observePause{60}, aroundFaults{300};
+constexpr Ms observePause{60};
 constexpr double failingShare = 0.02, impossibleShare = 0.02, endedShare = 0.06, sentAgainShare = 0.1,
                  lostAnswerShare = 0.05, impatientShare = 0.3, bodyShare = 0.2, earlierShare = 0.4;
 constexpr string_view errorStart = "{\"error\":\"";
@@ -20,10 +20,6 @@
          "\",\"tokens\":150}";
 }
 
-bool isPromise(int status) {
-  return status == 429 || status == 503 || status == 408 || status == 421;
-}
-
 /// The code in the body of an error of tealshelf's own, after a blank.
 string codeOf(HttpAnswer const& answer) {
   bool const hasCode = answer.status >= 400 && answer.body.starts_with(errorStart);
--- a/tools/soak/operator_client.cpp
+++ b/tools/soak/operator_client.cpp
@@ -7,8 +7,8 @@
 namespace tealshelf::soak {
 
 namespace {
-constexpr Ms orderLimit{1500}, readLimit{1500}, retryPause{60}, readPause{40}, unlimited{3600000};
-constexpr double lostAnswerShare = 0.08, raceShare = 0.15, sentAgainShare = 0.1;
+constexpr Ms orderLimit{1500}, settingsReadLimit{1500}, retryPause{60}, readPause{40}, unlimited{3600000};
+constexpr double orderAnswerLostShare = 0.08, raceShare = 0.15, orderSentAgainShare = 0.1;
 constexpr int maxVersionStep = 3;
 
 bool sameContent(string const& left, string const& right) {
@@ -66,7 +66,7 @@
     Address const to = control.address(controlPort);
     HttpAnswer const answer = co_await callHttp(io_, to, std::move(request), orderLimit);
     if (answer.complete) verdict_.count("evacuation orders " + std::to_string(answer.status));
-    if (answer.complete && answer.status == 200 && !random_.chance(lostAnswerShare)) co_return true;
+    if (answer.complete && answer.status == 200 && !random_.chance(orderAnswerLostShare)) co_return true;
     if (answer.complete && answer.status / 100 == 4)
       verdict_.fail("DENIED", control.plan.name + " refuses an order about " + zone + ": " + answer.describe());
     co_await sleepFor(retryPause);
@@ -80,7 +80,7 @@
   while (Clock::now() < until) {
     ClusterNode& control = *random_.pick(controls);
     HttpAnswer const answer = co_await put(change, control);
-    bool const clear = answer.complete && !random_.chance(lostAnswerShare);
+    bool const clear = answer.complete && !random_.chance(orderAnswerLostShare);
     if (clear && answer.status == 200) {
       noteAcknowledged(change, control);
       co_return Outcome::acknowledged;
@@ -109,7 +109,7 @@
   if (outcome == Outcome::refused)
     verdict_.fail("CONFIG", "version " + std::to_string(change.version) + " on " + std::to_string(change.base) +
                                 ", the newest acknowledged one, is refused");
-  bool const again = outcome == Outcome::acknowledged && random_.chance(sentAgainShare);
+  bool const again = outcome == Outcome::acknowledged && random_.chance(orderSentAgainShare);
   if (again) {
     HttpAnswer const answer = co_await put(change, *random_.pick(cluster_.nodesOf(NodeRole::control)));
     bool const refused = answer.complete && answer.status >= 400 && answer.status < 500 && answer.status != 429;
@@ -166,7 +166,7 @@
 
 Task<std::optional<std::uint64_t>> OperatorClient::read(ClusterNode& control) {
   HttpRequest request = makeRequest(http::verb::get, "/settings", control.plan.ip);
-  HttpAnswer const answer = co_await callHttp(io_, control.address(controlPort), std::move(request), readLimit);
+  HttpAnswer const answer = co_await callHttp(io_, control.address(controlPort), std::move(request), settingsReadLimit);
   if (!answer.complete) co_return std::nullopt;
   verdict_.count("configuration reads " + std::to_string(answer.status));
   if (answer.status != 200 && answer.status != 404) co_return std::nullopt;
--- a/tools/soak/request_client.cpp
+++ b/tools/soak/request_client.cpp
@@ -10,13 +10,9 @@
 /// shared.
 constexpr Ms patience{3000};
 /// A process may be hit by a fault just as a request leaves.
-constexpr Ms aroundFaults{300};
 constexpr double anyEdgeShare = 0.1;
 constexpr int minEvents = 2, maxEvents = 12;
 
-bool isPromise(int status) {
-  return status == 429 || status == 503 || status == 408 || status == 421;
-}
 }  // namespace
 
 ClusterNode& drawEdge(Cluster& cluster, Random& random) {
--- a/wire/rpc_server.cpp
+++ b/wire/rpc_server.cpp
@@ -8,7 +8,7 @@
 namespace {
 constexpr std::size_t maxUnreadBytes = 8u << 20;  ///< answers that wait for a caller that doesn't read
 constexpr std::size_t maxActiveCalls = 1024;      ///< calls of one connection that are handled at once
-constexpr int backlog = 256;
+constexpr int rpcBacklog = 256;
 }  // namespace
 
 struct RpcServer::Connection {
@@ -33,7 +33,7 @@
 };
 
 RpcServer::RpcServer(asio::io_context& io, Address address, Ms silenceTimeout)
-    : io_(io), address_(std::move(address)), silenceTimeout_(silenceTimeout), listener_(io, address_, backlog) {}
+    : io_(io), address_(std::move(address)), silenceTimeout_(silenceTimeout), listener_(io, address_, rpcBacklog) {}
 
 void RpcServer::start() {
   listener_.start("rpc listener", [this](tcp::socket socket) {
