warm-ups: a worker that gave a cut-off node no answer is passed over for a while

Cause: a node whose knowledge is old asks each worker before each request; who can't be reached was asked again by the next one. Test: coldUnheard, thoseThatDoNotAnswerAreNotAskedByEachRequest fails without it; they are asked again later.

--- a/lots/item_execution.cpp
+++ b/lots/item_execution.cpp
@@ -154,6 +154,7 @@
   WarmUpGate::Admission admission;
   if (!warmUps_.isOpen(*worker)) {
     admission = co_await warmUps_.ask(*worker, Clock::now() + settings_.bounds.step);
+    if (admission.isUnanswered) balancer_.markFailed(worker->id, true);
     if (!admission.isGranted || !isActive(*run)) co_return false;
   }
   string const workerId = worker->id;
--- a/traffic/load_balancer.cpp
+++ b/traffic/load_balancer.cpp
@@ -115,7 +115,7 @@
   bool const wantsWarmingUp = group == Group::warmingUp;
   vector<Candidate> candidates;
   for (Worker const* const worker : group == Group::trial ? groups.trial : groups.stable)
-    if (view.isWarmingUp(*worker) == wantsWarmingUp)
+    if (view.warmUpOf(*worker).mayBeUnderWay == wantsWarmingUp)
       candidates.push_back({worker, hash64(worker->id), &workers_[worker->id]});
   return candidates;
 }
--- a/updates/fleet_view.cpp
+++ b/updates/fleet_view.cpp
@@ -161,17 +161,14 @@
   return !worker.draining && !worker.removed && !isEvacuated;
 }
 
-ServiceSettings const* FleetView::warmUpService(Worker const& worker) const {
-  if (!configuration_) return nullptr;
+FleetView::WarmUp FleetView::warmUpOf(Worker const& worker) const {
+  if (!configuration_) return {};
   auto const service = configuration_->services.find(worker.service);
-  bool const warmsUp = service != configuration_->services.end() && service->second.warmsUp();
-  return warmsUp ? &service->second : nullptr;
-}
-
-bool FleetView::isWarmingUp(Worker const& worker) const {
-  if (!warmUpService(worker)) return false;
+  bool const isBounded = service != configuration_->services.end() && service->second.warmsUp();
+  if (!isBounded) return {};
   auto const evacuation = evacuations_.find(worker.zone);
-  return mayBeWarmingUp(worker, evacuation == evacuations_.end() ? nullptr : &evacuation->second);
+  Evacuation const* const order = evacuation == evacuations_.end() ? nullptr : &evacuation->second;
+  return {&service->second, mayBeWarmingUp(worker, order)};
 }
 
 VersionGroups const& FleetView::groupsOf(string const& service) const {
--- a/updates/fleet_view.hpp
+++ b/updates/fleet_view.hpp
@@ -24,10 +24,12 @@
   vector<Worker const*> const& workersOf(string const& service) const { return groupsOf(service).stable; }
   /// True if a worker may get new requests, as far as its state and its zone go.
   bool takesRequests(Worker const& worker) const;
-  /// The settings of a worker's service if it bounds what workers get while they warm up, else null.
-  ServiceSettings const* warmUpService(Worker const& worker) const;
-  /// True if a worker warms up, or may do so for all that is known here, and its service is bounded then.
-  bool isWarmingUp(Worker const& worker) const;
+  /// What is known here of whether a worker warms up.
+  struct WarmUp {
+    ServiceSettings const* service = nullptr;  ///< null if the worker's service doesn't bound what it gets meanwhile
+    bool mayBeUnderWay = false;                ///< it warms up, or may do so for all that is known here
+  };
+  WarmUp warmUpOf(Worker const& worker) const;
   /// Null if there is none of that id.
   Worker const* find(string const& id) const;
   /// Rises whenever the workers change.
