lots, rollouts: one test of holders and of lost holders; rollouts take turns by AsyncMutex

What stood twice or more: 'is this store among the holders' (five places), 'this holder is lost' (two), a hand-made lock. FleetLoad::live goes.

--- a/control/rollout_handler.cpp
+++ b/control/rollout_handler.cpp
@@ -13,6 +13,8 @@
 string const collectionPath = "/rollouts";
 /// Decisions are made so often in inTouch.
 constexpr int decisionsInTouch = 80;
+/// Orders that may wait for a decision that is under way.
+constexpr std::size_t maxWaitingOrders = 64;
 /// Quarters of inTouch that count as lately.
 constexpr int recentEvidence = 2;
 }  // namespace
@@ -26,7 +28,8 @@
       workers_(workers),
       nodes_(nodes),
       keyspace_(settings, rpc, driver, rolloutsKeyspace),
-      plan_(RolloutPlan::of(settings.bounds)) {}
+      plan_(RolloutPlan::of(settings.bounds)),
+      changes_(io, maxWaitingOrders) {}
 
 void RolloutHandler::start() {
   // Elsewhere the first order makes the keyspace known.
@@ -59,9 +62,7 @@
   std::optional<std::set<string>> const known = services();
   if (!known) throw Error(ErrorCode::notReady, "no configuration yet");
   if (!known->contains(order.service)) throw Error(ErrorCode::badRollout, order.service);
-  // Records are changed by one task at a time.
-  while (deciding_ && Clock::now() < end) co_await sleepFor(settings_.bounds.inTouch / decisionsInTouch / 4);
-  if (deciding_) throw Error(ErrorCode::busy);
+  AsyncMutex::Lock const turn = co_await changes_.lock(Ms(remainingMs(end)));
   std::map<string, RolloutRecord> const present = records();
   auto const found = present.find(order.service);
   std::optional<RolloutRecord> record;
@@ -79,14 +80,7 @@
   } else {
     decision.record.elapsedMs = elapsed.count();
   }
-  deciding_ = true;
-  try {
-    co_await commit(std::move(decision.record));
-  } catch (...) {
-    deciding_ = false;
-    throw;
-  }
-  deciding_ = false;
+  co_await commit(std::move(decision.record));
   co_return CallReply{200, "{}"};
 }
 
@@ -178,14 +172,13 @@
 Task<void> RolloutHandler::decideLoop() {
   for (;;) {
     co_await sleepFor(settings_.bounds.inTouch / decisionsInTouch);
-    if (deciding_) continue;
-    deciding_ = true;
+    if (changes_.locked()) continue;
     try {
+      AsyncMutex::Lock const turn = co_await changes_.lock(Ms(0));
       co_await decide();
     } catch (Error const& error) {
       logInfo("rollouts", string("a change wasn't written: ") + error.what());
     }
-    deciding_ = false;
   }
 }
 
--- a/control/rollout_handler.hpp
+++ b/control/rollout_handler.hpp
@@ -1,4 +1,5 @@
 #pragma once
+#include "base/async_mutex.hpp"
 #include "control/node_directory.hpp"
 #include "control/owned_keyspace.hpp"
 #include "control/worker_directory.hpp"
@@ -64,7 +65,7 @@
   std::deque<PastEvidence> pastEvidence_;  ///< of the last moments, the oldest first
   std::map<string, Sighting> sightings_;   ///< by service
   TimePoint startedAt_ = Clock::now();
-  bool deciding_ = false;
+  AsyncMutex changes_;  ///< records are changed by one task at a time
 };
 
 }  // namespace tealshelf
--- a/edge/request_targets.cpp
+++ b/edge/request_targets.cpp
@@ -53,6 +53,7 @@
     target.sendBy = admission.sendBy;
     if (admission.isGranted) co_return target;
     retries.triedWorkers.insert(target.worker.id);
+    if (admission.isUnanswered) balancer_.markFailed(target.worker.id, true);
     pick = balancer_.pick(view_, plan.pick, retries.triedWorkers);
   }
   co_return std::nullopt;
--- a/fleet/nodes.hpp
+++ b/fleet/nodes.hpp
@@ -51,4 +51,9 @@
   MSGPACK_DEFINE(id, name, zone, address)
 };
 
+/// True if a store is among others.
+inline bool containsStore(vector<StoreRef> const& stores, NodeId store) {
+  return std::any_of(stores.begin(), stores.end(), [store](StoreRef const& other) { return other.id == store; });
+}
+
 }  // namespace tealshelf
--- a/lots/lot_coordinator.hpp
+++ b/lots/lot_coordinator.hpp
@@ -128,6 +128,8 @@
   FleetLoad fleetLoad(TimePoint now) const;
   /// True if the disk of a holder is known to be gone: its machine was heard with another one since.
   bool isDiskGone(StoreRef const& holder) const;
+  /// True if a holder can't be counted on any more: it is dead, or its disk is gone or fails.
+  bool isLost(StoreRef const& holder, TimePoint now) const;
   /// Copies that a lot must have to survive what the deployment may lose.
   std::size_t neededCopies() const { return static_cast<std::size_t>(settings_.surviveMachines) + 1; }
 
--- a/lots/lot_recovery.cpp
+++ b/lots/lot_recovery.cpp
@@ -109,14 +109,11 @@
     co_return RecoveryOutcome::noLiveHolder;
   }
   NodeId const primary = lot.holders[0].id;
-  auto const hasPrimary = [primary](vector<StoreRef> const& stores) {
-    return std::any_of(stores.begin(), stores.end(), [primary](StoreRef const& store) { return store.id == primary; });
-  };
   Survivors const survivors = co_await inspectHolders(lot, live);
   if (survivors.stores.empty()) co_return RecoveryOutcome::noIntactReplica;
   // A primary that takes no part may go on answering reads under its lease.
   bool fenced = false;
-  if (!hasPrimary(survivors.stores)) {
+  if (!containsStore(survivors.stores, primary)) {
     fenced = co_await fenceEverywhere(primary);
     if (!fenced) co_return RecoveryOutcome::primaryNotFenced;
   }
@@ -148,17 +145,14 @@
     co_return copies.refused ? RecoveryOutcome::copiesRefused : RecoveryOutcome::tooFewStores;
   checkInvariant(Invariant::freshStampAfterCopies, reachable >= minHolders || noOtherCopy, [&] { return lot.id; });
   vector<StoreRef> const settled = co_await settleHolders(lot, kept, recovered.stamp, survivors.shortest);
-  auto const isSettled = [&settled](StoreRef const& store) {
-    return std::find(settled.begin(), settled.end(), store) != settled.end();
-  };
   vector<StoreRef> remaining;
   for (StoreRef const& store : staying)
-    if (isSettled(store)) remaining.push_back(store);
+    if (containsStore(settled, store.id)) remaining.push_back(store);
   remaining.insert(remaining.end(), copied.begin(), copied.end());
   recovered.holders = holdersAfterRecovery(settled, remaining, neededCopies());
   bool const enough = recovered.holders.size() >= minHolders || (noOtherCopy && settled.size() == kept.size());
   if (settled.empty() || !enough) co_return RecoveryOutcome::notSettled;
-  if (!fenced && !hasPrimary(settled)) {
+  if (!fenced && !containsStore(settled, primary)) {
     fenced = co_await fenceEverywhere(primary);
     if (!fenced) co_return RecoveryOutcome::primaryNotFenced;
   }
--- a/lots/lot_upkeep.cpp
+++ b/lots/lot_upkeep.cpp
@@ -93,6 +93,10 @@
   return first * (1 << doublings);
 }
 
+bool LotCoordinator::isLost(StoreRef const& holder, TimePoint now) const {
+  return isDiskGone(holder) || isDead(holder.id, now) || isDiskFailing(holder.id);
+}
+
 RecoveryNeed LotCoordinator::needOf(LotRecord const& lot, LotStatus const& status, TimePoint now) const {
   if (lot.state == LotState::opening) return RecoveryNeed::none;
   if (lot.isSealed()) return needOfSealed(lot, status, now);
@@ -100,9 +104,7 @@
   if (isFinal) return RecoveryNeed::seal;
   std::set<string> const retiring = retiringStores ? retiringStores() : std::set<string>();
   bool failing = status.primaryNeedsSettlement || !status.failedHolders.empty();
-  for (StoreRef const& holder : lot.holders)
-    failing = failing || isDiskGone(holder) || isDead(holder.id, now) || isDiskFailing(holder.id) ||
-              retiring.contains(holder.name);
+  for (StoreRef const& holder : lot.holders) failing = failing || isLost(holder, now) || retiring.contains(holder.name);
   if (failing) return RecoveryNeed::serve;
   if (lot.holders.size() < neededCopies()) return RecoveryNeed::replicate;
   if (!roomForSpares_) return RecoveryNeed::none;
@@ -117,8 +119,7 @@
   bool isRetiring = false;
   for (StoreRef const& holder : lot.holders) {
     bool const retires = retiring.contains(holder.name);
-    bool const goes = isDiskGone(holder) || isDead(holder.id, now) || isDiskFailing(holder.id) || retires ||
-                      status.failedHolders.contains(holder.id);
+    bool const goes = isLost(holder, now) || retires || status.failedHolders.contains(holder.id);
     if (!goes) ++lasting;
     isRetiring = isRetiring || retires;
   }
--- a/lots/sealed_lots.cpp
+++ b/lots/sealed_lots.cpp
@@ -3,12 +3,6 @@
 
 namespace tealshelf {
 
-namespace {
-bool contains(vector<StoreRef> const& stores, StoreRef const& store) {
-  return std::any_of(stores.begin(), stores.end(), [&store](StoreRef const& other) { return other.id == store.id; });
-}
-}  // namespace
-
 /// The primary said under the recorded stamp that all it will ever list is listed, so each holder has synced it.
 Task<RecoveryOutcome> LotCoordinator::seal(LotRecord lot, Epoch epoch) {
   LotStatus& status = lots_[lot.key()];
@@ -82,11 +76,11 @@
     vector<StoreRef> others = leaving;
     others.insert(others.end(), answers.silent.begin(), answers.silent.end());
     for (StoreRef const& store : others)
-      if (!contains(next.holders, store)) next.holders.push_back(store);
+      if (!containsStore(next.holders, store.id)) next.holders.push_back(store);
   }
   bool const unchanged = next.holders.size() == lot.holders.size() &&
                          std::all_of(next.holders.begin(), next.holders.end(),
-                                     [&lot](StoreRef const& store) { return contains(lot.holders, store); });
+                                     [&lot](StoreRef const& store) { return containsStore(lot.holders, store.id); });
   if (!unchanged) {
     bool const saved = co_await save(next, epoch);
     if (!saved) co_return RecoveryOutcome::recordNotWritten;
--- a/lots/store_placement.hpp
+++ b/lots/store_placement.hpp
@@ -24,7 +24,6 @@
 /// The stores as admission sees them.
 struct FleetLoad {
   vector<StoreLoad> stores;      ///< those that are live
-  vector<NodeId> live;           ///< the same stores
   std::uint64_t lostBytes = 0;   ///< of stores that were lost lately
   std::size_t lossesToCome = 0;  ///< how many more of them may be lost at once
   std::size_t neededCopies = 1;  ///< copies that each lot must have
--- a/lots/store_supervision.cpp
+++ b/lots/store_supervision.cpp
@@ -84,17 +84,16 @@
 FleetLoad LotCoordinator::fleetLoad(TimePoint now) const {
   FleetLoad fleet;
   std::set<string> names;
-  for (StoreRef const& store : liveStores(now)) {
+  vector<StoreRef> const live = liveStores(now);
+  for (StoreRef const& store : live) {
     fleet.stores.push_back(stores_.at(store.id).load);
-    fleet.live.push_back(store.id);
     names.insert(store.name);
   }
   // What was lost lately is one of the losses to survive; what is long gone has no part in them.
   // Its copies are due on the others.
   std::set<string> lost;
   for (auto const& [id, status] : stores_) {
-    bool const live = std::any_of(fleet.live.begin(), fleet.live.end(), [&](NodeId other) { return other == id; });
-    if (live || now - status.heardAt > settings_.bounds.catchUp) continue;
+    if (containsStore(live, id) || now - status.heardAt > settings_.bounds.catchUp) continue;
     fleet.lostBytes += status.load.used + status.load.growth;
     if (!names.contains(status.ref.name)) lost.insert(status.ref.name);
   }
--- a/segments/messages.cpp
+++ b/segments/messages.cpp
@@ -16,7 +16,7 @@
 }
 
 bool LotRecord::isHeldBy(NodeId store) const {
-  return std::any_of(holders.begin(), holders.end(), [store](StoreRef const& holder) { return holder.id == store; });
+  return containsStore(holders, store);
 }
 
 }  // namespace tealshelf
--- a/tests/edge/cold_worker_test.cpp
+++ b/tests/edge/cold_worker_test.cpp
@@ -127,6 +127,25 @@
   LONGS_EQUAL(2, rig.answered(503, 2));
   LONGS_EQUAL(0, rig.sends());
 }
+/// A zone that is cut off has workers on its other side, which no question reaches.
+TEST(coldUnheard, thoseThatDoNotAnswerAreNotAskedByEachRequest) {
+  ColdRig rig;
+  rig.loseMajority();
+  rig.workers[0].resetsProbes = true;
+  LONGS_EQUAL(20, rig.answered(200, 20));
+  LONGS_EQUAL(20, rig.workers[1].sends);
+  CHECK(rig.workers[0].probes <= 2);
+}
+TEST(coldUnheard, thoseThatDoNotAnswerAreAskedAgainLater) {
+  ColdRig rig;
+  rig.loseMajority();
+  rig.workers[0].resetsProbes = true;
+  LONGS_EQUAL(10, rig.answered(200, 10));
+  rig.workers[0].resetsProbes = false;
+  rig.run(Ms(1200));
+  LONGS_EQUAL(20, rig.answered(200, 20));
+  CHECK(rig.workers[0].sends > 3);
+}
 TEST(coldUnheard, thoseThatWarmedUpGetNothing) {
   ColdRig rig;
   rig.hearHeartbeat(1, warmUpLeft);
--- a/tests/traffic/worker_stand_in.hpp
+++ b/tests/traffic/worker_stand_in.hpp
@@ -37,6 +37,7 @@
     spawnTask(io_, "stand-in", take());
   }
   std::size_t primed = 0, sends = 0, probes = 0;
+  bool resetsProbes = false;  ///< a question for its health is answered by a reset
   string id;                  ///< that its health answers name
   std::int64_t warmUpMs = 0;  ///< that its health answers tell
   bool onUsed = false;        ///< the last send came on a connection that had answered before
@@ -79,6 +80,7 @@
       lastHead = p.get();
       if (p.get().target() == "/h") {
         co_await answerProbe(s);
+        if (resetsProbes) co_return;
         continue;
       }
       bool const primes = p.get().target().ends_with("prime");
@@ -109,6 +111,7 @@
   }
   Task<void> answerProbe(tcp::socket& s) {
     ++probes;
+    if (resetsProbes) co_return end(s, Script::End::reset);
     string const more = "Server-Id: " + this->id + "\r\nWarm-Up-Ms: " + std::to_string(warmUpMs) + "\r\n";
     co_await write(s, answerText(200, "", more, ""), "");
   }
--- a/traffic/warm_up_gate.cpp
+++ b/traffic/warm_up_gate.cpp
@@ -29,15 +29,16 @@
       pool_(pool),
       credits_(settings, rpc, view, CreditKind::warmUp, warmUpCreditLife(), warmUpWindow) {}
 
-WarmUpStep WarmUpGate::stepFor(Worker const& worker) const {
-  bool const isBounded = view_.warmUpService(worker) != nullptr;
-  return warmUpStep({isBounded, isBounded && view_.isWarmingUp(worker), view_.isFresh()});
+WarmUpStep WarmUpGate::stepFor(FleetView::WarmUp const& warmUp) const {
+  return warmUpStep({warmUp.service != nullptr, warmUp.mayBeUnderWay, view_.isFresh()});
 }
 
 Task<WarmUpGate::Admission> WarmUpGate::ask(Worker worker, TimePoint until) {
-  WarmUpStep const step = stepFor(worker);
+  FleetView::WarmUp const warmUp = view_.warmUpOf(worker);
+  WarmUpStep const step = stepFor(warmUp);
   if (step == WarmUpStep::send) co_return Admission();
-  ServiceSettings const service = *view_.warmUpService(worker);
+  // Copied: the configuration may change while this waits.
+  ServiceSettings const service = *warmUp.service;
   Admission admission{false, TimePoint::max()};
   if (step == WarmUpStep::takeCredit)
     admission = co_await takeCredit(worker, warmUpAllowance(service, settings_.bounds), until);
@@ -62,8 +63,8 @@
   Exchange exchange(pool_, worker, true);
   probes_.increment();
   SendResult const result = co_await exchange.send(request, "", std::min(until, askedAt + inTouch / probeLimitPart));
-  bool const isWarm = result == SendResult::answered && warmUpLeft(exchange) == Ms(0);
-  if (!isWarm) co_return Admission{false, TimePoint::max()};
+  if (result != SendResult::answered) co_return Admission{false, TimePoint::max(), true};
+  if (warmUpLeft(exchange) != Ms(0)) co_return Admission{false, TimePoint::max()};
   string body;
   BodyState state = BodyState::partial;
   while (state == BodyState::partial) state = co_await exchange.readBody(body, askedAt + inTouch / probeLimitPart);
--- a/traffic/warm_up_gate.hpp
+++ b/traffic/warm_up_gate.hpp
@@ -17,18 +17,19 @@
   struct Admission {
     bool isGranted = true;
     TimePoint sendBy = TimePoint::max();  ///< it must be on its way by then
+    bool isUnanswered = false;            ///< the worker was asked for its health and gave no answer
   };
   WarmUpGate(Settings const& settings, RpcClient& rpc, FleetView& view, ConnectionPool& pool);
 
   /// True if a worker may be sent requests without asking here.
-  bool isOpen(Worker const& worker) const { return stepFor(worker) == WarmUpStep::send; }
+  bool isOpen(Worker const& worker) const { return stepFor(view_.warmUpOf(worker)) == WarmUpStep::send; }
   /// Asks for leave, by a time.
   Task<Admission> ask(Worker worker, TimePoint until);
   /// Forgets what lies in the past.
   void sweep() { credits_.sweep(); }
 
  private:
-  WarmUpStep stepFor(Worker const& worker) const;
+  WarmUpStep stepFor(FleetView::WarmUp const& warmUp) const;
   Task<Admission> takeCredit(Worker worker, RateAllowance limit, TimePoint until);
   /// Asks a worker for its health: granted if it says that it is warm.
   Task<Admission> probe(Worker worker, string healthPath, TimePoint until);
