lots: four directories for four concerns; moves only

coordination (records, recovery, supervision), replicas, execution (items at workers, results) and api.

--- a/control/configuration_handler.cpp
+++ b/control/configuration_handler.cpp
@@ -1,6 +1,6 @@
 #include "control/configuration_handler.hpp"
 
-#include "lots/lot_coordinator.hpp"
+#include "lots/coordination/lot_coordinator.hpp"
 
 namespace tealshelf {
 
--- a/control/control_metrics.hpp
+++ b/control/control_metrics.hpp
@@ -1,7 +1,7 @@
 #pragma once
 #include "base/metrics.hpp"
 #include "consensus/consensus_driver.hpp"
-#include "lots/lot_coordinator.hpp"
+#include "lots/coordination/lot_coordinator.hpp"
 
 namespace tealshelf {
 
--- a/control/retirement_handler.hpp
+++ b/control/retirement_handler.hpp
@@ -1,6 +1,6 @@
 #pragma once
 #include "control/owned_keyspace.hpp"
-#include "lots/lot_coordinator.hpp"
+#include "lots/coordination/lot_coordinator.hpp"
 
 namespace tealshelf {
 
--- a/edge/edge_node.hpp
+++ b/edge/edge_node.hpp
@@ -2,7 +2,7 @@
 #include "edge/edge_metrics.hpp"
 #include "edge/idle_connections.hpp"
 #include "edge/request_forwarder.hpp"
-#include "lots/lot_api.hpp"
+#include "lots/api/lot_api.hpp"
 #include "wire/listener.hpp"
 
 namespace tealshelf {
--- a/lots/lot_api.cpp
+++ b/lots/api/lot_api.cpp
@@ -1,6 +1,6 @@
-#include "lots/lot_api.hpp"
+#include "lots/api/lot_api.hpp"
 
-#include "lots/lot_parser.hpp"
+#include "lots/api/lot_parser.hpp"
 
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
--- a/lots/lot_coordinator.cpp
+++ b/lots/coordination/lot_coordinator.cpp
@@ -1,5 +1,5 @@
 // The calls of edge nodes, and the records of lots.
-#include "lots/lot_coordinator.hpp"
+#include "lots/coordination/lot_coordinator.hpp"
 
 #include "consensus/forward_to_owner.hpp"
 
--- a/lots/lot_coordinator.hpp
+++ b/lots/coordination/lot_coordinator.hpp
@@ -3,12 +3,12 @@
 #include "base/invariant.hpp"
 #include "base/metrics.hpp"
 #include "consensus/consensus_driver.hpp"
-#include "lots/lease_grants.hpp"
-#include "lots/lot_ages.hpp"
+#include "lots/coordination/lease_grants.hpp"
+#include "lots/coordination/recovery_metrics.hpp"
+#include "lots/coordination/replica_rules.hpp"
+#include "lots/coordination/store_placement.hpp"
+#include "lots/execution/lot_ages.hpp"
 #include "lots/messages.hpp"
-#include "lots/recovery_metrics.hpp"
-#include "lots/replica_rules.hpp"
-#include "lots/store_placement.hpp"
 
 namespace tealshelf {
 
--- a/lots/lot_recovery.cpp
+++ b/lots/coordination/lot_recovery.cpp
@@ -1,6 +1,6 @@
 // Recovery of a lot that goes on: survivors are inspected, copies made, and all settled under a fresh stamp.
 #include "base/invariant.hpp"
-#include "lots/lot_coordinator.hpp"
+#include "lots/coordination/lot_coordinator.hpp"
 
 namespace tealshelf {
 
--- a/lots/lot_upkeep.cpp
+++ b/lots/coordination/lot_upkeep.cpp
@@ -1,6 +1,6 @@
 // Upkeep of lots: which records are deleted, and which lots need a recovery, in which order.
 #include "base/invariant.hpp"
-#include "lots/lot_coordinator.hpp"
+#include "lots/coordination/lot_coordinator.hpp"
 
 namespace tealshelf {
 
--- a/lots/recovery_metrics.cpp
+++ b/lots/coordination/recovery_metrics.cpp
@@ -1,4 +1,4 @@
-#include "lots/recovery_metrics.hpp"
+#include "lots/coordination/recovery_metrics.hpp"
 
 namespace tealshelf {
 
--- a/lots/recovery_metrics.hpp
+++ b/lots/coordination/recovery_metrics.hpp
@@ -1,6 +1,6 @@
 #pragma once
 #include "base/metrics.hpp"
-#include "lots/recovery_need.hpp"
+#include "lots/coordination/recovery_need.hpp"
 
 namespace tealshelf {
 
--- a/lots/recovery_need.cpp
+++ b/lots/coordination/recovery_need.cpp
@@ -1,4 +1,4 @@
-#include "lots/recovery_need.hpp"
+#include "lots/coordination/recovery_need.hpp"
 
 namespace tealshelf {
 
--- a/lots/relying_lots.cpp
+++ b/lots/coordination/relying_lots.cpp
@@ -1,5 +1,5 @@
 // Which lots rely on a store that is to be taken away.
-#include "lots/lot_coordinator.hpp"
+#include "lots/coordination/lot_coordinator.hpp"
 
 namespace tealshelf {
 
--- a/lots/sealed_lots.cpp
+++ b/lots/coordination/sealed_lots.cpp
@@ -1,5 +1,5 @@
 // Sealed lots: their record says that nothing is listed any more, and their replicas never change again.
-#include "lots/lot_coordinator.hpp"
+#include "lots/coordination/lot_coordinator.hpp"
 
 namespace tealshelf {
 
--- a/lots/store_supervision.cpp
+++ b/lots/coordination/store_supervision.cpp
@@ -1,5 +1,5 @@
 // Heartbeats, leases and choice of stores.
-#include "lots/lot_coordinator.hpp"
+#include "lots/coordination/lot_coordinator.hpp"
 
 namespace tealshelf {
 
--- a/lots/item_execution.cpp
+++ b/lots/execution/item_execution.cpp
@@ -1,5 +1,5 @@
 // How the items of lots are run at workers.
-#include "lots/lot_runner.hpp"
+#include "lots/execution/lot_runner.hpp"
 #include "tenants/caller.hpp"
 
 namespace tealshelf {
--- a/lots/lot_runner.cpp
+++ b/lots/execution/lot_runner.cpp
@@ -1,5 +1,5 @@
 // Which lots this store runs.
-#include "lots/lot_runner.hpp"
+#include "lots/execution/lot_runner.hpp"
 
 namespace tealshelf {
 
--- a/lots/lot_runner.hpp
+++ b/lots/execution/lot_runner.hpp
@@ -1,8 +1,8 @@
 #pragma once
-#include "lots/lot_ages.hpp"
-#include "lots/lot_run.hpp"
+#include "lots/execution/lot_ages.hpp"
+#include "lots/execution/lot_run.hpp"
 #include "lots/messages.hpp"
-#include "lots/replica_store.hpp"
+#include "lots/replicas/replica_store.hpp"
 #include "traffic/event_stream.hpp"
 #include "traffic/exchange.hpp"
 #include "traffic/load_balancer.hpp"
--- a/lots/result_listing.cpp
+++ b/lots/execution/result_listing.cpp
@@ -1,5 +1,5 @@
 // How results get their positions and are read.
-#include "lots/lot_runner.hpp"
+#include "lots/execution/lot_runner.hpp"
 
 namespace tealshelf {
 
--- a/lots/replica_store.cpp
+++ b/lots/replicas/replica_store.cpp
@@ -1,7 +1,7 @@
-#include "lots/replica_store.hpp"
+#include "lots/replicas/replica_store.hpp"
 
 #include "base/node_id.hpp"
-#include "lots/store_placement.hpp"
+#include "lots/coordination/store_placement.hpp"
 
 namespace tealshelf {
 
--- a/lots/store_metrics.cpp
+++ b/lots/replicas/store_metrics.cpp
@@ -1,4 +1,4 @@
-#include "lots/store_metrics.hpp"
+#include "lots/replicas/store_metrics.hpp"
 
 namespace tealshelf {
 
--- a/lots/store_node.hpp
+++ b/lots/store_node.hpp
@@ -1,6 +1,6 @@
 #pragma once
-#include "lots/lot_runner.hpp"
-#include "lots/store_metrics.hpp"
+#include "lots/execution/lot_runner.hpp"
+#include "lots/replicas/store_metrics.hpp"
 #include "updates/fleet_view.hpp"
 
 namespace tealshelf {
--- a/tests/lots/clocks_and_seeds_test.cpp
+++ b/tests/lots/clocks_and_seeds_test.cpp
@@ -1,7 +1,7 @@
 // Faults that days of our own brought about: clocks that step, and seeds that know nothing.
 #include "consensus/heartbeat_targets.hpp"
-#include "lots/lease_grants.hpp"
-#include "lots/lot_ages.hpp"
+#include "lots/coordination/lease_grants.hpp"
+#include "lots/execution/lot_ages.hpp"
 
 #include <CppUTest/TestHarness.h>
 
--- a/tests/lots/lot_api_test.cpp
+++ b/tests/lots/lot_api_test.cpp
@@ -1,4 +1,4 @@
-#include "lots/lot_api.hpp"
+#include "lots/api/lot_api.hpp"
 #include "tests/wire/loopback.hpp"
 
 #include <CppUTest/TestHarness.h>
--- a/tests/lots/lot_parser_test.cpp
+++ b/tests/lots/lot_parser_test.cpp
@@ -1,4 +1,4 @@
-#include "lots/lot_parser.hpp"
+#include "lots/api/lot_parser.hpp"
 
 #include <CppUTest/TestHarness.h>
 
--- a/tests/lots/replica_rules_test.cpp
+++ b/tests/lots/replica_rules_test.cpp
@@ -1,4 +1,4 @@
-#include "lots/replica_rules.hpp"
+#include "lots/coordination/replica_rules.hpp"
 
 #include <CppUTest/TestHarness.h>
 #include <random>
--- a/tests/lots/store_placement_test.cpp
+++ b/tests/lots/store_placement_test.cpp
@@ -1,4 +1,4 @@
-#include "lots/store_placement.hpp"
+#include "lots/coordination/store_placement.hpp"
 
 #include <CppUTest/TestHarness.h>
 
--- a/tests/segments/replica_table_test.cpp
+++ b/tests/segments/replica_table_test.cpp
@@ -1,5 +1,5 @@
 #include "segments/replica_table.hpp"
-#include "lots/lease_grants.hpp"
+#include "lots/coordination/lease_grants.hpp"
 
 #include <CppUTest/TestHarness.h>
 #include <random>
--- a/tools/check-includes.sh
+++ b/tools/check-includes.sh
@@ -15,6 +15,6 @@
       echo "$file includes $header, which lies above it"
       bad=1
     fi
-  done < <(grep -HoE '^#include "[^"]+"' "$dir"/*.?pp | sed 's/#include "//; s/"$//')
+  done < <(git ls-files "$dir/*.?pp" | xargs grep -HoE '^#include "[^"]+"' | sed 's/#include "//; s/"$//')
 done
 exit $bad
