warm-ups: the bound holds for busy workers too; cold ones get what they bear

And of the bound only 0.7 was granted, 14 a second where 20 are borne. Change: such an answer is trusted for inTouch/256, a round trip; 0.8 is granted, rate before depth.

--- a/tenants/warm_up_allowance.cpp
+++ b/tenants/warm_up_allowance.cpp
@@ -3,16 +3,23 @@
 namespace tealshelf {
 
 namespace {
-/// Parts of the bound that the shards grant in a window, and of that which are depth. The rest of the bound is a
-/// reserve for what their sum doesn't count: requests that are on their way for longer than a credit lives, and those
-/// that nodes had sent before they could know.
-constexpr double usedBound = 0.7, depthPart = 0.4;
+/// The part of the bound that the shards grant in a window. The rest is a reserve for what their sum doesn't count:
+/// requests that are on their way for longer than a credit lives, and those that cut-off nodes send after a question.
+constexpr double usedBound = 0.8;
+/// The part of what is granted that is depth at least, so that several shards have a whole token each.
+constexpr double minDepthPart = 0.2;
+/// A worker's word that it is warm is trusted for this part of inTouch.
+constexpr int inTouchInProbeTrusts = 256;
 }  // namespace
 
 Ms warmUpCreditLife() {
   return creditLifeIn(warmUpWindow);
 }
 
+Ms warmUpProbeTrust(Bounds const& bounds) {
+  return std::max(Ms(1), bounds.inTouch / inTouchInProbeTrusts);
+}
+
 CreditTiming warmUpTiming(Bounds const& bounds) {
   Ms const lease = shardLease(bounds);
   return {warmUpWindow, warmUpCreditLife(), {lease, lease + warmUpCreditLife()}};
@@ -25,8 +32,8 @@
 RateAllowance warmUpAllowance(ServiceSettings const& service, Bounds const& bounds) {
   double const granted = usedBound * warmUpBound(service, bounds);
   double const span = std::chrono::duration<double>(warmUpWindow + warmUpCreditLife()).count();
-  double const perSecond = std::min(service.warmUpPerSecond, granted * (1 - depthPart) / span);
-  return {perSecond, std::min(granted * depthPart, granted - perSecond * span)};
+  double const perSecond = std::min(service.warmUpPerSecond, granted * (1 - minDepthPart) / span);
+  return {perSecond, granted - perSecond * span};
 }
 
 bool grantsAnything(RateAllowance const& allowance) {
--- a/tenants/warm_up_allowance.hpp
+++ b/tenants/warm_up_allowance.hpp
@@ -17,6 +17,10 @@
 /// The life of a credit for a worker that warms up: until when its request must have been written.
 Ms warmUpCreditLife();
 
+/// For how long a node whose knowledge is old goes by a worker's own word that it is warm. All that such nodes send
+/// within it after a worker went cold comes on top of what is granted, so it is about a round trip.
+Ms warmUpProbeTrust(Bounds const& bounds);
+
 CreditTiming warmUpTiming(Bounds const& bounds);
 
 /// The most requests that a warming worker of a service may get in a window.
--- a/traffic/warm_up_gate.cpp
+++ b/traffic/warm_up_gate.cpp
@@ -5,8 +5,8 @@
 namespace tealshelf {
 
 namespace {
-/// A health answer is awaited, and trusted, for these parts of inTouch.
-constexpr int probeLimitPart = 16, probeTrustPart = 64;
+/// A health answer is awaited for this part of inTouch.
+constexpr int probeLimitPart = 16;
 
 /// The time for which a worker says that it warms up yet; nothing if it doesn't say that it is well.
 std::optional<Ms> warmUpLeft(Exchange const& exchange) {
@@ -69,7 +69,7 @@
   BodyState state = BodyState::partial;
   while (state == BodyState::partial) state = co_await exchange.readBody(body, askedAt + inTouch / probeLimitPart);
   if (state == BodyState::complete) exchange.release();
-  co_return Admission{true, Clock::now() + inTouch / probeTrustPart};
+  co_return Admission{true, Clock::now() + warmUpProbeTrust(settings_.bounds)};
 }
 
 }  // namespace tealshelf
