warm-ups: cold workers are asked once their service is busy, not just the worker picked

Cause: each node knows a worker's load from its own answers only, takes one it hasn't asked for long for idle, and so finds room where there is none: cold workers are hardly asked while warm ones are full. Change: the mean load that warm workers of a service told lately counts beside that of the worker picked. Test: coldWorkers, serveCountedRequestsWhereTheServiceIsBusy.

--- a/edge/request_forwarder.cpp
+++ b/edge/request_forwarder.cpp
@@ -181,7 +181,7 @@
                                                           Exchange& exchange, RetryState& retries) {
   string const worker = exchange.worker().id;
   ++retries.sends;
-  if (std::optional<WorkerLoad> const load = exchange.workerLoad()) balancer_.reportLoad(worker, *load);
+  if (std::optional<WorkerLoad> const load = exchange.workerLoad()) balancer_.reportLoad(exchange.worker(), *load);
   int const status = exchange.status();
   if (status >= 500) view_.tally(worker, false);
   if (status >= 500) view_.tallyVersion(exchange.worker(), plan.route->name, outcomeTally(false, std::nullopt));
--- a/edge/request_targets.cpp
+++ b/edge/request_targets.cpp
@@ -15,7 +15,9 @@
 }  // namespace
 
 bool RequestForwarder::hasRoom(Worker const& worker) const {
-  return balancer_.load(worker, Clock::now()) < loadWithRoom;
+  TimePoint const now = Clock::now();
+  double const ofAll = balancer_.recentLoadOf(worker.service, now).value_or(0);
+  return std::max(balancer_.load(worker, now), ofAll) < loadWithRoom;
 }
 
 Task<std::optional<RequestForwarder::Target>> RequestForwarder::warmingTarget(RequestPlan const& plan,
--- a/lots/execution/item_execution.cpp
+++ b/lots/execution/item_execution.cpp
@@ -193,7 +193,7 @@
 Task<bool> LotRunner::readAnswer(RunPtr run, std::size_t index, Exchange& exchange, EventStreamReader& events,
                                  std::uint64_t tries, TimePoint startedAt) {
   string const worker = exchange.worker().id;
-  if (std::optional<WorkerLoad> const load = exchange.workerLoad()) balancer_.reportLoad(worker, *load);
+  if (std::optional<WorkerLoad> const load = exchange.workerLoad()) balancer_.reportLoad(exchange.worker(), *load);
   int const status = exchange.status();
   if (status == 200 && !exchange.isSealed()) exchange.abort();
   string body;
--- a/tests/edge/cold_worker_test.cpp
+++ b/tests/edge/cold_worker_test.cpp
@@ -60,6 +60,25 @@
   CHECK(rig.workers[1].sends > 5);
   LONGS_EQUAL(rig.creditsAsked, rig.workers[1].sends);
 }
+/// What other workers told counts for those that this node hasn't asked yet.
+TEST(coldWorkers, serveCountedRequestsWhereTheServiceIsBusy) {
+  Settings settings;
+  LoadBalancer balancer(settings);
+  Worker warm, cold;
+  warm.id = "i-0";
+  warm.service = cold.service = "app";
+  warm.capacity = cold.capacity = 8;
+  cold.id = "i-1";
+  cold.warmingUp = true;
+  CHECK_FALSE(balancer.recentLoadOf("app", Clock::now()).has_value());
+  for (int report = 0; report < 40; ++report) balancer.reportLoad(warm, {7, 1, 8});
+  DOUBLES_EQUAL(1.0, *balancer.recentLoadOf("app", Clock::now()), 0.01);
+  // What a cold worker tells is no sign of how busy the warm ones are.
+  for (int report = 0; report < 40; ++report) balancer.reportLoad(cold, {0, 0, 8});
+  DOUBLES_EQUAL(1.0, *balancer.recentLoadOf("app", Clock::now()), 0.01);
+  CHECK_FALSE(balancer.recentLoadOf("app", Clock::now() + settings.bounds.inTouch).has_value());
+  CHECK_FALSE(balancer.recentLoadOf("other", Clock::now()).has_value());
+}
 TEST(coldWorkers, areNotAskedByThoseWithoutACredit) {
   for (CreditVerdict const verdict : {CreditVerdict::exhausted, CreditVerdict::notCounting}) {
     ColdRig rig;
--- a/traffic/load_balancer.cpp
+++ b/traffic/load_balancer.cpp
@@ -9,6 +9,8 @@
 /// Workers drawn at random before all are weighed.
 constexpr int randomDraws = 3;
 constexpr int maxFailures = 5;
+/// How much one report of a worker counts in the mean load of its service.
+constexpr double newReportWeight = 0.125;
 /// After so many failures in a row a worker is passed over, however it failed.
 constexpr int failuresUntilOut = 2;
 
@@ -45,12 +47,24 @@
   --state.ownSinceReport;
 }
 
-void LoadBalancer::reportLoad(string const& worker, WorkerLoad const& load) {
-  WorkerState& state = workers_[worker];
+void LoadBalancer::reportLoad(Worker const& worker, WorkerLoad const& load) {
+  WorkerState& state = workers_[worker.id];
   state.reportedRequests = static_cast<std::int64_t>(load.running + load.waiting);
   state.reportedWaiting = static_cast<std::int64_t>(load.waiting);
   state.ownSinceReport = 0;
   state.reportedAt = Clock::now();
+  if (worker.warmingUp) return;
+  double const told = static_cast<double>(state.reportedRequests) / static_cast<double>(worker.capacity);
+  ServiceLoad& service = serviceLoads_[worker.service];
+  bool const isFirst = state.reportedAt - service.toldAt >= settings_.bounds.inTouch;
+  service.mean = isFirst ? told : service.mean + newReportWeight * (told - service.mean);
+  service.toldAt = state.reportedAt;
+}
+
+std::optional<double> LoadBalancer::recentLoadOf(string const& service, TimePoint now) const {
+  auto const known = serviceLoads_.find(service);
+  if (known == serviceLoads_.end() || now - known->second.toldAt >= settings_.bounds.inTouch) return std::nullopt;
+  return known->second.mean;
 }
 
 void LoadBalancer::markFull(string const& worker) {
@@ -253,6 +267,8 @@
 
 void LoadBalancer::sweep(FleetView const& view) {
   std::erase_if(workers_, [&view](auto const& item) { return !view.find(item.first) && item.second.ownRequests <= 0; });
+  std::erase_if(serviceLoads_,
+                [this](auto const& item) { return Clock::now() - item.second.toldAt >= settings_.bounds.inTouch; });
   candidateLists_.clear();
 }
 
--- a/traffic/load_balancer.hpp
+++ b/traffic/load_balancer.hpp
@@ -43,7 +43,7 @@
   void promptRead(string const& worker, std::uint64_t unreadTokens);
   void requestEnded(string const& worker);
   /// A worker told its own load.
-  void reportLoad(string const& worker, WorkerLoad const& load);
+  void reportLoad(Worker const& worker, WorkerLoad const& load);
   /// It turned a request away as full.
   void markFull(string const& worker);
   /// It broke off. If `unreachable`, it is passed over at once, else after the second time.
@@ -51,6 +51,9 @@
   void markHealthy(string const& worker);
   /// Load as a part of its slots; over 1 if requests wait.
   double load(Worker const& worker, TimePoint now) const;
+  /// The mean load that warm workers of a service told lately; nothing if none did. This node may not have asked the
+  /// next worker for long, and then takes it for idle.
+  std::optional<double> recentLoadOf(string const& service, TimePoint now) const;
   /// Requests of this node that are under way at a worker.
   std::int64_t runningAt(string const& worker) const;
   /// Forgets workers that are gone.
@@ -67,6 +70,11 @@
     TimePoint reportedAt, failedUntil, fullUntil;
     int failures = 0;  ///< in a row
   };
+  /// What the warm workers of a service told of their load, the newest counting most.
+  struct ServiceLoad {
+    double mean = 0;
+    TimePoint toldAt;
+  };
   /// A worker of a service with what is known of it, worked out anew only when the workers change.
   struct Candidate {
     Worker const* worker;
@@ -111,6 +119,7 @@
 
   Settings const& settings_;
   std::map<string, WorkerState> workers_;
+  std::map<string, ServiceLoad> serviceLoads_;
   std::map<std::pair<string, Group>, CandidateList> candidateLists_;  ///< by service
   std::uint64_t randomState_ = randomId();
 };
