connections: a node keeps no more idle ones to a worker than it takes; weak bounds are told

Cause: a worker takes maxConnections from all nodes and resets more; the setting was read and kept by nobody. evacuateWithin and revertWithin were read by nobody too. Bounds that are shorter than the spread they rest on are said in the log at the start. Not measured by itself yet.

--- a/apps/daemon.cpp
+++ b/apps/daemon.cpp
@@ -81,6 +81,7 @@
   initLogging(level);
   try {
     Settings const settings = loadSettings(options.settingsPath);
+    for (string const& bound : settings.weakBounds()) logInfo("settings", bound);
     for (string const& field : settings.unknownFields) logInfo("settings", "unknown field " + field + " is ignored");
     asio::io_context io(1);
     // Before the start, which may take long: a signal that comes meanwhile is kept until then.
--- a/base/settings.cpp
+++ b/base/settings.cpp
@@ -217,6 +217,16 @@
   return Address{ip, static_cast<int>(*port)};
 }
 
+vector<string> Settings::weakBounds() const {
+  vector<string> weak;
+  if (bounds.evacuateWithin < bounds.applyWithin)
+    weak.emplace_back("bounds.evacuateWithinMs is under bounds.applyWithinMs, in which an order reaches all nodes");
+  // Recent evidence is that of half of inTouch; then the verdict goes to all nodes.
+  if (bounds.revertWithin < bounds.applyWithin + bounds.inTouch / 2)
+    weak.emplace_back("bounds.revertWithinMs is under bounds.applyWithinMs and half of bounds.inTouchMs together");
+  return weak;
+}
+
 bool Settings::isServing(std::string_view kind) const {
   return std::find(serves.begin(), serves.end(), kind) != serves.end();
 }
--- a/base/settings.hpp
+++ b/base/settings.hpp
@@ -56,6 +56,9 @@
   Bounds bounds;
   std::vector<std::string> unknownFields;
 
+  /// Bounds that are shorter than the times they rest on, a text each. The system runs with them all the same, but may
+  /// break them.
+  std::vector<std::string> weakBounds() const;
   bool isServing(std::string_view kind) const;
   bool isRuleInForce(std::string_view rule) const;
   /// Internal address of a role on a machine; ports are alike on all machines.
--- a/tests/base/settings_test.cpp
+++ b/tests/base/settings_test.cpp
@@ -43,3 +43,15 @@
   LONGS_EQUAL(6, f.size());  // four bad values, no ports and no seeds
   LONGS_EQUAL(3, f[0].line);
 }
+
+TEST(settings, boundsThatAreShorterThanWhatTheyRestOnAreTold) {
+  Settings settings;
+  settings.bounds.applyWithin = Ms(2500);
+  settings.bounds.inTouch = Ms(4000);
+  settings.bounds.evacuateWithin = settings.bounds.revertWithin = Ms(5000);
+  CHECK(settings.weakBounds().empty());
+  settings.bounds.evacuateWithin = Ms(2400);
+  LONGS_EQUAL(1, settings.weakBounds().size());
+  settings.bounds.revertWithin = Ms(4400);
+  LONGS_EQUAL(2, settings.weakBounds().size());
+}
--- a/traffic/connection_pool.cpp
+++ b/traffic/connection_pool.cpp
@@ -16,7 +16,7 @@
 }
 
 std::unique_ptr<WorkerConnection> ConnectionPool::take(Worker const& worker, bool mayRepeat, string_view attempt) {
-  vector<std::unique_ptr<WorkerConnection>>& idle = idle_[worker.id];
+  vector<std::unique_ptr<WorkerConnection>>& idle = idleOf(worker.id).connections;
   for (std::size_t index = idle.size(); index-- > 0;) {
     TimePoint const now = Clock::now();
     WorkerConnection const& candidate = *idle[index];
@@ -34,14 +34,29 @@
 
 void ConnectionPool::give(string const& worker, std::unique_ptr<WorkerConnection> connection) {
   connection->idleSince = Clock::now();
-  idle_[worker].push_back(std::move(connection));
+  IdleConnections& idle = idleOf(worker);
+  idle.connections.push_back(std::move(connection));
+  std::uint64_t const most = idle.limit.value(Clock::now());
+  if (idle.connections.size() > most) idle.connections.erase(idle.connections.begin());
+}
+
+void ConnectionPool::noteReset(string const& worker) {
+  IdleConnections& idle = idleOf(worker);
+  idle.limit.noteReset(idle.connections.size(), Clock::now());
+  std::uint64_t const most = idle.limit.value(Clock::now());
+  while (idle.connections.size() > most) idle.connections.erase(idle.connections.begin());
 }
 
 void ConnectionPool::sweep(FleetView const& view) {
   TimePoint const now = Clock::now();
-  for (auto& [worker, connections] : idle_)
-    std::erase_if(connections, [now](auto const& connection) { return now >= connection->keepUntil; });
   std::erase_if(idle_, [&view](auto const& item) { return !view.find(item.first); });
+  std::shared_ptr<Configuration const> const configuration = view.configuration();
+  for (auto& [id, idle] : idle_) {
+    std::erase_if(idle.connections, [now](auto const& connection) { return now >= connection->keepUntil; });
+    if (!configuration) continue;
+    auto const service = configuration->services.find(view.find(id)->service);
+    if (service != configuration->services.end()) idle.limit.setMaxConnections(service->second.maxConnections);
+  }
 }
 
 }  // namespace tealshelf
--- a/traffic/connection_pool.hpp
+++ b/traffic/connection_pool.hpp
@@ -1,4 +1,5 @@
 #pragma once
+#include "traffic/idle_limit.hpp"
 #include "updates/fleet_view.hpp"
 
 namespace tealshelf {
@@ -46,7 +47,9 @@
   std::unique_ptr<WorkerConnection> take(Worker const& worker, bool mayRepeat, string_view attempt);
   /// A new connection, not yet connected.
   std::unique_ptr<WorkerConnection> create() { return std::make_unique<WorkerConnection>(io_); }
-  /// Gives a connection back, clean and between requests.
+  /// A new connection to a worker was reset before its first answer: the worker may have too many.
+  void noteReset(string const& worker);
+  /// Gives a connection back, clean and between requests. The oldest ones are closed where there are too many.
   void give(string const& worker, std::unique_ptr<WorkerConnection> connection);
   /// Closes what is idle for workers that are gone or for too long.
   void sweep(FleetView const& view);
@@ -55,10 +58,19 @@
   Settings const& settings() const { return settings_; }
 
  private:
+  struct IdleConnections {
+    explicit IdleConnections(Ms quietSpan) : limit(quietSpan) {}
+    vector<std::unique_ptr<WorkerConnection>> connections;  ///< the one given back last at the end
+    IdleLimit limit;
+  };
+  IdleConnections& idleOf(string const& worker) {
+    return idle_.try_emplace(worker, settings_.bounds.inTouch).first->second;
+  }
+
   asio::io_context& io_;
   Settings const& settings_;
   IdleTrust trust_;
-  std::map<string, vector<std::unique_ptr<WorkerConnection>>> idle_;  ///< by worker, the one given back last at the end
+  std::map<string, IdleConnections> idle_;  ///< by worker
 };
 
 }  // namespace tealshelf
--- a/traffic/exchange.cpp
+++ b/traffic/exchange.cpp
@@ -75,14 +75,23 @@
   deadline_->expireAt(until);
   WriteResult const written = co_await write(request);
   if (written == WriteResult::nothing && !deadline_->expired()) {
+    if (newConnection_) noteReset();
     abort();
     co_return SendResult::notSent;
   }
-  if (written == WriteResult::part && !newConnection_ && !deadline_->expired()) pool_.trust().noteReset(idleBefore_);
+  if (written == WriteResult::part && !deadline_->expired()) noteReset();
   if (written != WriteResult::whole) co_return giveUp();
   co_return co_await readAnswer(request, until);
 }
 
+/// A connection that was idle was idle for too long; a new one may have been one too many for the worker.
+void Exchange::noteReset() {
+  if (newConnection_)
+    pool_.noteReset(worker_.id);
+  else
+    pool_.trust().noteReset(idleBefore_);
+}
+
 Task<bool> Exchange::connect(TimePoint until) {
   Bounds const& bounds = pool_.settings().bounds;
   deadline_->expireAt(std::min(until, Clock::now() + bounds.inTouch / 6));
@@ -125,7 +134,7 @@
   for (int skipped = 0; skipped <= maxSkippedAnswers; ++skipped) {
     error_code const error = co_await readHead(request);
     if (error) {
-      if (!newConnection_ && !deadline_->expired() && skipped == 0) pool_.trust().noteReset(idleBefore_);
+      if (!deadline_->expired() && skipped == 0) noteReset();
       co_return giveUp();
     }
     AnswerOwner const owner = answerOwner(headers(), attempt_, newConnection_ && skipped == 0);
--- a/traffic/exchange.hpp
+++ b/traffic/exchange.hpp
@@ -65,6 +65,8 @@
  private:
   /// How the write of a request ended.
   enum class WriteResult { whole, nothing, part, disturbed };
+  /// The worker reset the connection before it gave an answer.
+  void noteReset();
   Task<bool> connect(TimePoint until);
   Task<WriteResult> write(HttpRequest const& request);
   Task<error_code> readHead(HttpRequest const& request);
