workers: news that came after a comparison was asked for isn't lost by its answer

Cause (found by reading): the answer to a comparison of registries and news of a worker travel on two connections. An older answer took a worker that had just registered for lost, until its next heartbeat. Change: a row of which word came after the question stays. Test: registryDigest, aWorkerThatWasToldOfSinceTheQuestionIsNotLostByItsAnswer: 0 of 2 workers left without the change.

--- a/control/worker_directory.cpp
+++ b/control/worker_directory.cpp
@@ -176,6 +176,7 @@
 Task<void> WorkerDirectory::fetchDifference(Member sender) {
   CompareRegistry const request{registry_.digest().buckets()};
   RegistryDifference difference;
+  TimePoint const askedAt = Clock::now();
   bool answered = true;
   try {
     difference = co_await rpc_.call(settings_.controlAddress(sender.ip), request, settings_.bounds.inTouch / 4);
@@ -190,7 +191,7 @@
   bool changed = false;
   if (difference.isComplete) {
     std::set<std::uint32_t> const buckets(difference.buckets.begin(), difference.buckets.end());
-    changed = registry_.mergeBuckets(difference.workers, buckets, sender.id, now);
+    changed = registry_.mergeBuckets(difference.workers, buckets, sender.id, askedAt, now);
     changed = mergedFrom_.insert(sender.id).second || changed;
   } else {
     for (Worker const& worker : difference.workers) changed = registry_.merge(worker, now) || changed;
--- a/tests/workers/registry_digest_test.cpp
+++ b/tests/workers/registry_digest_test.cpp
@@ -34,7 +34,7 @@
   /// What b gets when it compares itself with a.
   void compareBWithA() {
     std::set<std::uint32_t> const buckets = a.digest().differingFrom(b.digest().buckets());
-    b.mergeBuckets(a.presentIn(buckets), buckets, here, now);
+    b.mergeBuckets(a.presentIn(buckets), buckets, here, now, now);
   }
 };
 
@@ -67,11 +67,26 @@
 TEST(registryDigest, whatItsRegistrarNoLongerNamesIsLostInThoseBucketsOnly) {
   for (int number = 0; number < 100; ++number) b.merge(workerOf(number, 1, here), now);
   std::uint32_t const bucket = static_cast<std::uint32_t>(RegistryDigest::bucketOf("i-5"));
-  b.mergeBuckets({}, {bucket}, here, now);
+  b.mergeBuckets({}, {bucket}, here, now, now);
   for (Worker const& worker : b.present()) CHECK(RegistryDigest::bucketOf(worker.id) != bucket);
   CHECK(b.present().size() > 90);
 }
 
+/// The answer to a comparison and news of a worker travel on two connections and may pass each other.
+TEST(registryDigest, aWorkerThatWasToldOfSinceTheQuestionIsNotLostByItsAnswer) {
+  b.merge(workerOf(1, 1, elsewhere), now);
+  TimePoint const askedAt = now;
+  std::set<std::uint32_t> const buckets = a.digest().differingFrom({});
+  vector<Worker> const answer = a.presentIn(buckets);
+  // One registers for the first time, and one has moved here from another control node.
+  b.merge(workerOf(2, 1, here), askedAt + Ms(1));
+  b.merge(workerOf(1, 2, here), askedAt + Ms(1));
+  b.mergeBuckets(answer, buckets, here, askedAt, askedAt + Ms(2));
+  LONGS_EQUAL(2, b.present().size());
+  // Who asks again and doesn't hear of them loses them.
+  b.mergeBuckets(answer, buckets, here, askedAt + Ms(3), askedAt + Ms(4));
+  LONGS_EQUAL(0, b.present().size());
+}
 TEST(registryDigest, anotherNodesWorkersAreNotLostByItsSilence) {
   b.merge(workerOf(1, 1, NodeId(3)), now);
   compareBWithA();
--- a/workers/worker_registry.cpp
+++ b/workers/worker_registry.cpp
@@ -24,7 +24,7 @@
   if (worker.lost) return false;
   Row& row = rows_[worker.id];
   row.worker = worker;
-  row.heardAt = now;
+  row.heardAt = row.toldAt = now;
   noteChange(row);
   if (worker.registrar == self_) transitions_.push_back(worker);
   return true;
@@ -67,7 +67,7 @@
   known.ejected = ejected;
   known.warmingUp = warmingUp;
   known.zoneRevision = zoneRevision;
-  row.heardAt = now;
+  row.heardAt = row.toldAt = now;
   row.lost = false;
   if (changed) noteChange(row);
   if ((changed || moved) && worker.registrar == self_) transitions_.push_back(known);
@@ -83,17 +83,17 @@
 }
 
 bool WorkerRegistry::mergeAll(vector<Worker> const& workers, NodeId from, TimePoint now) {
-  return mergeNamed(workers, from, now, [](string const&) { return true; });
+  return mergeNamed(workers, from, now, now, [](string const&) { return true; });
 }
 
 bool WorkerRegistry::mergeBuckets(vector<Worker> const& workers, std::set<std::uint32_t> const& buckets, NodeId from,
-                                  TimePoint now) {
-  return mergeNamed(workers, from, now, [&buckets](string const& id) {
+                                  TimePoint askedAt, TimePoint now) {
+  return mergeNamed(workers, from, askedAt, now, [&buckets](string const& id) {
     return buckets.contains(static_cast<std::uint32_t>(RegistryDigest::bucketOf(id)));
   });
 }
 
-bool WorkerRegistry::mergeNamed(vector<Worker> const& workers, NodeId from, TimePoint now,
+bool WorkerRegistry::mergeNamed(vector<Worker> const& workers, NodeId from, TimePoint askedAt, TimePoint now,
                                 std::function<bool(string const&)> const& covers) {
   bool changed = false;
   std::set<string> named;
@@ -103,7 +103,7 @@
   }
   for (auto& [id, row] : rows_) {
     bool const isItsOwn = !row.lost && !row.worker.removed && row.worker.registrar == from;
-    if (!isItsOwn || named.contains(id) || !covers(id)) continue;
+    if (!isItsOwn || row.toldAt > askedAt || named.contains(id) || !covers(id)) continue;
     row.lost = true;
     noteChange(row);
     changed = true;
--- a/workers/worker_registry.hpp
+++ b/workers/worker_registry.hpp
@@ -14,8 +14,10 @@
 
   /// Takes a worker in, by its own heartbeat or another node's word; true if data-plane nodes should hear of it.
   bool merge(Worker const& worker, TimePoint now);
-  /// Takes in all that another control node has in some buckets: what it should hear there but doesn't name is lost.
-  bool mergeBuckets(vector<Worker> const& workers, std::set<std::uint32_t> const& buckets, NodeId from, TimePoint now);
+  /// Takes in all that another control node has in some buckets: what it should hear there but doesn't name is lost,
+  /// unless word of it came after the node was asked.
+  bool mergeBuckets(vector<Worker> const& workers, std::set<std::uint32_t> const& buckets, NodeId from,
+                    TimePoint askedAt, TimePoint now);
   /// The same for its whole registry.
   bool mergeAll(vector<Worker> const& workers, NodeId from, TimePoint now);
   void setEjected(string const& id, bool ejected);
@@ -47,6 +49,7 @@
   struct Row {
     Worker worker;
     TimePoint heardAt;
+    TimePoint toldAt;  ///< of the last word about this very worker
     std::uint64_t revision = 0;
     std::uint64_t hash = 0;  ///< what the worker adds to the digest; 0 once it is lost or has ended
     bool lost = false;
@@ -54,7 +57,7 @@
   bool insert(Worker const& worker, TimePoint now);
   bool update(Row& row, Worker const& worker, TimePoint now);
   bool markLost(Row& row, Worker const& report);
-  bool mergeNamed(vector<Worker> const& workers, NodeId from, TimePoint now,
+  bool mergeNamed(vector<Worker> const& workers, NodeId from, TimePoint askedAt, TimePoint now,
                   std::function<bool(string const&)> const& covers);
   /// Gives a row a new revision and brings the digest up to it.
   void noteChange(Row& row);
