Tallies: both sides of a cut count, by additions with ids that members tell each other

Change: tallies/ holds a pure table of additions (one log an origin, keys remembered after settling), a pure replica (who lacks what, when an addition is durable, who is unreachable) and its driver with a log of its own; control/ has the calls; the command 'tallies' compares nodes. Acknowledged = synced here and on survive+1 disks in surviveZones+1 zones, or on all members that answer, once the others were silent for an eighth of inTouchMs while this process ran.

--- a/apps/status_reader.cpp
+++ b/apps/status_reader.cpp
@@ -229,6 +229,32 @@
   return table.text();
 }
 
+string tallyTable(vector<string> const& reportsJson) {
+  vector<string> head{"tally", "agree"};
+  std::map<string, vector<string>> totals;
+  for (std::size_t node = 0; node < reportsJson.size(); ++node) {
+    rapidjson::Document report;
+    report.Parse(reportsJson[node].data(), reportsJson[node].size());
+    if (report.HasParseError() || !report.IsObject()) throw Error(ErrorCode::badMessage, "the report of tallies");
+    head.push_back(textIn(report, "node"));
+    for (rapidjson::Value const* const tally : elementsIn(report, "tallies")) {
+      vector<string>& row = totals[textIn(*tally, "tally")];
+      row.resize(reportsJson.size(), "0");
+      row[node] = textIn(*tally, "total");
+    }
+  }
+  Table table(std::move(head));
+  for (bool const agree : {false, true})
+    for (auto const& [tally, row] : totals) {
+      bool const isSame = std::all_of(row.begin(), row.end(), [&row](string const& total) { return total == row[0]; });
+      if (isSame != agree) continue;
+      vector<string> cells{tally, agree ? "yes" : "no"};
+      cells.insert(cells.end(), row.begin(), row.end());
+      table.add(std::move(cells));
+    }
+  return table.text();
+}
+
 void addStatusCommands(CLI::App& app) {
   struct Options {
     string at, why;
@@ -272,6 +298,15 @@
       return tenantTable(reports);
     });
   });
+  CLI::App* const tallies = app.add_subcommand("tallies", "print the tallies as each control node has them");
+  tallies->add_option("--at", options->all, "IP:PORT of the metrics of each control node")->required();
+  tallies->callback([options] {
+    runCommand([options] {
+      vector<string> reports;
+      for (string const& at : options->all) reports.push_back(getPage(addressArgument(at), string(talliesPage)));
+      return tallyTable(reports);
+    });
+  });
 }
 
 }  // namespace tealshelf
--- a/consensus/control_messages.hpp
+++ b/consensus/control_messages.hpp
@@ -37,8 +37,10 @@
   vector<WorkerTally> tallies;  ///< of workers that failed requests lately, by who asks at this control node
   /// What this node's subscribers told of the versions of services with a rollout, since it began.
   vector<VersionTally> versionTallies;
+  /// Of what the sender has of the applications' tallies on its disk; 0 if it isn't told.
+  std::uint64_t tallyDigest = 0;
   MSGPACK_DEFINE(heartbeat, membership, workers, wholeRegistry, registryDigest, nodesDigest, carriesNodes, nodes,
-                 tallies, versionTallies)
+                 tallies, versionTallies, tallyDigest)
 };
 
 struct HelloReply {
--- a/control/call_input.cpp
+++ b/control/call_input.cpp
@@ -28,7 +28,7 @@
 }
 
 Error shownToCaller(Error const& error, CallKind kind) {
-  if (error.kind() != ErrorKind::undetermined) return error;
+  if (error.kind() != ErrorKind::undetermined || kind == CallKind::addition) return error;
   return Error(kind == CallKind::read ? ErrorCode::notReady : ErrorCode::changeUndecided, error.what());
 }
 
--- a/control/call_input.hpp
+++ b/control/call_input.hpp
@@ -13,10 +13,15 @@
 void checkRetirement(string const& body);
 
 /// Whether a call may change something.
-enum class CallKind { read, change };
+enum class CallKind {
+  read,
+  change,
+  addition  ///< to a tally: it may be sent again to any node
+};
 
 /// What a caller of the control interface is told: an error that leaves the call's end open becomes a 503, which no
-/// caller takes for final. A read has no end that could be open; it wasn't served.
+/// caller takes for final. A read has no end that could be open; it wasn't served. An addition's open end stays one, as
+/// a 503 promises there that nothing was counted.
 Error shownToCaller(Error const& error, CallKind kind);
 
 }  // namespace tealshelf
--- a/control/control_node.cpp
+++ b/control/control_node.cpp
@@ -10,6 +10,7 @@
 
 namespace {
 constexpr std::uint64_t maxCallBytes = 16u << 20;
+constexpr string_view tallyPath = "/tallies/";
 }  // namespace
 
 ControlNode::ControlNode(asio::io_context& io, Settings const& settings)
@@ -29,6 +30,8 @@
       retirements_(settings, rpc_, driver_, lots_),
       rollouts_(io, settings, rpc_, driver_, publisher_, workers_, nodes_),
       evacuations_(io, settings, rpc_, driver_, publisher_),
+      tallyStore_(io, settings, rpc_, driver_.consensus().self().id),
+      tallies_(settings, rpc_, driver_.consensus(), tallyStore_),
       quotas_(settings.bounds),
       warmUps_(warmUpTiming(settings.bounds)) {
   publisher_.proof = [this] {
@@ -42,6 +45,7 @@
     workers_.fillHeartbeat(message, isExtra);
     nodes_.fillHeartbeat(message, isExtra);
     rollouts_.fillHeartbeat(message);
+    message.tallyDigest = tallyStore_.digest();
   };
   driver_.onChange = [this] { onControlStateChange(); };
   rollouts_.services = [this]() -> std::optional<std::set<string>> {
@@ -60,6 +64,7 @@
   driver_.start(rpcServer_);
   lots_.start(rpcServer_);
   rollouts_.start();
+  tallyStore_.start(rpcServer_);
   rpcServer_.on<UpdateRequest>([this](UpdateRequest request) { return publisher_.serve(std::move(request)); });
   rpcServer_.on<CompareRegistry>(
       [this](CompareRegistry request) -> Task<RegistryDifference> { co_return workers_.differenceFor(request); });
@@ -88,7 +93,8 @@
 
 Task<HttpReply> ControlNode::handle(HttpCall call) {
   ForwardedCall forwarded{call.verb, call.path, call.header("If-Match"), std::move(call.body), 0, callBudgetMs()};
-  CallKind const kind = call.verb == "GET" ? CallKind::read : CallKind::change;
+  bool const isAddition = call.verb == "POST" && call.path.starts_with(tallyPath);
+  CallKind const kind = call.verb == "GET" ? CallKind::read : isAddition ? CallKind::addition : CallKind::change;
   HttpReply answer;
   try {
     CallReply const reply = co_await route(std::move(forwarded));
@@ -106,6 +112,7 @@
   if (call.path == "/settings") co_return co_await configuration_.handle(std::move(call));
   if (call.path.starts_with("/retire/")) co_return co_await retirements_.handle(std::move(call));
   if (call.path.starts_with("/evacuation/")) co_return co_await evacuations_.handle(std::move(call));
+  if (call.path.starts_with(tallyPath)) co_return co_await tallies_.handle(std::move(call));
   bool const isRollout = call.path == "/rollouts" || call.path.starts_with("/rollouts/");
   if (isRollout) co_return co_await rollouts_.handle(std::move(call));
   throw Error(ErrorCode::unknownPath, call.path.substr(0, 40));
@@ -133,10 +140,12 @@
   bool const changed = workers_.receive(message, now);
   nodes_.receive(message, now);
   rollouts_.receive(message);
+  tallyStore_.noteHeartbeat(message.heartbeat.sender.id, message.tallyDigest);
   if (changed) publish();
 }
 
 void ControlNode::onControlStateChange() {
+  tallyStore_.setMembership(driver_.consensus().membership());
   bool const newConfiguration = configuration_.publishCommitted();
   updateQuotas();
   bool const newRollout = rollouts_.publishCommitted();
--- a/control/control_node.hpp
+++ b/control/control_node.hpp
@@ -5,6 +5,7 @@
 #include "control/node_directory.hpp"
 #include "control/retirement_handler.hpp"
 #include "control/rollout_handler.hpp"
+#include "control/tally_handler.hpp"
 #include "control/worker_directory.hpp"
 #include "tenants/quota_shard.hpp"
 #include "wire/http.hpp"
@@ -23,6 +24,8 @@
   /// For those on call: the rollouts, and the use of tenants' limits, as JSON texts.
   string rolloutReport() const { return rollouts_.report(); }
   string tenantReport() const;
+  /// The tallies, as a JSON text.
+  string tallyReport() const { return tallyStore_.report(); }
 
  private:
   Task<HttpReply> handle(HttpCall call);
@@ -55,6 +58,8 @@
   RetirementHandler retirements_;
   RolloutHandler rollouts_;
   EvacuationHandler evacuations_;
+  TallyStore tallyStore_;
+  TallyHandler tallies_;
   QuotaShard quotas_;
   CreditShard warmUps_;
   std::shared_ptr<Configuration const> countedConfiguration_;  ///< that quotas_ has
--- /dev/null
+++ b/tallies/tally_add.cpp
@@ -0,0 +1,41 @@
+#include "tallies/tally_add.hpp"
+
+#include "configuration/canonical_json.hpp"
+
+namespace tealshelf {
+
+AddKey addKeyOf(string_view tally, string_view callerId) {
+  string named = std::to_string(tally.size()) + ":";
+  named.append(tally);
+  named.append(callerId);
+  Digest const digest = sha256(named);
+  AddKey key;
+  std::memcpy(&key.high, digest.value.data(), sizeof key.high);
+  std::memcpy(&key.low, digest.value.data() + sizeof key.high, sizeof key.low);
+  return key;
+}
+
+std::uint64_t numberIn(VersionVector const& vector, OriginId origin) {
+  auto const found = vector.find(origin);
+  return found == vector.end() ? 0 : found->second;
+}
+
+std::uint64_t digestOf(VersionVector const& vector) {
+  std::uint64_t const digest = hash64(serialize(vector));
+  return digest ? digest : 1;
+}
+
+string textOf(TallyTotal total) {
+  if (total == 0) return "0";
+  bool const isNegative = total < 0;
+  string digits;
+  for (TallyTotal rest = total; rest != 0; rest /= 10) {
+    int const digit = static_cast<int>(rest % 10);
+    digits.push_back(static_cast<char>('0' + (isNegative ? -digit : digit)));
+  }
+  if (isNegative) digits.push_back('-');
+  std::reverse(digits.begin(), digits.end());
+  return digits;
+}
+
+}  // namespace tealshelf
--- a/tests/control/control_plane.hpp
+++ b/tests/control/control_plane.hpp
@@ -31,12 +31,14 @@
   void freeze(std::size_t node) { nodes_[node]->frozen = true; }
 
   int call(std::size_t node, string const& verb, string const& path, string const& body) {
-    http::response<http::string_body> response;
-    bool ended = false;
-    asio::co_spawn(client_, exchange(addressOf(node), verb, path, body, response),
-                   [&ended](std::exception_ptr) { ended = true; });
-    runUntil([&ended] { return ended; });
-    return static_cast<int>(response.result_int());
+    return static_cast<int>(exchangeWith(node, verb, path, body).result_int());
+  }
+  /// Reads a path until its body is the expected one; gives the last body.
+  string bodyUntil(string const& expected, std::size_t node, string const& path) {
+    TimePoint const end = Clock::now() + limit;
+    string body;
+    while (body != expected && Clock::now() < end) body = exchangeWith(node, "GET", path, "").body();
+    return body;
   }
   /// Calls until an answer comes; false if none does.
   bool callUntil(int status, std::size_t node, string const& path, string const& body, string const& verb = "PUT") {
@@ -156,6 +158,16 @@
     co_await http::async_read(socket, buffer, response, asio::use_awaitable);
   }
 
+  http::response<http::string_body> exchangeWith(std::size_t node, string const& verb, string const& path,
+                                                 string const& body) {
+    http::response<http::string_body> response;
+    bool ended = false;
+    asio::co_spawn(client_, exchange(addressOf(node), verb, path, body, response),
+                   [&ended](std::exception_ptr) { ended = true; });
+    runUntil([&ended] { return ended; });
+    return response;
+  }
+
   void runUntil(std::function<bool()> const& done) {
     TimePoint const end = Clock::now() + limit;
     while (!done() && Clock::now() < end) {
--- a/tests/formats.hpp
+++ b/tests/formats.hpp
@@ -6,6 +6,8 @@
 #include "fleet/evacuation.hpp"
 #include "lots/messages.hpp"
 #include "segments/replica_table.hpp"
+#include "tallies/tally_messages.hpp"
+#include "tallies/tally_records.hpp"
 #include "tenants/messages.hpp"
 #include "updates/messages.hpp"
 #include "wire/frames.hpp"
--- a/tests/formats_test.cpp
+++ b/tests/formats_test.cpp
@@ -40,11 +40,11 @@
               heartbeat());
   expectBytes("949701a26e31a831302e302e302e31a27a31c3c30001c302", JoinRequest{founder, 1, true, MembershipNumber(2)});
   expectBytes(
-      "9a969701a26e31a831302e302e302e31a27a31c3c30002c39205cd02589192029206cd02bc9195a16b9203010605c393"
+      "9b969701a26e31a831302e302e302e31a27a31c3c30002c39205cd02589192029206cd02bc9195a16b9203010605c393"
       "02929701a26e31a831302e302e302e31a27a31c3c3009702a26e32a831302e302e302e32a27a32c2c32c919701a26e31"
       "a831302e302e302e31a27a31c3c30091dc0010a3692d31a173a17aa17692a831302e302e302e31500407c3c203c201c302c200"
-      "c30405c39197a16ea17aa46564676592a831302e302e302e31cd1deecd012c00009193a169010290",
-      HeartbeatMessage{heartbeat(), membership(), {worker()}, true, 4, 5, true, {dataNode()}, {{"i", 1, 2}}, {}});
+      "c30405c39197a16ea17aa46564676592a831302e302e302e31cd1deecd012c00009193a16901029006",
+      HeartbeatMessage{heartbeat(), membership(), {worker()}, true, 4, 5, true, {dataNode()}, {{"i", 1, 2}}, {}, 6});
   expectBytes(
       "929701a26e31a831302e302e302e31a27a31c3c3009194a16b92030182a1619492030b05a176c2a1629492030b06a0c3"
       "c2",
@@ -231,3 +231,15 @@
   STRCMP_EQUAL("0100000007000000000000000300014d",
                toHex(wire::encodeFrame(7, RpcMethod::hello, wire::FrameKind::reply, "M")).c_str());
 }
+
+TEST(formats, tallies) {
+  TallyAdd const add{"t", {1, 2}, -4, 1000};
+  AddBatch const batch{OriginId(11), 3, {add}};
+  expectBytes("94020091930b039194a174920102fccd03e890", TallyRecord{2, OriginId(), {batch}, {}});
+  expectBytes("950102810b0291930b039194a174920102fccd03e894000000a0",
+              TallyPush{NodeId(1), NodeId(2), {{OriginId(11), 2}}, {batch}, {}});
+  expectBytes("9501810b03c30506", TallyPushReply{NodeId(1), {{OriginId(11), 3}}, true, 5, 6});
+  TallyState const state{{batch}, {StoredTotal{"t", 0, 7}}, {RememberedKeys::Generation{2, {9}}}};
+  expectBytes("94030090919391930b039194a174920102fccd03e89193a17400079192029109",
+              TallyRecord{3, OriginId(), {}, {state}});
+}
--- /dev/null
+++ b/tests/tallies/tally_fleet_test.cpp
@@ -0,0 +1,69 @@
+// Cuts, losses and repeats over many replicas on a virtual clock: see tally_fleet_sim.hpp.
+#include "tests/seeds.hpp"
+#include "tests/tallies/tally_fleet_sim.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <cstdio>
+
+using namespace tealshelf;
+using sim::TallyFleet;
+
+TEST_GROUP(tallyFleet){};
+
+namespace {
+/// The first violation among seeds; empty if there is none.
+string firstViolation(TallyFleet::Mutation mutation, std::uint64_t seeds) {
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    TallyFleet fleet(seed, mutation);
+    string const violation = fleet.run();
+    if (!violation.empty()) return "seed " + std::to_string(seed) + ": " + violation;
+  }
+  return "";
+}
+
+void expectCaught(TallyFleet::Mutation mutation, std::uint64_t seedsToCatch = 40) {
+  string const violation = firstViolation(mutation, seedsToCatch);
+  std::printf("%s\n", violation.c_str());
+  CHECK(!violation.empty());
+}
+}  // namespace
+
+TEST(tallyFleet, bothSidesCountAndTheCountIsOne) {
+  std::uint64_t const seeds = seedCount(40);
+  std::size_t acknowledged = 0, settled = 0, wipes = 0;
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    TallyFleet fleet(seed, TallyFleet::Mutation::none);
+    string const violation = fleet.run();
+    string const text = "seed " + std::to_string(seed) + ": " + violation;
+    CHECK_TEXT(violation.empty(), text.c_str());
+    acknowledged += fleet.acknowledged();
+    settled += fleet.settledKeys();
+    wipes += fleet.wipes();
+  }
+  // The runs reach what they are for.
+  CHECK(acknowledged > 100 * seeds);
+  CHECK(settled > 10 * seeds);
+
+  std::printf("%zu acknowledged, %zu settled, %zu wipes\n", acknowledged, settled, wipes);
+}
+TEST(tallyFleet, anIdThatIsForgottenTooEarlyIsCaught) {
+  expectCaught(TallyFleet::Mutation::forgetsIds);
+}
+TEST(tallyFleet, anOriginThatIsUsedAgainAfterAWipeIsCaught) {
+  expectCaught(TallyFleet::Mutation::reusesOrigin, 200);
+}
+TEST(tallyFleet, anAcknowledgementBeforeTheSyncIsCaught) {
+  expectCaught(TallyFleet::Mutation::acknowledgesUnsynced);
+}
+TEST(tallyFleet, anAcknowledgementOnOneDiskIsCaught) {
+  expectCaught(TallyFleet::Mutation::acknowledgesAlone);
+}
+TEST(tallyFleet, aMergeByTheGreaterTotalIsCaught) {
+  expectCaught(TallyFleet::Mutation::mergesByGreaterTotal);
+}
+TEST(tallyFleet, aReadBeforeCatchingUpIsCaught) {
+  expectCaught(TallyFleet::Mutation::readsBeforeCatchUp);
+}
+TEST(tallyFleet, anAdditionThatIsAppliedTwiceIsCaught) {
+  expectCaught(TallyFleet::Mutation::appliesTwice);
+}
--- /dev/null
+++ b/tests/tallies/tally_replica_test.cpp
@@ -0,0 +1,260 @@
+#include "tallies/tally_replica.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace tealshelf;
+
+namespace {
+constexpr int unreachableAfter = 10, aloneAfter = 80;
+TimePoint const start(Ms(1000000));
+
+Member member(std::uint64_t id, string const& zone) {
+  Member made;
+  made.id = NodeId(id);
+  made.name = "n" + std::to_string(id);
+  made.zone = zone;
+  return made;
+}
+
+/// One replica among four members in two zones; the others are played by hand.
+struct ReplicaRig {
+  TallyReplica replica{NodeId(1), TallyTiming{unreachableAfter, aloneAfter, Ms(250), Ms(500), Ms(1000), Ms(8000)},
+                       TallyDurability{3, 2}};
+  TimePoint now = start;
+
+  ReplicaRig() {
+    replica.beginOrigin(OriginId(11));
+    replica.setMembers({member(1, "a"), member(2, "a"), member(3, "b"), member(4, "b")});
+    sync();
+  }
+  void sync() {
+    replica.takeRecords();
+    replica.noteSynced(replica.known());
+  }
+  void report(std::uint64_t peer, VersionVector const& synced) {
+    TallyPushReply reply;
+    reply.from = NodeId(peer);
+    reply.synced = synced;
+    replica.receive(reply, now);
+  }
+  void reportAll() {
+    for (std::uint64_t peer = 2; peer <= 4; ++peer) report(peer, {});
+  }
+  AddPosition add(string const& id) {
+    TallyTable::Taken const taken = replica.add(TallyAdd{"t", addKeyOf("t", id), 1, 100000});
+    CHECK(taken.position.has_value());
+    return taken.position.value_or(AddPosition());
+  }
+  void tick(int times) {
+    for (int i = 0; i < times; ++i) replica.tick(100000);
+  }
+  /// The members that are sent something now, by number.
+  std::set<std::uint64_t> pushed() {
+    std::set<std::uint64_t> to;
+    for (OutgoingPush const& push : replica.takePushes(now)) to.insert(push.to.id.value);
+    return to;
+  }
+};
+}  // namespace
+
+TEST_GROUP(tallyReplica){};
+
+TEST(tallyReplica, servesOnceAMajorityToldWhatItHas) {
+  ReplicaRig rig;
+  CHECK(!rig.replica.isServing());
+  rig.report(2, {});
+  CHECK(!rig.replica.isServing());
+  rig.report(3, {});
+  CHECK(rig.replica.isServing());
+}
+TEST(tallyReplica, doesNotServeWhileItLacksWhatAMajorityHas) {
+  ReplicaRig rig;
+  rig.report(2, {{OriginId(12), 1}});
+  rig.report(3, {{OriginId(12), 1}});
+  rig.report(4, {{OriginId(12), 1}});
+  CHECK(!rig.replica.isServing());
+  TallyPush push;
+  push.from = NodeId(2);
+  push.to = NodeId(1);
+  push.batches.push_back({OriginId(12), 1, {TallyAdd{"t", addKeyOf("t", "x"), 1, 100000}}});
+  rig.replica.receive(push);
+  rig.sync();
+  rig.report(2, {{OriginId(12), 1}});
+  CHECK(rig.replica.isServing());
+}
+TEST(tallyReplica, servesAloneAfterAWhileOnASideWithoutAMajority) {
+  ReplicaRig rig;
+  rig.report(2, {});
+  rig.tick(aloneAfter - 1);
+  CHECK(!rig.replica.isServing());
+  rig.tick(1);
+  CHECK(rig.replica.isServing());
+}
+TEST(tallyReplica, anAdditionNeedsItsOwnSyncAndTheCopiesInTwoZones) {
+  ReplicaRig rig;
+  rig.reportAll();
+  AddPosition const position = rig.add("a");
+  VersionVector const has{{OriginId(11), 1}};
+  rig.report(2, has);
+  rig.report(3, has);
+  CHECK(!rig.replica.isDurable(position));
+  rig.sync();
+  CHECK(rig.replica.isDurable(position));
+}
+TEST(tallyReplica, copiesInOneZoneDoNotDo) {
+  ReplicaRig rig;
+  rig.replica.setMembers({member(1, "a"), member(2, "a"), member(5, "a"), member(3, "b")});
+  rig.report(2, {});
+  rig.report(5, {});
+  rig.report(3, {});
+  AddPosition const position = rig.add("a");
+  rig.sync();
+  VersionVector const has{{OriginId(11), 1}};
+  rig.report(2, has);
+  rig.report(5, has);
+  CHECK(!rig.replica.isDurable(position));
+  rig.report(3, has);
+  CHECK(rig.replica.isDurable(position));
+}
+TEST(tallyReplica, aSilentOtherSideHoldsNothingUpForLong) {
+  ReplicaRig rig;
+  rig.reportAll();
+  AddPosition const position = rig.add("a");
+  rig.sync();
+  CHECK(rig.pushed().size() == 3);
+  rig.report(2, {{OriginId(11), 1}});
+  rig.tick(unreachableAfter - 1);
+  CHECK(!rig.replica.isDurable(position));
+  rig.tick(1);
+  CHECK(rig.replica.isDurable(position));
+  CHECK(!rig.replica.hasAllCopies(position));
+}
+TEST(tallyReplica, aProcessThatSleptTakesNobodyForUnreachable) {
+  ReplicaRig rig;
+  rig.reportAll();
+  AddPosition const position = rig.add("a");
+  rig.sync();
+  rig.pushed();
+  rig.now += Ms(60000);
+  rig.tick(1);
+  CHECK(!rig.replica.isDurable(position));
+}
+TEST(tallyReplica, aProcessThatJustStartedDoesNotActAlone) {
+  ReplicaRig rig;
+  AddPosition const position = rig.add("a");
+  rig.sync();
+  rig.tick(aloneAfter - 1);
+  CHECK(!rig.replica.isDurable(position));
+  rig.tick(1);
+  CHECK(rig.replica.isDurable(position));
+}
+TEST(tallyReplica, onePushAtATimeAndAPauseAfterSilence) {
+  ReplicaRig rig;
+  rig.reportAll();
+  rig.add("a");
+  rig.sync();
+  CHECK(rig.pushed().size() == 3);
+  rig.add("b");
+  rig.sync();
+  CHECK(rig.pushed().empty());
+  rig.replica.noteFailure(NodeId(3), rig.now);
+  CHECK(rig.pushed().empty());
+  rig.now += Ms(250);
+  CHECK(rig.pushed() == std::set<std::uint64_t>{3});
+}
+TEST(tallyReplica, aHeartbeatEndsThePause) {
+  ReplicaRig rig;
+  rig.reportAll();
+  rig.add("a");
+  rig.sync();
+  rig.pushed();
+  rig.replica.noteFailure(NodeId(3), rig.now);
+  rig.replica.noteHeartbeat(NodeId(3), 77, rig.now);
+  CHECK(rig.pushed() == std::set<std::uint64_t>{3});
+}
+TEST(tallyReplica, nothingIsSentBeforeItIsSynced) {
+  ReplicaRig rig;
+  rig.reportAll();
+  rig.add("a");
+  CHECK(rig.pushed().empty());
+  rig.sync();
+  CHECK(!rig.pushed().empty());
+}
+TEST(tallyReplica, additionsOfOthersAreRelayedOnlyToOneThatStagnates) {
+  ReplicaRig rig;
+  rig.reportAll();
+  TallyPush push;
+  push.from = NodeId(2);
+  push.to = NodeId(1);
+  push.batches.push_back({OriginId(12), 1, {TallyAdd{"t", addKeyOf("t", "x"), 1, 100000}}});
+  rig.replica.receive(push);
+  rig.sync();
+  rig.report(3, {});
+  rig.now += Ms(499);
+  CHECK(rig.pushed().empty());
+  rig.now += Ms(1);
+  CHECK(rig.pushed() == std::set<std::uint64_t>{3});
+}
+TEST(tallyReplica, additionsOfOthersThatACallerWaitsForAreRelayedAtOnce) {
+  ReplicaRig rig;
+  rig.reportAll();
+  TallyPush push;
+  push.from = NodeId(2);
+  push.to = NodeId(1);
+  push.batches.push_back({OriginId(12), 1, {TallyAdd{"t", addKeyOf("t", "x"), 1, 100000}}});
+  rig.replica.receive(push);
+  rig.sync();
+  rig.replica.setAwaited({OriginId(12)});
+  CHECK(rig.pushed().size() == 3);
+}
+TEST(tallyReplica, equalDigestsTellWhatAPeerHasWithoutAQuestion) {
+  ReplicaRig rig;
+  AddPosition const position = rig.add("a");
+  rig.sync();
+  for (std::uint64_t peer = 2; peer <= 4; ++peer)
+    rig.replica.noteHeartbeat(NodeId(peer), rig.replica.digest(), rig.now);
+  CHECK(rig.replica.isDurable(position));
+}
+TEST(tallyReplica, aPushForAnotherNodeIsRefused) {
+  ReplicaRig rig;
+  TallyPush push;
+  push.to = NodeId(9);
+  try {
+    rig.replica.receive(push);
+    FAIL("it was taken");
+  } catch (Error const& error) {
+    CHECK(error.code() == ErrorCode::notMember);
+  }
+}
+TEST(tallyReplica, aNewcomerGetsTheWholeStateInChunks) {
+  ReplicaRig rig;
+  rig.reportAll();
+  constexpr int many = 20000;
+  for (int i = 0; i < many; ++i) rig.add("id" + std::to_string(i));
+  rig.sync();
+  VersionVector const all{{OriginId(11), many}};
+  for (std::uint64_t peer = 2; peer <= 4; ++peer) rig.report(peer, all);
+  for (int i = 0; i < 20; ++i) rig.replica.tick(102000);
+  LONGS_EQUAL(0, rig.replica.table().recentCount());
+
+  TallyReplica newcomer(NodeId(5), TallyTiming{unreachableAfter, aloneAfter, Ms(250), Ms(500), Ms(1000), Ms(8000)},
+                        TallyDurability{3, 2});
+  newcomer.beginOrigin(OriginId(15));
+  vector<Member> const members{member(1, "a"), member(2, "a"), member(3, "b"), member(5, "b")};
+  newcomer.setMembers(members);
+  rig.replica.setMembers(members);
+  int chunks = 0;
+  for (int round = 0; round < 40; ++round) {
+    rig.now += Ms(250);
+    for (OutgoingPush const& push : rig.replica.takePushes(rig.now)) {
+      if (push.to.id != NodeId(5)) continue;
+      if (push.push.state.transfer) ++chunks;
+      newcomer.receive(push.push);
+      newcomer.noteSynced(newcomer.known());
+      rig.replica.receive(newcomer.replyTo(push.push), rig.now);
+    }
+  }
+  CHECK(chunks > 1);
+  CHECK(newcomer.table().total("t") == many);
+  CHECK(newcomer.add(TallyAdd{"t", addKeyOf("t", "id5"), 1, 100000}).result == TallyTable::TakeResult::repeated);
+}
--- /dev/null
+++ b/tests/tallies/tally_table_test.cpp
@@ -0,0 +1,163 @@
+#include "tallies/tally_table.hpp"
+#include "tallies/tally_records.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace tealshelf;
+using TakeResult = TallyTable::TakeResult;
+
+namespace {
+constexpr Ms retention{8000};
+OriginId const here(1), there(2);
+
+TallyAdd addition(string const& id, std::int64_t change, std::int64_t takenAtMs = 100000) {
+  return {"t", addKeyOf("t", id), change, takenAtMs};
+}
+AddBatch batch(OriginId origin, std::uint64_t first, vector<TallyAdd> adds) {
+  return {origin, first, std::move(adds)};
+}
+void expectTotal(std::int64_t expected, TallyTable const& table) {
+  CHECK(table.total("t") == expected);
+}
+}  // namespace
+
+TEST_GROUP(tallyTable){};
+
+TEST(tallyTable, anUnknownNameReadsZero) {
+  expectTotal(0, TallyTable(retention));
+}
+TEST(tallyTable, anIdCountsOnce) {
+  TallyTable table(retention);
+  CHECK(table.take(here, addition("a", 4)).result == TakeResult::added);
+  TallyTable::Taken const again = table.take(here, addition("a", 4));
+  CHECK(again.result == TakeResult::repeated);
+  CHECK((again.position == AddPosition{here, 1}));
+  CHECK(table.take(here, addition("a", 5)).result == TakeResult::conflicting);
+  CHECK(table.take(here, addition("b", -1)).result == TakeResult::added);
+  expectTotal(3, table);
+}
+TEST(tallyTable, anIdAtAnotherTallyIsAnotherAddition) {
+  TallyTable table(retention);
+  table.take(here, addition("a", 4));
+  TallyAdd other{"u", addKeyOf("u", "a"), 5, 100000};
+  CHECK(table.take(here, other).result == TakeResult::added);
+  CHECK(table.total("u") == 5);
+  // Nor do a name and an id run into one another.
+  CHECK(addKeyOf("ab", "c") != addKeyOf("a", "bc"));
+}
+TEST(tallyTable, twoSidesWithOneIdAgreeWhicheverCameFirst) {
+  TallyTable left(retention), right(retention);
+  left.take(here, addition("a", 4));
+  right.take(there, addition("a", 3));
+  CHECK(left.apply(batch(there, 1, {addition("a", 3)})));
+  CHECK(right.apply(batch(here, 1, {addition("a", 4)})));
+  expectTotal(3, left);
+  expectTotal(3, right);
+}
+TEST(tallyTable, additionsAreTakenInOrderAndOnce) {
+  TallyTable table(retention);
+  CHECK(!table.apply(batch(there, 2, {addition("b", 1)})));
+  CHECK(table.apply(batch(there, 1, {addition("a", 1), addition("b", 1)})));
+  CHECK(table.apply(batch(there, 2, {addition("b", 1), addition("c", 1)})));
+  CHECK(!table.apply(batch(there, 1, {addition("a", 1), addition("b", 1)})));
+  expectTotal(3, table);
+  LONGS_EQUAL(3, table.lastOf(there));
+}
+TEST(tallyTable, aSettledAdditionIsStillKnownAsRepeated) {
+  TallyTable table(retention);
+  table.take(here, addition("a", 4));
+  table.settle({{here, 1}}, 100001);
+  LONGS_EQUAL(0, table.recentCount());
+  LONGS_EQUAL(1, table.rememberedCount());
+  TallyTable::Taken const again = table.take(here, addition("a", 4, 107000));
+  CHECK(again.result == TakeResult::repeated);
+  CHECK(!again.position);
+  expectTotal(4, table);
+}
+TEST(tallyTable, aRepeatIsKnownForTheRetentionAndNoLonger) {
+  TallyTable table(retention);
+  table.take(here, addition("a", 4, 100000));
+  table.settle({{here, 1}}, 200000);
+  table.forget(100000 + retention.count());
+  CHECK(table.take(here, addition("a", 4, 100000 + retention.count())).result == TakeResult::repeated);
+  std::int64_t const later = 100000 + retention.count() * 5 / 4;
+  CHECK(table.take(here, addition("a", 4, later)).result == TakeResult::added);
+  table.forget(100000 + 2 * retention.count());
+  LONGS_EQUAL(0, table.rememberedCount());
+}
+TEST(tallyTable, nodesThatForgetAtDifferentTimesAgree) {
+  TallyTable quick(retention), slow(retention);
+  for (TallyTable* table : {&quick, &slow}) {
+    table->apply(batch(here, 1, {addition("a", 4, 100000)}));
+    table->settle({{here, 1}}, 200000);
+  }
+  quick.forget(200000);
+  TallyAdd const late = addition("a", 4, 100000 + 2 * retention.count());
+  quick.apply(batch(there, 1, {late}));
+  slow.apply(batch(there, 1, {late}));
+  expectTotal(8, quick);
+  expectTotal(8, slow);
+}
+TEST(tallyTable, onlyWhatAllHaveAndIsOldSettles) {
+  TallyTable table(retention);
+  table.apply(batch(there, 1, {addition("a", 1, 100), addition("b", 1, 200), addition("c", 1, 300)}));
+  table.settle({{there, 2}}, 200);
+  LONGS_EQUAL(2, table.recentCount());
+  LONGS_EQUAL(1, numberIn(table.settled(), there));
+  LONGS_EQUAL(2, table.after(there, 1, 3, 10).first);
+  LONGS_EQUAL(2, table.after(there, 1, 3, 10).adds.size());
+  LONGS_EQUAL(1, table.after(there, 1, 3, 1).adds.size());
+  LONGS_EQUAL(1, table.after(there, 1, 2, 10).adds.size());
+}
+TEST(tallyTable, aStateBringsAnEmptyTableUp) {
+  TallyTable table(retention);
+  table.apply(batch(here, 1, {addition("a", 4), addition("b", 5)}));
+  table.settle({{here, 1}}, 200000);
+  TallyTable empty(retention);
+  CHECK(empty.install(table.state()));
+  expectTotal(9, empty);
+  CHECK(empty.known() == table.known());
+  CHECK(empty.take(there, addition("a", 4)).result == TakeResult::repeated);
+  CHECK(empty.take(there, addition("b", 5)).result == TakeResult::repeated);
+}
+TEST(tallyTable, aStateKeepsWhatTheReceiverAloneKnows) {
+  TallyTable theirs(retention), own(retention);
+  theirs.apply(batch(there, 1, {addition("a", 4)}));
+  theirs.settle({{there, 1}}, 200000);
+  own.take(here, addition("a", 4));
+  own.take(here, addition("b", 5));
+  CHECK(own.install(theirs.state()));
+  expectTotal(9, own);
+  LONGS_EQUAL(2, own.lastOf(here));
+}
+TEST(tallyTable, aStateThatLacksWhatIsSettledHereIsRefused) {
+  TallyTable own(retention);
+  own.take(here, addition("a", 4));
+  own.settle({{here, 1}}, 200000);
+  CHECK(!own.install(TallyTable(retention).state()));
+  expectTotal(4, own);
+}
+TEST(tallyTable, sumsOutgrowSixtyFourBits) {
+  TallyTable table(retention);
+  constexpr std::int64_t most = std::int64_t(1) << 53;
+  vector<TallyAdd> adds;
+  for (int i = 0; i < 2048; ++i) adds.push_back(addition("up" + std::to_string(i), most));
+  table.apply(batch(here, 1, adds));
+  STRCMP_EQUAL("18446744073709551616", textOf(table.total("t")).c_str());
+  TallyTable copy(retention);
+  copy.install(table.state());
+  CHECK(copy.total("t") == table.total("t"));
+  STRCMP_EQUAL("-18446744073709551616", textOf(-table.total("t")).c_str());
+  STRCMP_EQUAL("0", textOf(0).c_str());
+}
+TEST(tallyTable, recordsBringATableBack) {
+  string const additions = additionsRecord({batch(here, 1, {addition("a", 4)})});
+  TallyRecord const read = deserialize<TallyRecord>(additions);
+  LONGS_EQUAL(static_cast<int>(TallyRecordKind::additions), read.kind);
+  TallyTable table(retention);
+  for (AddBatch const& adds : read.batches) table.apply(adds);
+  TallyRecord const whole = deserialize<TallyRecord>(stateRecord(table.state()));
+  TallyTable second(retention);
+  CHECK(second.install(whole.state.front()));
+  expectTotal(4, second);
+}
--- a/wire/rpc.hpp
+++ b/wire/rpc.hpp
@@ -32,7 +32,8 @@
   fetchReplica = 48,
   startLot = 49,
   confirmReplicas = 50,
-  takeCredit = 70
+  takeCredit = 70,
+  pushTallies = 80
 };
 
 /// A reply without content.
--- a/wire/rpc_traffic.cpp
+++ b/wire/rpc_traffic.cpp
@@ -35,6 +35,8 @@
     {RpcMethod::fetchReplica, "fetch_replica"},
     {RpcMethod::startLot, "start_lot"},
     {RpcMethod::confirmReplicas, "confirm_replicas"},
+    {RpcMethod::takeCredit, "take_credit"},
+    {RpcMethod::pushTallies, "push_tallies"},
 };
 constexpr string_view unknownMethod = "unknown";
 constexpr char const* unknownZone = "unknown";
