--- a/tallies/tally_replica.cpp
+++ b/tallies/tally_replica.cpp
@@ -67,11 +67,15 @@
 bool TallyReplica::isDurable(AddPosition position) const {
   if (numberIn(synced_, position.origin) < position.sequence) return false;
   if (hasAllCopies(position)) return true;
-  if (!mayActAlone()) return false;
-  return std::all_of(peers_.begin(), peers_.end(), [this, position](auto const& entry) {
-    TallyPeer const& peer = entry.second;
-    return numberIn(peer.synced, position.origin) >= position.sequence || !isReachable(peer);
-  });
+  if (!metMajority_ && ticks_ < timing_.ticksUntilAlone) return false;
+  std::size_t copies = 1;
+  for (auto const& [id, peer] : peers_) {
+    bool const hasIt = numberIn(peer.synced, position.origin) >= position.sequence;
+    if (hasIt) ++copies;
+    if (!hasIt && isReachable(peer)) return false;
+  }
+  // A short outage of the others isn't worth an addition on a single disk.
+  return copies >= std::min<std::size_t>(2, durability_.copies) || isAlone();
 }
 
 void TallyReplica::setMembers(vector<Member> const& members) {
@@ -245,6 +249,7 @@
   TallyPeer& peer = found->second;
   peer.awaitsReply = peer.failed = false;
   peer.silentTicks = 0;
+  ticksSinceAnswer_ = 0;
   noteReport(peer, reply.synced, now);
   if (!reply.wantsState) {
     peer.outgoing.reset();
@@ -286,6 +291,7 @@
 void TallyReplica::tick(std::int64_t wallClockMs) {
   ++ticks_;
   ++ticksAsMember_;
+  ++ticksSinceAnswer_;
   for (auto& [id, peer] : peers_)
     if (peer.awaitsReply || peer.failed) ++peer.silentTicks;
   if (incoming_ && ++incoming_->idleTicks > timing_.ticksUntilUnreachable) incoming_.reset();
--- a/tallies/tally_replica.hpp
+++ b/tallies/tally_replica.hpp
@@ -7,7 +7,7 @@
 /// How a replica times what it does, in ticks of its driver where it must not count time in which it didn't run.
 struct TallyTiming {
   int ticksUntilUnreachable;  ///< a peer without an answer for so long holds up no addition
-  int ticksUntilAlone;        ///< so long after its start a process may act without having met a majority
+  int ticksUntilAlone;        ///< for so long a process that met nobody, or hears nobody any more, doesn't act alone
   Ms retryAfter;              ///< pause after a push without an answer
   Ms relayAfter;              ///< a peer that lacks another origin's additions for so long gets them from this node
   Ms settleAfter;             ///< age at which additions are settled
@@ -100,7 +100,8 @@
   TallyStateChunk nextChunk(TallyPeer const& peer) const;
   void noteCatchUp();
   void settle(std::int64_t wallClockMs);
-  bool mayActAlone() const { return metMajority_ || ticks_ >= timing_.ticksUntilAlone; }
+  /// No peer has answered for long.
+  bool isAlone() const { return ticksSinceAnswer_ >= timing_.ticksUntilAlone; }
 
   NodeId self_;
   TallyTiming timing_;
@@ -112,7 +113,7 @@
   bool isMember_ = false, caughtUp_ = false, metMajority_ = false;
   string zone_;
   std::size_t memberCount_ = 0;
-  int ticks_ = 0, ticksAsMember_ = 0, ticksSinceSettled_ = 0;
+  int ticks_ = 0, ticksAsMember_ = 0, ticksSinceAnswer_ = 0, ticksSinceSettled_ = 0;
   std::map<NodeId, TallyPeer> peers_;  ///< the other members
   std::set<OriginId> awaited_;
   std::optional<IncomingState> incoming_;
--- a/tallies/tally_store.hpp
+++ b/tallies/tally_store.hpp
@@ -14,8 +14,9 @@
   void start(RpcServer& server);
 
   /// Adds to a tally, once for each id of a caller, and returns when that is safe from the losses to survive, or has
-  /// reached all members that can be reached. Throws notReady, talliesFull or diskUnavailable if nothing was and will
-  /// be counted, conflictingAdd if the id came before with another change, and additionUndecided otherwise.
+  /// reached all members that can be reached, one more at least unless none has answered for `inTouchMs`. Throws
+  /// notReady, talliesFull or diskUnavailable if nothing was and will be counted, conflictingAdd if the id came before
+  /// with another change, and additionUndecided otherwise.
   Task<void> add(string tally, string callerId, std::int64_t change, TimePoint end);
   /// The sum of a tally. Throws notReady while this node lacks what others have.
   TallyTotal total(string const& tally) const;
--- a/tests/control/call_input_test.cpp
+++ b/tests/control/call_input_test.cpp
@@ -40,6 +40,10 @@
     LONGS_EQUAL(112, static_cast<int>(shownToCaller(Error(code), CallKind::change).code()));
     LONGS_EQUAL(210, static_cast<int>(shownToCaller(Error(code), CallKind::read).code()));
   }
+  // An addition that is open may count, so no promise is made.
+  LONGS_EQUAL(502, shownToCaller(Error(ErrorCode::additionUndecided), CallKind::addition).status());
+  LONGS_EQUAL(502, shownToCaller(Error(ErrorCode::timedOut), CallKind::addition).status());
+  LONGS_EQUAL(503, shownToCaller(Error(ErrorCode::notReady), CallKind::addition).status());
   for (ErrorCode const code : {ErrorCode::noOwner, ErrorCode::busy, ErrorCode::notConnected, ErrorCode::changeUndecided,
                                ErrorCode::changeTooOld})
     LONGS_EQUAL(503, shownToCaller(Error(code), CallKind::change).status());
--- /dev/null
+++ b/tests/tallies/tally_fleet_events.cpp
@@ -0,0 +1,202 @@
+// Callers, troubles and checks of the simulated nodes.
+#include "tests/tallies/tally_fleet_sim.hpp"
+
+namespace tealshelf::sim {
+
+void TallyFleet::admit(Node& node) {
+  node.isNewcomer = false;
+  for (Member& member : members_)
+    if (member.name == node.self.name) member = node.self;
+  for (std::unique_ptr<Node> const& other : nodes_)
+    if (other->up) other->replica->setMembers(members_);
+}
+
+void TallyFleet::call(Node& node) {
+  bool const repeats = !calls_.empty() && pick(3) == 0;
+  Call call;
+  if (repeats) {
+    std::size_t const recent = std::min<std::size_t>(calls_.size(), pick(4) ? 20 : calls_.size());
+    call = calls_[calls_.size() - 1 - pick(recent)];
+  } else {
+    call.tally = "t" + std::to_string(pick(tallies));
+    call.id = "id" + std::to_string(calls_.size());
+    call.change = 1 + static_cast<std::int64_t>(pick(9));
+  }
+  if (!node.up || !node.replica->isServing()) return;
+  if (!repeats) {
+    calls_.push_back(call);
+    sent_[call.tally] += call.change;
+  }
+  TallyAdd add{call.tally, addKeyOf(call.tally, call.id), call.change, wallMs()};
+  TallyTable::Taken const taken = node.replica->add(std::move(add));
+  if (taken.result == TallyTable::TakeResult::conflicting) return fail("a repeat counts as conflicting");
+  flush(node);
+  if (!taken.position)
+    acknowledge(node, call);
+  else
+    node.callers.push_back({call, *taken.position, now_ + callLimit});
+  answerCallers(node);
+  sendPushes(node);
+}
+
+void TallyFleet::answerCallers(Node& node) {
+  for (WaitingCaller const& caller : node.callers)
+    if (isAnswered(node, caller)) acknowledge(node, caller.call);
+  std::erase_if(node.callers,
+                [this, &node](WaitingCaller const& caller) { return isAnswered(node, caller) || now_ >= caller.end; });
+}
+
+bool TallyFleet::isAnswered(Node const& node, WaitingCaller const& caller) const {
+  if (mutation_ == Mutation::acknowledgesUnsynced) return true;
+  if (mutation_ == Mutation::acknowledgesAlone) return isOnOwnDisk(node, caller.position);
+  return node.replica->isDurable(caller.position);
+}
+
+bool TallyFleet::isOnOwnDisk(Node const& node, AddPosition position) {
+  for (PendingSync const& sync : node.pending)
+    if (numberIn(sync.known, position.origin) >= position.sequence) return false;
+  return true;
+}
+
+void TallyFleet::acknowledge(Node& node, Call const& call) {
+  acknowledged_.push_back({call, now_, node.self.id, cutEndsAt_.has_value() || now_ < freshlyHealedUntil_});
+  node.acknowledgedInThisLife[call.id + "/" + call.tally] = call.change;
+  acknowledgedNow_ = node.index;
+}
+
+void TallyFleet::wipeAfterAcknowledgement() {
+  if (!acknowledgedNow_) return;
+  std::size_t node = *acknowledgedNow_;
+  acknowledgedNow_.reset();
+  for (; wipesAfterAcknowledgement_; --wipesAfterAcknowledgement_) {
+    wipe(*nodes_[node]);
+    node = pick(nodes_.size());
+  }
+}
+
+void TallyFleet::read(Node& node) {
+  bool const answers = mutation_ == Mutation::readsBeforeCatchUp || (node.up && node.replica->isServing());
+  if (!node.up || !answers) return;
+  std::map<string, std::map<string, std::int64_t>> owed;
+  for (auto const& [id, change] : node.acknowledgedInThisLife)
+    owed[id.substr(id.find('/') + 1)][id.substr(0, id.find('/'))] = change;
+  // Whatever became of this node meanwhile, a wiped disk too.
+  bool const isInReach = !cutEndsAt_ && now_ - lastCutAt_ > mergeTime;
+  if (isInReach)
+    for (Acknowledged const& added : acknowledged_)
+      if (now_ - added.at > mergeTime && isOwed(added)) owed[added.call.tally][added.call.id] = added.call.change;
+  for (auto const& [tally, adds] : owed) {
+    TallyTotal least = 0;
+    for (auto const& [id, change] : adds) least += change;
+    if (node.replica->table().total(tally) < least) return fail("a read misses what was acknowledged");
+  }
+  for (auto const& [tally, most] : sent_)
+    if (node.replica->table().total(tally) > most) return fail("a read tells more than was added");
+}
+
+void TallyFleet::trouble() {
+  switch (pick(6)) {
+    case 0:
+    case 1:
+      if (!cutEndsAt_) cut();
+      return;
+    case 2:
+      return stop(*nodes_[pick(nodes_.size())], false);
+    case 3:
+      return stop(*nodes_[pick(nodes_.size())], true);
+    case 4:
+      return wipe(*nodes_[pick(nodes_.size())]);
+    default:
+      wipesAfterAcknowledgement_ = 1 + pick(survive);
+  }
+}
+
+void TallyFleet::stop(Node& node, bool losesPower) {
+  if (!node.up) return;
+  // What a killed process wrote stays; without power any beginning of it does.
+  std::size_t keep = losesPower ? pick(node.pending.size() + 1) : node.pending.size();
+  for (PendingSync const& sync : node.pending) {
+    if (!keep--) break;
+    node.disk.insert(node.disk.end(), sync.records.begin(), sync.records.end());
+  }
+  node.up = false;
+  node.upAgainAt = now_ + Ms(300 + pick(3000));
+}
+
+void TallyFleet::wipe(Node& node) {
+  std::size_t lost = 1;
+  for (std::unique_ptr<Node> const& other : nodes_) {
+    bool const isLost = !other->up || other->isNewcomer || !other->replica->isServing() || lacksSomething(*other);
+    if (isLost && other->index != node.index) ++lost;
+  }
+  if (lost > survive || !node.up) return;
+  ++wipes_;
+  stop(node, true);
+  wiped_.insert(node.self.id);
+  node.disk.clear();
+  renew(node);
+  node.isNewcomer = true;
+}
+
+bool TallyFleet::lacksSomething(Node const& node) const {
+  bool const isRecent = cutEndsAt_.has_value() || now_ - lastCutAt_ < mergeTime;
+  return isRecent && node.cutOff;
+}
+
+void TallyFleet::cut() {
+  std::size_t const count = nodes_.size();
+  string const zone = nodes_[pick(count)]->zone, second = nodes_[pick(count)]->zone;
+  std::uint64_t const form = pick(4);
+  for (std::size_t from = 0; from < count; ++from)
+    for (std::size_t to = 0; to < count; ++to) {
+      bool const fromOff = nodes_[from]->zone == zone, toOff = nodes_[to]->zone == zone;
+      bool blocks = fromOff != toOff;                                  // a zone is off
+      if (form == 1) blocks = (from < count / 2) != (to < count / 2);  // halves
+      if (form == 2) blocks = fromOff && !toOff;                       // nothing comes out of it
+      if (form == 3)
+        blocks = (fromOff && nodes_[to]->zone == second) || (toOff && nodes_[from]->zone == second);  // a bridge
+      blocked_[from][to] = from != to && blocks;
+    }
+  for (std::unique_ptr<Node> const& node : nodes_) node->cutOff = form == 1 || node->zone == zone;
+  cutEndsAt_ = now_ + Ms(1000 + pick(pick(2) ? 25000 : 3000));
+  lastCutAt_ = now_;
+}
+
+void TallyFleet::heal() {
+  if (!cutEndsAt_) return;
+  cutEndsAt_.reset();
+  for (vector<bool>& row : blocked_) row.assign(row.size(), false);
+  freshlyHealedUntil_ = now_ + mergeTime;
+  lastCutAt_ = now_;
+}
+
+void TallyFleet::checkEnd() {
+  for (std::unique_ptr<Node> const& node : nodes_) {
+    if (!node->up) return fail("a node isn't up at the end");
+    if (node->isNewcomer) return fail("a node wasn't admitted at the end");
+    if (!node->replica->isServing()) return fail("a node doesn't serve at the end");
+    if (node->replica->table().totals() != nodes_[firstMember()]->replica->table().totals())
+      return fail("two nodes tell different totals at the end");
+    TallyTable table = node->replica->table();
+    for (Acknowledged const& added : acknowledged_) {
+      if (!isOwed(added)) continue;
+      TallyAdd const again{added.call.tally, addKeyOf(added.call.tally, added.call.id), added.call.change, wallMs()};
+      if (table.take(OriginId(1), again).result == TallyTable::TakeResult::added)
+        return fail("an acknowledged addition is missing at the end");
+    }
+    for (auto const& [tally, most] : sent_)
+      if (node->replica->table().total(tally) > most) return fail("a total is too large at the end");
+  }
+}
+
+std::size_t TallyFleet::firstMember() const {
+  std::size_t first = 0;
+  while (nodes_[first]->isNewcomer) ++first;
+  return first;
+}
+
+void TallyFleet::fail(string const& what) {
+  if (violation_.empty()) violation_ = what + " at " + std::to_string(elapsed_.count()) + " ms";
+}
+
+}  // namespace tealshelf::sim
--- a/tests/tallies/tally_replica_test.cpp
+++ b/tests/tallies/tally_replica_test.cpp
@@ -129,6 +129,17 @@
   CHECK(rig.replica.isDurable(position));
   CHECK(!rig.replica.hasAllCopies(position));
 }
+TEST(tallyReplica, aSingleDiskTakesLongerAsTheOthersMayBeBackSoon) {
+  ReplicaRig rig;
+  rig.reportAll();
+  AddPosition const position = rig.add("a");
+  rig.sync();
+  rig.pushed();
+  rig.tick(aloneAfter - 1);
+  CHECK(!rig.replica.isDurable(position));
+  rig.tick(1);
+  CHECK(rig.replica.isDurable(position));
+}
 TEST(tallyReplica, aProcessThatSleptTakesNobodyForUnreachable) {
   ReplicaRig rig;
   rig.reportAll();
--- a/tools/soak/cluster.cpp
+++ b/tools/soak/cluster.cpp
@@ -111,6 +111,7 @@
 
 void Cluster::emptyDisk(ClusterNode& node) {
   std::filesystem::remove_all(folderOf(node));
+  node.emptiedAt = Clock::now();
 }
 
 void Cluster::restart(ClusterNode& node) {
--- a/tools/soak/cluster.hpp
+++ b/tools/soak/cluster.hpp
@@ -20,6 +20,7 @@
   int kills = 0, pauses = 0;  ///< faults that hold it down, or paused
   int terminations = 0;       ///< faults that had it told to end
   int life = 0;               ///< rises with each start
+  TimePoint emptiedAt;        ///< when its disk was lost last
   vector<Trouble> troubles;
   /// Where it serves something; GCC 12 doesn't take an Address in braces inside `co_await`.
   Address address(int port) const { return {plan.ip, port}; }
--- a/tools/soak/sabotage.cpp
+++ b/tools/soak/sabotage.cpp
@@ -34,6 +34,7 @@
              {"TWICE", altered_->id, "where"},
              {"REFUSED", "", "its client was"},
              {"Own ends", ended.plan.name, "signal 9"},
+             {"LOST", tallies_.pretendAcknowledged(), "were acknowledged"},
              {"FAILBACK", flooded.id(), "requests in one second"},
              {"invariant", sabotageLog, invariantLine}};
   verdict_.note("sabotage begins: " + unreadable_->id + " can't be read, " + bodiless_->id + " has no bodies, " +
--- a/tools/soak/sabotage.hpp
+++ b/tools/soak/sabotage.hpp
@@ -2,6 +2,7 @@
 #include "tools/soak/cluster.hpp"
 #include "tools/soak/lot_book.hpp"
 #include "tools/soak/stand_in_worker.hpp"
+#include "tools/soak/tally_client.hpp"
 
 namespace tealshelf::soak {
 
@@ -9,8 +10,9 @@
 /// process. The run passes if the checks noticed each break, and nothing else.
 class Sabotage {
  public:
-  Sabotage(bool on, Cluster& cluster, vector<std::unique_ptr<StandInWorker>>& workers, LotBook& book, Verdict& verdict)
-      : on_(on), cluster_(cluster), workers_(workers), book_(book), verdict_(verdict) {}
+  Sabotage(bool on, Cluster& cluster, vector<std::unique_ptr<StandInWorker>>& workers, LotBook& book,
+           TallyClient& tallies, Verdict& verdict)
+      : on_(on), cluster_(cluster), workers_(workers), book_(book), tallies_(tallies), verdict_(verdict) {}
   /// Waits until enough lots were accepted, then begins to break things.
   Task<void> run();
   /// Changes the answer to a read of a lot, before anybody looks at it.
@@ -32,6 +34,7 @@
   Cluster& cluster_;
   vector<std::unique_ptr<StandInWorker>>& workers_;
   LotBook& book_;
+  TallyClient& tallies_;
   Verdict& verdict_;
   vector<Break> breaks_;
   Lot const* unreadable_ = nullptr;  ///< answers 503 from some moment on
--- a/tools/soak/soak_run.cpp
+++ b/tools/soak/soak_run.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 constexpr Ms startLimit{40000}, drainLimit{20000}, pollInterval{100};
-constexpr int firstWorkerNumber = 601, workerPort = 8080, observers = 4;
+constexpr int firstWorkerNumber = 601, workerPort = 8080, observers = 4, talliersPerZone = 2;
 
 string emptyFolder(string const& parent, std::uint64_t seed) {
   string const folder = parent + "/seed-" + std::to_string(seed);
@@ -30,7 +30,8 @@
       requests_(io_, cluster_, ledger_, verdict_, options.seed),
       kept_(io_, cluster_, requests_, verdict_, options.seed),
       probe_(io_, cluster_, operators_, ledger_, verdict_, options.seed),
-      sabotage_(options_.sabotage, cluster_, workers_, book_, verdict_),
+      tallies_(io_, cluster_, verdict_, options.seed),
+      sabotage_(options_.sabotage, cluster_, workers_, book_, tallies_, verdict_),
       lots_(io_, options_, cluster_, ledger_, book_, sabotage_, verdict_),
       faults_(io_, cluster_, workers_, operators_, book_, verdict_),
       checks_(io_, cluster_, operators_, requests_, probe_, lots_, book_, verdict_) {
@@ -85,6 +86,7 @@
                 std::to_string(book_.countOf(Lot::State::unclear)) + " unclear, " +
                 std::to_string(book_.countOf(Lot::State::refused)) + " refused; the last checks begin");
   co_await checks_.run();
+  co_await tallies_.checkAtEnd(Clock::now() + cluster_.bounds().recover);
   // What reaches a worker after all is told, too.
   co_await sleepFor(pollInterval);
 }
@@ -114,6 +116,8 @@
   if (options_.sabotage) spawnTask(io_, "sabotage", sabotage_.run());
   for (int i = 0; i < options_.keptClients; ++i) spawnTask(io_, "kept client", kept_.hold());
   for (int i = 0; i < observers; ++i) spawnTask(io_, "observer", lots_.observe());
+  for (string const& zone : cluster_.topology().zones)
+    for (int i = 0; i < talliersPerZone; ++i) spawnTask(io_, "tallies", tallies_.callFrom(zone));
   for (ClusterNode* const edge : cluster_.nodesOf(NodeRole::edge)) spawnTask(io_, "probe", probe_.watch(*edge));
 }
 
@@ -140,10 +144,12 @@
   requests_.stop();
   kept_.stop();
   probe_.stop();
+  tallies_.stop();
   operators_.stop();
   TimePoint const until = Clock::now() + drainLimit;
   auto const underWay = [this] {
-    return lots_.underWay() + requests_.underWay() + kept_.underWay() + probe_.underWay() + operators_.underWay();
+    return lots_.underWay() + requests_.underWay() + kept_.underWay() + probe_.underWay() + operators_.underWay() +
+           tallies_.underWay();
   };
   while (underWay() && Clock::now() < until) co_await sleepFor(pollInterval);
   if (operators_.underWay()) verdict_.fail("CONFIG", "a change has no clear end long after all faults");
--- a/tools/soak/soak_run.hpp
+++ b/tools/soak/soak_run.hpp
@@ -2,6 +2,7 @@
 #include "tools/soak/fault_driver.hpp"
 #include "tools/soak/final_checks.hpp"
 #include "tools/soak/kept_client.hpp"
+#include "tools/soak/tally_client.hpp"
 
 namespace tealshelf::soak {
 
@@ -36,6 +37,7 @@
   RequestClient requests_;
   KeptClient kept_;
   EdgeProbe probe_;
+  TallyClient tallies_;
   Sabotage sabotage_;
   LotClient lots_;
   FaultDriver faults_;
--- /dev/null
+++ b/tools/soak/tally_client.cpp
@@ -0,0 +1,175 @@
+#include "tools/soak/tally_client.hpp"
+
+#include <rapidjson/document.h>
+
+namespace tealshelf::soak {
+
+namespace {
+constexpr Ms callLimit{1000}, betweenCalls{60}, betweenTries{30}, betweenChecks{150};
+constexpr double readShare = 0.3, otherZoneShare = 0.1, answerLostShare = 0.1;
+constexpr int maxTries = 8, tallyCount = 5, maxChange = 9;
+}  // namespace
+
+ClusterNode& TallyClient::drawControl(string const& zone) {
+  vector<ClusterNode*> const all = cluster_.nodesOf(NodeRole::control);
+  vector<ClusterNode*> near;
+  for (ClusterNode* const control : all)
+    if (control->plan.zone == zone) near.push_back(control);
+  bool const staysNear = !near.empty() && !random_.chance(otherZoneShare);
+  return *random_.pick(staysNear ? near : all);
+}
+
+Task<void> TallyClient::callFrom(string zone) {
+  ++underWay_;
+  while (!stopping_) {
+    if (random_.chance(readShare))
+      co_await readOnce(zone);
+    else
+      co_await addOnce(zone);
+    co_await sleepFor(betweenCalls);
+  }
+  --underWay_;
+}
+
+Task<void> TallyClient::addOnce(string zone) {
+  Addition& addition = additions_.emplace_back();
+  addition.tally = "t" + std::to_string(random_.between(1, tallyCount));
+  addition.id = hex(randomId());
+  addition.change = random_.between(1, maxChange);
+  tallies_.insert(addition.tally);
+  bool isAnswered = false;
+  for (int tries = 0; tries < maxTries && !isAnswered; ++tries) {
+    ClusterNode& control = drawControl(zone);
+    int const life = control.life;
+    bool const mightHaveCounted = addition.mayCount;
+    addition.mayCount = true;
+    HttpAnswer const answer = co_await post(addition, control);
+    if (answer.complete) verdict_.count("additions " + std::to_string(answer.status));
+    if (answer.complete && isPromise(answer.status)) addition.mayCount = mightHaveCounted;
+    if (answer.complete && answer.status / 100 == 4)
+      verdict_.fail("DENIED", control.plan.name + " refuses a proper addition: " + answer.describe());
+    if (answer.complete && answer.status == 200) {
+      if (!addition.acknowledged)
+        addition.acknowledged = Acknowledgement{&control, life, Clock::now(), areFewReachable()};
+      isAnswered = !random_.chance(answerLostShare);
+    }
+    if (!isAnswered) co_await sleepFor(betweenTries);
+  }
+}
+
+Task<HttpAnswer> TallyClient::post(Addition const& addition, ClusterNode& control) {
+  HttpRequest request = makeRequest(http::verb::post, "/tallies/" + addition.tally, control.plan.ip);
+  request.set(http::field::content_type, "application/json");
+  request.body() = R"({"serverId":")" + addition.id + R"(","changedBy":)" + std::to_string(addition.change) + "}";
+  Address const to = control.address(controlPort);
+  HttpAnswer answer = co_await callHttp(io_, to, std::move(request), callLimit);
+  if (answer.garbled) verdict_.fail("MIXED", control.plan.name + " sends bytes that are no answer");
+  co_return answer;
+}
+
+Task<std::optional<std::int64_t>> TallyClient::read(ClusterNode& control, string tally) {
+  HttpRequest request = makeRequest(http::verb::get, "/tallies/" + tally, control.plan.ip);
+  Address const to = control.address(controlPort);
+  HttpAnswer const answer = co_await callHttp(io_, to, std::move(request), callLimit);
+  if (!answer.complete || answer.status != 200) co_return std::nullopt;
+  verdict_.count("tally reads");
+  rapidjson::Document document;
+  document.Parse(answer.body.data(), answer.body.size());
+  bool const isValid =
+      !document.HasParseError() && document.IsObject() && document.HasMember("total") && document["total"].IsInt64();
+  if (!isValid) {
+    verdict_.fail("MIXED", control.plan.name + " tells no total: " + answer.describe());
+    co_return std::nullopt;
+  }
+  co_return document["total"].GetInt64();
+}
+
+Task<void> TallyClient::readOnce(string zone) {
+  ClusterNode& control = drawControl(zone);
+  string const tally = "t" + std::to_string(random_.between(1, tallyCount));
+  int const life = control.life;
+  std::int64_t const least = acknowledgedBy(control, tally);
+  std::optional<std::int64_t> const total = co_await read(control, tally);
+  if (!total) co_return;
+  string const told = control.plan.name + " tells " + std::to_string(*total) + " of " + tally;
+  if (*total > mostOf(tally)) verdict_.fail("TWICE", told + ", and " + std::to_string(mostOf(tally)) + " were added");
+  if (control.life == life && *total < least)
+    verdict_.fail("STALE", told + ", and acknowledged " + std::to_string(least) + " itself");
+}
+
+std::int64_t TallyClient::mostOf(string const& tally) const {
+  std::int64_t sum = 0;
+  for (Addition const& addition : additions_)
+    if (addition.tally == tally && addition.mayCount) sum += addition.change;
+  return sum;
+}
+
+std::int64_t TallyClient::acknowledgedBy(ClusterNode const& control, string const& tally) const {
+  std::int64_t sum = 0;
+  for (Addition const& addition : additions_) {
+    if (addition.tally != tally || !addition.acknowledged) continue;
+    bool const isHere = addition.acknowledged->by == &control && addition.acknowledged->life == control.life;
+    if (isHere) sum += addition.change;
+  }
+  return sum;
+}
+
+/// What was acknowledged, but for what one disk may have had alone and lost.
+std::int64_t TallyClient::owedOf(string const& tally) const {
+  std::int64_t sum = 0;
+  for (Addition const& addition : additions_) {
+    if (addition.tally != tally || !addition.acknowledged) continue;
+    Acknowledgement const& by = *addition.acknowledged;
+    bool const isExcused = by.fewReachable && by.by->emptiedAt > by.at;
+    if (!isExcused) sum += addition.change;
+  }
+  return sum;
+}
+
+bool TallyClient::areFewReachable() const {
+  if (!cluster_.cuts().empty()) return true;
+  TimePoint const now = Clock::now();
+  std::size_t well = 0;
+  vector<ClusterNode*> const controls = cluster_.nodesOf(NodeRole::control);
+  for (ClusterNode const* const control : controls)
+    if (!cluster_.wasInTrouble(*control, now - cluster_.bounds().inTouch, now)) ++well;
+  return well <= controls.size() / 2;
+}
+
+Task<string> TallyClient::faultOf(string tally) {
+  std::optional<std::int64_t> first;
+  for (ClusterNode* const control : cluster_.nodesOf(NodeRole::control)) {
+    std::optional<std::int64_t> const total = co_await read(*control, tally);
+    if (!total) co_return control->plan.name + " tells no total of " + tally;
+    string const told = control->plan.name + " tells " + std::to_string(*total) + " of " + tally;
+    if (*total < owedOf(tally)) co_return told + ", and " + std::to_string(owedOf(tally)) + " were acknowledged";
+    if (*total > mostOf(tally)) co_return told + ", and " + std::to_string(mostOf(tally)) + " were added";
+    if (first && *first != *total) co_return told + ", and another node " + std::to_string(*first);
+    first = total;
+  }
+  co_return "";
+}
+
+Task<void> TallyClient::checkAtEnd(TimePoint until) {
+  for (string const& tally : tallies_) {
+    string fault = co_await faultOf(tally);
+    while (!fault.empty() && Clock::now() < until) {
+      co_await sleepFor(betweenChecks);
+      fault = co_await faultOf(tally);
+    }
+    if (!fault.empty()) verdict_.fail("LOST", "at the end " + fault);
+  }
+}
+
+string TallyClient::pretendAcknowledged() {
+  Addition& addition = additions_.emplace_back();
+  addition.tally = "pretended";
+  addition.id = hex(randomId());
+  addition.change = 1;
+  addition.mayCount = true;
+  addition.acknowledged = Acknowledgement{cluster_.nodesOf(NodeRole::control).front(), 0, Clock::now(), false};
+  tallies_.insert(addition.tally);
+  return addition.tally;
+}
+
+}  // namespace tealshelf::soak
