Zones out of reach: silent workers are probed, their zones avoided, isolated edges not ready

Cause: in a zone that was cut off requests waited for their deadlines at workers out of reach, worker by worker, and its lots were refused until its edges turned unready after 5 x inTouchMs. Change: a bare connection tells a slow worker from one out of reach; two such open a zone's circuit breaker; nodes without updates probe the other zones; an edge that reaches no other zone and no control isn't ready.

--- a/base/settings.cpp
+++ b/base/settings.cpp
@@ -174,6 +174,7 @@
       {"bounds.exposureMargin", realBoundField(&Bounds::exposureMargin)},
       {"bounds.warmUpOverrun", realBoundField(&Bounds::warmUpOverrun)},
       {"bounds.warmUpMargin", realBoundField(&Bounds::warmUpMargin)},
+      {"bounds.mergeMs", boundField(&Bounds::merge, millisecond)},
       {"bounds.evacuateWithinMs", boundField(&Bounds::evacuateWithin, millisecond)},
       {"bounds.revertWithinMs", boundField(&Bounds::revertWithin, millisecond)},
       {"bounds.failClosed",
@@ -221,6 +222,9 @@
   vector<string> weak;
   if (bounds.evacuateWithin < bounds.applyWithin)
     weak.emplace_back("bounds.evacuateWithinMs is under bounds.applyWithinMs, in which an order reaches all nodes");
+  // A heal is noticed by heartbeats in three eighths of inTouch, and additions may have to go through a third node.
+  if (bounds.merge < bounds.inTouch / 2)
+    weak.emplace_back("bounds.mergeMs is under half of bounds.inTouchMs, in which tallies become one again");
   // Recent evidence is that of half of inTouch; then the verdict goes to all nodes.
   if (bounds.revertWithin < bounds.applyWithin + bounds.inTouch / 2)
     weak.emplace_back("bounds.revertWithinMs is under bounds.applyWithinMs and half of bounds.inTouchMs together");
--- a/base/settings.hpp
+++ b/base/settings.hpp
@@ -26,7 +26,7 @@
   Ms seedDelay{3000}, reuseAfter{2000}, inTouch{3000}, confirmWithin{4000}, catchUp{5000}, drain{2000}, grace{8000},
       slack{200}, applyWithin{2000}, revertSlack{250}, stretchLimit{5000}, recover{12000}, step{120},
       finishWithin{10000}, statusEvery{120000}, cancelWithin{3000}, settleWithin{1000}, revokeWithin{5000},
-      quotaWindow{5000}, evacuateWithin{5000};
+      quotaWindow{5000}, evacuateWithin{5000}, merge{3000};
   double quotaOverrun = 0.1;      ///< part by which a quota may be exceeded
   double quotaMargin = 20;        ///< requests by which a quota may be exceeded besides, in one window
   double exposureFraction = 0.1;  ///< part of a service's requests that a bad version may get in a rollout
--- a/edge/edge_node.cpp
+++ b/edge/edge_node.cpp
@@ -31,12 +31,13 @@
       view_(io, settings, rpc_, "edge", settings.relayAddress(settings.ip)),
       quotas_(settings, rpc_, view_),
       forwarder_(io, settings, rpc_, view_, quotas_, stopping_),
+      zoneProber_(io, settings, view_, forwarder_.balancer()),
       lots_(settings, rpc_, view_),
       readiness_(
           io, settings.readiness,
           [this](HttpCall call) -> Task<HttpReply> {
             HttpReply answer;
-            bool const ready = view_.isReady() && !stopping_;
+            bool const ready = view_.isReady() && !stopping_ && !isIsolated();
             answer.status = call.path != "/readiness" ? 404 : ready ? 200 : 503;
             co_return answer;
           },
@@ -47,6 +48,7 @@
   view_.runningAt = [this](string const& worker) { return forwarder_.runningAt(worker); };
   view_.start(rpcServer_);
   rpcServer_.start();
+  zoneProber_.start();
   readiness_.start();
   clients_.emplace(io_, settings_.outside, clientBacklog);
   clients_->start("client listener", [this](tcp::socket socket) {
@@ -72,11 +74,23 @@
     co_await sleepFor(settings_.bounds.inTouch / 2);
     forwarder_.sweep();
     quotas_.sweep();
+    noteIsolation();
   }
 }
 
+void EdgeNode::noteIsolation() {
+  bool const isolated = isIsolated();
+  if (isolated == wasIsolated_) return;
+  wasIsolated_ = isolated;
+  if (isolated)
+    logWarning("edge", "cut off from all other zones and from control; not ready until updates come again");
+  else
+    logInfo("edge", "no longer cut off");
+}
+
 void EdgeNode::sampleMetrics() {
   metrics_.activeRequests.setCount(*activeRequests_);
+  metrics_.isolated.setCount(isIsolated() ? 1 : 0);
   metrics_.hasConfiguration.setCount(view_.configuration() != nullptr);
 }
 
--- a/edge/edge_node.hpp
+++ b/edge/edge_node.hpp
@@ -2,6 +2,7 @@
 #include "edge/edge_metrics.hpp"
 #include "edge/idle_connections.hpp"
 #include "edge/request_forwarder.hpp"
+#include "edge/zone_prober.hpp"
 #include "lots/api/lot_api.hpp"
 #include "wire/listener.hpp"
 
@@ -46,6 +47,10 @@
   Task<void> reply(ClientConnection& client, HttpReply answer);
   /// True once this process ends so soon that a request taken now might be cut off.
   bool isEndingSoon() const;
+  /// True if this node can reach no zone but its own, and control neither: clients are better served elsewhere.
+  bool isIsolated() const { return !view_.isFresh() && forwarder_.isCutOff(); }
+  /// Tells the log when that begins and ends.
+  void noteIsolation();
   Task<void> sweepLoop();
   void sampleMetrics();
   Task<void> endIdleLoop();
@@ -55,10 +60,11 @@
   RpcClient rpc_;
   RpcServer rpcServer_;  ///< updates are relayed there
   FleetView view_;
-  bool stopping_ = false;
+  bool stopping_ = false, wasIsolated_ = false;
   TimePoint stoppedAt_;
   QuotaClient quotas_;
   RequestForwarder forwarder_;
+  ZoneProber zoneProber_;
   LotApi lots_;
   HttpServer readiness_;
   std::optional<Listener> clients_;
--- a/edge/request_forwarder.cpp
+++ b/edge/request_forwarder.cpp
@@ -9,6 +9,8 @@
 constexpr int quotaWithin = 5;
 /// A worker that is silent for so many targets counts as failed.
 constexpr int silentTargets = 4;
+/// Parts: of a route's target after which a silent worker is probed, and of inTouch in which it must take the probe.
+constexpr int probeAfter = 2, probeWithin = 40;
 
 /// Headers of a client that this system sets itself, or has dealt with.
 constexpr char const* replacedHeaders[] = {"Time-Left-Ms", "Wanted-Server", "Expect"};
@@ -96,7 +98,12 @@
   TimePoint const sentAt = Clock::now();
   retries.sentAt = sentAt;
   view_.tallyVersion(worker, plan.route->name, sentTally());
+  SilenceProbe::Timing const timing{plan.route->target / probeAfter, settings_.bounds.inTouch / probeWithin};
+  SilenceProbe probe(io_, worker.address, timing,
+                     [&](bool reachable) { noteProbe(reachable, worker, plan, retries, exchange); });
   SendResult const result = co_await exchange.send(forwarded, plan.attempt, plan.deadline);
+  probe.noteProgress();
+  retries.probe = &probe;
   balancer_.promptRead(worker.id, unreadTokens);
   if (target.placement && result == SendResult::answered)
     prefixes_.record(*target.placement, std::chrono::duration_cast<Ms>(Clock::now() - sentAt));
@@ -108,10 +115,23 @@
   else
     next = co_await judge(client, plan, exchange, result, retries);
   retries.watch.onGone(nullptr);
+  retries.probe = nullptr;
   balancer_.requestEnded(worker.id);
   co_return next;
 }
 
+void RequestForwarder::noteProbe(bool reachable, Worker const& worker, RequestPlan const& plan,
+                                 RetryState const& retries, Exchange& exchange) {
+  if (reachable) {
+    balancer_.noteReached(worker);
+    return;
+  }
+  metrics_.unreachedWorkers.increment();
+  balancer_.noteUnreached(worker);
+  bool const mayMove = plan.mayRepeat && retries.sends + 1 < plan.tries;
+  if (mayMove) exchange.cancel();
+}
+
 void RequestForwarder::abandon(ClientConnection& client, Exchange& exchange) {
   exchange.abort();
   client.close();
@@ -121,9 +141,14 @@
                                                          Exchange& exchange, SendResult result, RetryState& retries) {
   string const worker = exchange.worker().id;
   NextStep next = NextStep::tryAnother;
+  bool const wasReached = result == SendResult::answered || result == SendResult::notRun;
+  if (wasReached) balancer_.noteReached(exchange.worker());
   switch (result) {
     case SendResult::notSent:
-      balancer_.markFailed(worker, true);
+      if (exchange.connectionWasUnanswered())
+        balancer_.noteUnreached(exchange.worker());
+      else
+        balancer_.markFailed(worker, true);
       view_.tally(worker, false);
       retries.lastFailure = ErrorCode::noWorker;
       break;
@@ -281,6 +306,7 @@
     // A stream that ends inside an event was broken off.
     if (state == BodyState::complete && !events.atEventBoundary()) state = BodyState::broken;
     bool const ends = state == BodyState::complete;
+    if (!body.empty() && retries.probe) retries.probe->noteProgress();
     if (!complete.empty()) pace.note(events.lastId(), Clock::now());
     if (complete.empty() && !ends) continue;
     deadline.expireAt(Clock::now() + 2 * settings_.bounds.inTouch);
--- a/edge/request_forwarder.hpp
+++ b/edge/request_forwarder.hpp
@@ -7,6 +7,7 @@
 #include "traffic/event_stream.hpp"
 #include "traffic/exchange.hpp"
 #include "traffic/prefix_report.hpp"
+#include "traffic/silence_probe.hpp"
 #include "traffic/warm_up_gate.hpp"
 
 namespace tealshelf {
@@ -34,6 +35,9 @@
   PrefixReport const& prefixes() const { return prefixes_; }
   /// Requests under way at a worker.
   std::int64_t runningAt(string const& worker) const { return balancer_.runningAt(worker); }
+  LoadBalancer& balancer() { return balancer_; }
+  /// True if no zone but the own one can be reached.
+  bool isCutOff() const { return balancer_.isCutOff(view_.workers()); }
 
  private:
   /// What the tries of one request have come to so far.
@@ -47,8 +51,9 @@
     std::optional<Credit> credit;  ///< to send it; nothing before the first was taken
     ErrorCode lastFailure = ErrorCode::noWorker;
     EventStreamReader events;
-    TimePoint sentAt;              ///< to the present worker
-    std::optional<double> paceMs;  ///< of the last whole answer, if it can be told
+    TimePoint sentAt;               ///< to the present worker
+    SilenceProbe* probe = nullptr;  ///< of the present exchange
+    std::optional<double> paceMs;   ///< of the last whole answer, if it can be told
   };
   enum class NextStep { tryAnother, stop, done };
 
@@ -72,6 +77,9 @@
                            Target const& target, RetryState& retries);
   /// The end of a request whose client is gone: it says nothing of its worker, and no other gets it.
   void abandon(ClientConnection& client, Exchange& exchange);
+  /// What a probe of a silent worker showed. A request that may go to another worker leaves one that is out of reach.
+  void noteProbe(bool reachable, Worker const& worker, RequestPlan const& plan, RetryState const& retries,
+                 Exchange& exchange);
   /// What comes after a send that ended.
   Task<NextStep> judge(ClientConnection& client, RequestPlan const& plan, Exchange& exchange, SendResult result,
                        RetryState& retries);
--- /dev/null
+++ b/edge/zone_prober.cpp
@@ -0,0 +1,42 @@
+#include "edge/zone_prober.hpp"
+
+#include "traffic/connection_probe.hpp"
+
+namespace tealshelf {
+
+namespace {
+/// Parts of inTouch: between two rounds, and in which a worker must take or refuse a connection.
+constexpr int zoneProbePeriodPart = 16, zoneProbeLimitPart = 40;
+}  // namespace
+
+void ZoneProber::start() {
+  spawnTask(io_, "zone prober", probeLoop());
+}
+
+Task<void> ZoneProber::probeLoop() {
+  for (;;) {
+    co_await sleepFor(settings_.bounds.inTouch / zoneProbePeriodPart);
+    if (!view_.configuration() || view_.isFresh()) continue;
+    for (Worker const& worker : candidates()) spawnTask(io_, "zone probe", probe(worker));
+  }
+}
+
+vector<Worker> ZoneProber::candidates() {
+  std::map<string, vector<Worker const*>> zones;
+  for (auto const& [id, worker] : view_.workers())
+    if (worker.zone != settings_.zone && !balancer_.isOutOfReach(worker.zone)) zones[worker.zone].push_back(&worker);
+  ++turn_;
+  vector<Worker> chosen;
+  for (auto const& [zone, workers] : zones) chosen.push_back(*workers[turn_ % workers.size()]);
+  return chosen;
+}
+
+Task<void> ZoneProber::probe(Worker worker) {
+  bool const reached = co_await takesConnection(io_, worker.address, settings_.bounds.inTouch / zoneProbeLimitPart);
+  if (reached)
+    balancer_.noteReached(worker);
+  else
+    balancer_.noteUnreached(worker);
+}
+
+}  // namespace tealshelf
--- a/tests/base/settings_test.cpp
+++ b/tests/base/settings_test.cpp
@@ -54,4 +54,6 @@
   LONGS_EQUAL(1, settings.weakBounds().size());
   settings.bounds.revertWithin = Ms(4400);
   LONGS_EQUAL(2, settings.weakBounds().size());
+  settings.bounds.merge = Ms(1900);
+  LONGS_EQUAL(3, settings.weakBounds().size());
 }
--- a/tests/traffic/worker_stand_in.hpp
+++ b/tests/traffic/worker_stand_in.hpp
@@ -40,6 +40,7 @@
   bool resetsProbes = false;  ///< a question for its health is answered by a reset
   string id;                  ///< that its health answers name
   std::int64_t warmUpMs = 0;  ///< that its health answers tell
+  bool hangs = false;         ///< it takes no connection and answers nothing, as if its machine were out of reach
   bool onUsed = false;        ///< the last send came on a connection that had answered before
   vector<string> lastEventIds;
   http::fields lastHead;  ///< of the last request, priming ones too
@@ -57,6 +58,7 @@
  private:
   Task<void> take() {
     for (;;) {
+      while (hangs) co_await sleepFor(Ms(5));
       tcp::socket taken = co_await acceptor_.async_accept(asio::use_awaitable);
       std::shared_ptr<tcp::socket> const s = std::make_shared<tcp::socket>(std::move(taken));
       open_.insert(s);
@@ -78,6 +80,7 @@
       string const id(p.get()["Attempt-Id"].data(), p.get()["Attempt-Id"].size());
       string const resume(p.get()["Last-Event-Id"].data(), p.get()["Last-Event-Id"].size());
       lastHead = p.get();
+      if (hangs) co_return co_await untilPeerCloses(s, Ms(5000));
       if (p.get().target() == "/h") {
         co_await answerProbe(s);
         if (resetsProbes) co_return;
--- /dev/null
+++ b/tests/traffic/zone_reachability_test.cpp
@@ -0,0 +1,106 @@
+#include "traffic/load_balancer.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace tealshelf;
+
+namespace {
+constexpr Ms shortest{500}, longest{4000};
+TimePoint const start(Ms(1000000));
+
+Worker workerIn(string const& zone, string const& id) {
+  Worker worker;
+  worker.id = id;
+  worker.zone = zone;
+  return worker;
+}
+
+/// A balancer of a node in zone "own", and workers of a few zones.
+struct BalancerRig {
+  Settings settings;
+  std::map<string, Worker> workers;
+  std::optional<LoadBalancer> balancer;
+  explicit BalancerRig(vector<string> const& zones) {
+    settings.zone = "own";
+    for (string const& zone : zones)
+      for (string const& number : {"1", "2"}) workers[zone + number] = workerIn(zone, zone + number);
+    balancer.emplace(settings);
+  }
+  void silence(string const& zone) {
+    balancer->noteUnreached(workers[zone + "1"]);
+    balancer->noteUnreached(workers[zone + "2"]);
+  }
+};
+}  // namespace
+
+TEST_GROUP(zoneReachability){};
+
+TEST(zoneReachability, oneSilentWorkerIsNoSilentZone) {
+  ZoneReachability zones(shortest, longest);
+  zones.noteSilence("a", "w1", start);
+  zones.noteSilence("a", "w1", start);
+  CHECK(!zones.isSilent("a"));
+  CHECK(!zones.isAvoided("a", start));
+}
+TEST(zoneReachability, twoSilentWorkersAreAndOthersZonesAreNot) {
+  ZoneReachability zones(shortest, longest);
+  zones.noteSilence("a", "w1", start);
+  zones.noteSilence("a", "w2", start);
+  CHECK(zones.isSilent("a"));
+  CHECK(zones.isAvoided("a", start));
+  CHECK(!zones.isAvoided("b", start));
+}
+TEST(zoneReachability, isTriedAgainWithAGrowingPause) {
+  ZoneReachability zones(shortest, longest);
+  zones.noteSilence("a", "w1", start);
+  zones.noteSilence("a", "w2", start);
+  CHECK(zones.isAvoided("a", start + shortest - Ms(1)));
+  CHECK(!zones.isAvoided("a", start + shortest));
+  CHECK(zones.isSilent("a"));
+  // Several that were under way at once count as one.
+  zones.noteSilence("a", "w3", start + shortest);
+  zones.noteSilence("a", "w4", start + shortest);
+  CHECK(zones.isAvoided("a", start + shortest + 2 * shortest - Ms(1)));
+  CHECK(!zones.isAvoided("a", start + shortest + 2 * shortest));
+  TimePoint now = start;
+  for (int i = 0; i < 10; ++i) {
+    now += longest;
+    zones.noteSilence("a", "w1", now);
+  }
+  CHECK(zones.isAvoided("a", now + longest - Ms(1)));
+  CHECK(!zones.isAvoided("a", now + longest));
+}
+TEST(zoneReachability, anyAnswerOfTheZoneEndsIt) {
+  ZoneReachability zones(shortest, longest);
+  zones.noteSilence("a", "w1", start);
+  zones.noteAnswer("a");
+  zones.noteSilence("a", "w2", start);
+  CHECK(!zones.isSilent("a"));
+  zones.noteSilence("a", "w1", start);
+  CHECK(zones.isSilent("a"));
+  zones.noteAnswer("a");
+  CHECK(!zones.hasSilent());
+}
+TEST(zoneReachability, aNodeIsCutOffOnceEveryOtherZoneIsSilent) {
+  BalancerRig rig({"own", "a", "b"});
+  rig.silence("a");
+  CHECK(!rig.balancer->isCutOff(rig.workers));
+  rig.silence("b");
+  CHECK(rig.balancer->isCutOff(rig.workers));
+  rig.balancer->noteReached(rig.workers["a1"]);
+  CHECK(!rig.balancer->isCutOff(rig.workers));
+}
+/// Where there is but one other zone, each might take itself for the one that is cut off, and nobody would be ready.
+TEST(zoneReachability, oneOtherZoneProvesNothing) {
+  BalancerRig rig({"own", "a"});
+  rig.silence("a");
+  CHECK(!rig.balancer->isCutOff(rig.workers));
+}
+TEST(zoneReachability, workersOfASilentZoneAreTheLastResort) {
+  BalancerRig rig({"own", "a"});
+  Worker third = workerIn("a", "a3");
+  rig.balancer->markHealthy("a3");
+  CHECK(!rig.balancer->isLastResort(third));
+  rig.silence("a");
+  CHECK(rig.balancer->isLastResort(third));
+}
--- a/traffic/exchange.cpp
+++ b/traffic/exchange.cpp
@@ -5,6 +5,9 @@
 namespace {
 constexpr std::uint64_t maxBodyBytes = std::uint64_t{1} << 40;
 constexpr std::uint32_t maxHeadBytes = 64u << 10;
+/// Part of inTouch in which a connection comes up. A worker that is there takes or refuses it at once, however busy it
+/// is; another worker does better than a second try of a lost packet.
+constexpr int connectPart = 20;
 /// Late answers to other requests that are read past.
 constexpr int maxSkippedAnswers = 3;
 constexpr std::size_t maxSkippedBytes = 1u << 16;
@@ -25,6 +28,7 @@
 }
 
 void Exchange::cancel() {
+  cancelled_ = true;
   if (!connection_) return;
   error_code ignored;
   connection_->socket.close(ignored);
@@ -86,6 +90,7 @@
 
 /// A connection that was idle was idle for too long; a new one may have been one too many for the worker.
 void Exchange::noteReset() {
+  if (cancelled_) return;
   if (newConnection_)
     pool_.noteReset(worker_.id);
   else
@@ -94,10 +99,11 @@
 
 Task<bool> Exchange::connect(TimePoint until) {
   Bounds const& bounds = pool_.settings().bounds;
-  deadline_->expireAt(std::min(until, Clock::now() + bounds.inTouch / 6));
+  deadline_->expireAt(std::min(until, Clock::now() + bounds.inTouch / connectPart));
   error_code error;
   co_await connection_->socket.async_connect(endpointOf(worker_.address),
                                              asio::redirect_error(asio::use_awaitable, error));
+  connectionWasUnanswered_ = deadline_->expired() && Clock::now() < until;
   if (error || deadline_->expired()) co_return false;
   setSocketOptions(connection_->socket, bounds.inTouch);
   co_return true;
--- a/traffic/exchange.hpp
+++ b/traffic/exchange.hpp
@@ -55,6 +55,8 @@
   Worker const& worker() const { return worker_; }
   /// True if no request was sent on its connection before.
   bool onNewConnection() const { return newConnection_; }
+  /// True if the worker neither took nor refused a new connection in time.
+  bool connectionWasUnanswered() const { return connectionWasUnanswered_; }
   /// Ends the exchange; its connection is closed.
   void abort();
   /// Closes the connection under a send() or readBody() that is under way, which then ends as broken off.
@@ -87,6 +89,8 @@
   TimePoint sendBy_ = TimePoint::max();
   bool mayRepeat_ = false;
   bool newConnection_ = false;
+  bool connectionWasUnanswered_ = false;
+  bool cancelled_ = false;
   Ms idleBefore_{0};  ///< how long a used connection was idle
 };
 
--- a/traffic/load_balancer.cpp
+++ b/traffic/load_balancer.cpp
@@ -14,6 +14,9 @@
 /// After so many failures in a row a worker is passed over, however it failed.
 constexpr int failuresUntilOut = 2;
 
+/// With fewer other zones none can tell whether it is cut off itself, or the other.
+constexpr std::size_t zonesThatProveACut = 2;
+
 double costOfTokens(double tokens) {
   return pieceCost * tokens / pieceTokens;
 }
@@ -83,6 +86,22 @@
   workers_[worker].failures = 0;
 }
 
+void LoadBalancer::noteUnreached(Worker const& worker) {
+  markFailed(worker.id, true);
+  zones_.noteSilence(worker.zone, worker.id, Clock::now());
+}
+
+bool LoadBalancer::isCutOff(std::map<string, Worker> const& workers) const {
+  if (!zones_.hasSilent()) return false;
+  std::set<string_view> others;
+  for (auto const& [id, worker] : workers) {
+    if (worker.zone == settings_.zone) continue;
+    if (!zones_.isSilent(worker.zone)) return false;
+    others.insert(worker.zone);
+  }
+  return others.size() >= zonesThatProveACut;
+}
+
 double LoadBalancer::loadOf(WorkerState const& state, Worker const& worker, TimePoint now) const {
   double reported = 0;
   if (now - state.reportedAt < settings_.bounds.inTouch)
@@ -141,7 +160,7 @@
 bool LoadBalancer::hasFitWarm(FleetView const& view, string const& service) {
   TimePoint const now = Clock::now();
   vector<Candidate> const& candidates = candidatesFor(view, service, Group::stable);
-  return std::any_of(candidates.begin(), candidates.end(), [now](Candidate const& candidate) {
+  return std::any_of(candidates.begin(), candidates.end(), [this, now](Candidate const& candidate) {
     return !isAvoided(*candidate.state, *candidate.worker, now);
   });
 }
--- a/traffic/load_balancer.hpp
+++ b/traffic/load_balancer.hpp
@@ -1,6 +1,7 @@
 #pragma once
 #include "traffic/prefix_placement.hpp"
 #include "traffic/worker_load.hpp"
+#include "traffic/zone_reachability.hpp"
 #include "updates/fleet_view.hpp"
 
 namespace tealshelf {
@@ -25,7 +26,8 @@
 /// Picks workers by how loaded and how well each is, from what this node has seen of it.
 class LoadBalancer {
  public:
-  explicit LoadBalancer(Settings const& settings) : settings_(settings) {}
+  explicit LoadBalancer(Settings const& settings)
+      : settings_(settings), zones_(settings.bounds.inTouch / 8, settings.bounds.inTouch) {}
   /// The best worker that is warm; null if there is none. Those that were tried are passed over.
   Pick pick(FleetView const& view, PickRequest const& request, std::set<string> const& tried);
 
@@ -49,6 +51,17 @@
   /// It broke off. If `unreachable`, it is passed over at once, else after the second time.
   void markFailed(string const& worker, bool unreachable);
   void markHealthy(string const& worker);
+  /// Something came from a worker, a refused connection too.
+  void noteReached(Worker const& worker) {
+    if (zones_.hasSilent()) zones_.noteAnswer(worker.zone);
+  }
+  /// A connection to a worker stayed without an answer: it, or its zone, is out of reach.
+  void noteUnreached(Worker const& worker);
+  /// True if a zone's workers gave no answer of any kind since one of them last did.
+  bool isOutOfReach(string const& zone) const { return zones_.isSilent(zone); }
+  /// True if no zone but the own one can be reached, as far as its workers show; false where there are fewer than two
+  /// others.
+  bool isCutOff(std::map<string, Worker> const& workers) const;
   /// Load as a part of its slots; over 1 if requests wait.
   double load(Worker const& worker, TimePoint now) const;
   /// The mean load that warm workers of a service told lately; nothing if none did. This node may not have asked the
@@ -102,8 +115,9 @@
                 TimePoint now);
   Fitness fitnessOf(Candidate const& candidate, PickRequest const& request, std::set<string> const& tried,
                     TimePoint now) const;
-  static bool isAvoided(WorkerState const& state, Worker const& worker, TimePoint now) {
-    return now < state.failedUntil || now < state.fullUntil || worker.ejected;
+  bool isAvoided(WorkerState const& state, Worker const& worker, TimePoint now) const {
+    bool const isOut = now < state.failedUntil || now < state.fullUntil || worker.ejected;
+    return isOut || (zones_.hasSilent() && zones_.isAvoided(worker.zone, now));
   }
   double loadOf(WorkerState const& state, Worker const& worker, TimePoint now) const;
   /// Load plus what a new prompt would wait behind, in the same measure.
@@ -118,6 +132,7 @@
   std::uint64_t nextRandom();
 
   Settings const& settings_;
+  ZoneReachability zones_;
   std::map<string, WorkerState> workers_;
   std::map<string, ServiceLoad> serviceLoads_;
   std::map<std::pair<string, Group>, CandidateList> candidateLists_;  ///< by service
