--- a/rollouts/rollout_machine.cpp
+++ b/rollouts/rollout_machine.cpp
@@ -8,7 +8,7 @@
 /// Shares of the first stages, in parts of the fraction that a bad version may get.
 constexpr double firstShare = 0.15, secondShare = 0.3;
 /// Parts of the budget that the last step may count on; the rest is for what is under way and not counted yet.
-constexpr double usedFraction = 0.85, usedMargin = 0.5;
+constexpr double usedExposureFraction = 0.85, usedExposureMargin = 0.5;
 /// A stage lasts for this part of the term at least.
 constexpr int shortestStagePart = 20;
 /// Without any worker of the target version a rollout is given up after so many terms.
@@ -61,8 +61,8 @@
   double const elapsedMs = std::max(1.0, static_cast<double>(inputs.elapsed.count()));
   double const toCome = inputs.judgement.sentInAll / elapsedMs * static_cast<double>(left.count());
   double const exposed = inputs.judgement.sentToTarget + toCome;
-  double const budget =
-      usedFraction * plan.exposureFraction * (inputs.judgement.sentInAll + toCome) + usedMargin * plan.exposureMargin;
+  double const budget = usedExposureFraction * plan.exposureFraction * (inputs.judgement.sentInAll + toCome) +
+                        usedExposureMargin * plan.exposureMargin;
   return exposed <= budget;
 }
 
--- a/tests/tallies/tally_replica_test.cpp
+++ b/tests/tallies/tally_replica_test.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 constexpr int unreachableAfter = 10, aloneAfter = 80;
-TimePoint const start(Ms(1000000));
+TimePoint const replicaTestStart(Ms(1000000));
 
 Member member(std::uint64_t id, string const& zone) {
   Member made;
@@ -20,7 +20,7 @@
 struct ReplicaRig {
   TallyReplica replica{NodeId(1), TallyTiming{unreachableAfter, aloneAfter, Ms(250), Ms(500), Ms(1000), Ms(8000)},
                        TallyDurability{3, 2}};
-  TimePoint now = start;
+  TimePoint now = replicaTestStart;
 
   ReplicaRig() {
     replica.beginOrigin(OriginId(11));
--- a/tests/traffic/zone_reachability_test.cpp
+++ b/tests/traffic/zone_reachability_test.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 constexpr Ms shortest{500}, longest{4000};
-TimePoint const start(Ms(1000000));
+TimePoint const reachabilityStart(Ms(1000000));
 
 Worker workerIn(string const& zone, string const& id) {
   Worker worker;
@@ -37,32 +37,32 @@
 
 TEST(zoneReachability, oneSilentWorkerIsNoSilentZone) {
   ZoneReachability zones(shortest, longest);
-  zones.noteSilence("a", "w1", start);
-  zones.noteSilence("a", "w1", start);
+  zones.noteSilence("a", "w1", reachabilityStart);
+  zones.noteSilence("a", "w1", reachabilityStart);
   CHECK(!zones.isSilent("a"));
-  CHECK(!zones.isAvoided("a", start));
+  CHECK(!zones.isAvoided("a", reachabilityStart));
 }
 TEST(zoneReachability, twoSilentWorkersAreAndOthersZonesAreNot) {
   ZoneReachability zones(shortest, longest);
-  zones.noteSilence("a", "w1", start);
-  zones.noteSilence("a", "w2", start);
+  zones.noteSilence("a", "w1", reachabilityStart);
+  zones.noteSilence("a", "w2", reachabilityStart);
   CHECK(zones.isSilent("a"));
-  CHECK(zones.isAvoided("a", start));
-  CHECK(!zones.isAvoided("b", start));
+  CHECK(zones.isAvoided("a", reachabilityStart));
+  CHECK(!zones.isAvoided("b", reachabilityStart));
 }
 TEST(zoneReachability, isTriedAgainWithAGrowingPause) {
   ZoneReachability zones(shortest, longest);
-  zones.noteSilence("a", "w1", start);
-  zones.noteSilence("a", "w2", start);
-  CHECK(zones.isAvoided("a", start + shortest - Ms(1)));
-  CHECK(!zones.isAvoided("a", start + shortest));
+  zones.noteSilence("a", "w1", reachabilityStart);
+  zones.noteSilence("a", "w2", reachabilityStart);
+  CHECK(zones.isAvoided("a", reachabilityStart + shortest - Ms(1)));
+  CHECK(!zones.isAvoided("a", reachabilityStart + shortest));
   CHECK(zones.isSilent("a"));
   // Several that were under way at once count as one.
-  zones.noteSilence("a", "w3", start + shortest);
-  zones.noteSilence("a", "w4", start + shortest);
-  CHECK(zones.isAvoided("a", start + shortest + 2 * shortest - Ms(1)));
-  CHECK(!zones.isAvoided("a", start + shortest + 2 * shortest));
-  TimePoint now = start;
+  zones.noteSilence("a", "w3", reachabilityStart + shortest);
+  zones.noteSilence("a", "w4", reachabilityStart + shortest);
+  CHECK(zones.isAvoided("a", reachabilityStart + shortest + 2 * shortest - Ms(1)));
+  CHECK(!zones.isAvoided("a", reachabilityStart + shortest + 2 * shortest));
+  TimePoint now = reachabilityStart;
   for (int i = 0; i < 10; ++i) {
     now += longest;
     zones.noteSilence("a", "w1", now);
@@ -72,11 +72,11 @@
 }
 TEST(zoneReachability, anyAnswerOfTheZoneEndsIt) {
   ZoneReachability zones(shortest, longest);
-  zones.noteSilence("a", "w1", start);
+  zones.noteSilence("a", "w1", reachabilityStart);
   zones.noteAnswer("a");
-  zones.noteSilence("a", "w2", start);
+  zones.noteSilence("a", "w2", reachabilityStart);
   CHECK(!zones.isSilent("a"));
-  zones.noteSilence("a", "w1", start);
+  zones.noteSilence("a", "w1", reachabilityStart);
   CHECK(zones.isSilent("a"));
   zones.noteAnswer("a");
   CHECK(!zones.hasSilent());
--- a/tools/soak/tally_client.cpp
+++ b/tools/soak/tally_client.cpp
@@ -7,7 +7,7 @@
 namespace {
 constexpr Ms callLimit{1000}, betweenCalls{60}, betweenTries{30}, betweenChecks{150};
 constexpr double readShare = 0.3, otherZoneShare = 0.1, answerLostShare = 0.1;
-constexpr int maxTries = 8, tallyCount = 5, maxChange = 9;
+constexpr int maxAdditionTries = 8, tallyCount = 5, maxChange = 9;
 }  // namespace
 
 ClusterNode& TallyClient::drawControl(string const& zone) {
@@ -38,7 +38,7 @@
   addition.change = random_.between(1, maxChange);
   tallies_.insert(addition.tally);
   bool isAnswered = false;
-  for (int tries = 0; tries < maxTries && !isAnswered; ++tries) {
+  for (int tries = 0; tries < maxAdditionTries && !isAnswered; ++tries) {
     ClusterNode& control = drawControl(zone);
     int const life = control.life;
     bool const mightHaveCounted = addition.mayCount;
--- a/traffic/load_balancer.cpp
+++ b/traffic/load_balancer.cpp
@@ -8,7 +8,7 @@
 constexpr double pieceCost = 0.25;
 /// Workers drawn at random before all are weighed.
 constexpr int randomDraws = 3;
-constexpr int maxFailures = 5;
+constexpr int maxWorkerFailures = 5;
 /// How much one report of a worker counts in the mean load of its service.
 constexpr double newReportWeight = 0.125;
 /// After so many failures in a row a worker is passed over, however it failed.
@@ -76,7 +76,7 @@
 
 void LoadBalancer::markFailed(string const& worker, bool unreachable) {
   WorkerState& state = workers_[worker];
-  state.failures = std::min(state.failures + 1, maxFailures);
+  state.failures = std::min(state.failures + 1, maxWorkerFailures);
   if (!unreachable && state.failures < failuresUntilOut) return;
   Ms const backoff = (settings_.bounds.inTouch / 12) * (1 << state.failures);
   state.failedUntil = Clock::now() + backoff;
--- a/updates/update_sources.cpp
+++ b/updates/update_sources.cpp
@@ -3,7 +3,7 @@
 namespace tealshelf {
 
 namespace {
-constexpr int maxFailures = 5;
+constexpr int maxSourceFailures = 5;
 }
 
 void UpdateSources::set(vector<Address> parents, vector<Address> controls) {
@@ -43,7 +43,7 @@
 
 void UpdateSources::noteFailed(Address const& source, TimePoint now) {
   Failure& failure = failures_[source];
-  failure.count = std::min(failure.count + 1, maxFailures);
+  failure.count = std::min(failure.count + 1, maxSourceFailures);
   randomState_ = randomState_ * 6364136223846793005ull + 1442695040888963407ull;
   Ms const rest = firstRest_ * (1 << (failure.count - 1));
   std::int64_t const maxJitter = std::max<std::int64_t>(1, rest.count() / 2);
