Tallies: what a disk has counts from the first sync of a process on, and is told from then on

Change: the first flush waits for a sync whatever there is to write; before it heartbeats carry no digest. Test: tallyReplica.digestsTellNothingBeforeTheFirstSync.

--- a/tallies/tally_replica.cpp
+++ b/tallies/tally_replica.cpp
@@ -38,6 +38,7 @@
 
 void TallyReplica::noteSynced(VersionVector const& synced) {
   synced_ = synced;
+  hasSynced_ = true;
 }
 
 TallyTable::Taken TallyReplica::add(TallyAdd addition) {
--- a/tallies/tally_replica.hpp
+++ b/tallies/tally_replica.hpp
@@ -47,6 +47,8 @@
   vector<string> takeRecords() { return std::exchange(records_, {}); }
   VersionVector known() const { return table_.known(); }
   void noteSynced(VersionVector const& synced);
+  /// False until the first of them: what this disk has isn't known before.
+  bool hasSynced() const { return hasSynced_; }
 
   // Calls.
 
@@ -65,8 +67,8 @@
   // Peers.
 
   void setMembers(vector<Member> const& members);
-  /// What this node's digest is, for its heartbeats.
-  std::uint64_t digest() const { return digestOf(synced_); }
+  /// What this node's digest is, for its heartbeats; 0 as long as it has synced nothing, as all would be alike then.
+  std::uint64_t digest() const { return hasSynced_ ? digestOf(synced_) : 0; }
   void noteHeartbeat(NodeId from, std::uint64_t digest, TimePoint now);
   vector<OutgoingPush> takePushes(TimePoint now);
   /// Takes a push in. Throws notMember if it is meant for another node.
@@ -110,6 +112,7 @@
   OriginId origin_;
   VersionVector synced_;
   vector<string> records_;
+  bool hasSynced_ = false;
   bool isMember_ = false, caughtUp_ = false, metMajority_ = false;
   string zone_;
   std::size_t memberCount_ = 0;
--- a/tallies/tally_store.cpp
+++ b/tallies/tally_store.cpp
@@ -122,7 +122,8 @@
     return;
   }
   for (string const& record : records) log_->append(record);
-  if (records.empty()) return;
+  // What an earlier process left counts only once it is synced again.
+  if (records.empty() && replica_.hasSynced()) return;
   log_->whenSynced([this, known] {
     replica_.noteSynced(known);
     wakeWaiters();
--- a/tests/tallies/tally_replica_test.cpp
+++ b/tests/tallies/tally_replica_test.cpp
@@ -226,6 +226,21 @@
     rig.replica.noteHeartbeat(NodeId(peer), rig.replica.digest(), rig.now);
   CHECK(rig.replica.isDurable(position));
 }
+/// Soak, seed 504: all were killed and two lost their disks. The digests of processes that had synced nothing yet were
+/// alike, so that a node with an empty disk took itself for caught up and told 0.
+TEST(tallyReplica, digestsTellNothingBeforeTheFirstSync) {
+  TallyTiming const timing{unreachableAfter, aloneAfter, Ms(250), Ms(500), Ms(1000), Ms(8000)};
+  TallyReplica restarted(NodeId(2), timing, TallyDurability{3, 2}), wiped(NodeId(1), timing, TallyDurability{3, 2});
+  vector<Member> const members{member(1, "a"), member(2, "a"), member(3, "b")};
+  restarted.setMembers(members);
+  wiped.setMembers(members);
+  wiped.beginOrigin(OriginId(11));
+  wiped.takeRecords();
+  wiped.noteSynced(wiped.known());
+  LONGS_EQUAL(0, restarted.digest());
+  wiped.noteHeartbeat(NodeId(2), restarted.digest(), replicaTestStart);
+  CHECK(!wiped.isServing());
+}
 TEST(tallyReplica, aPushForAnotherNodeIsRefused) {
   ReplicaRig rig;
   TallyPush push;
