Lots: what stores report of holders ends with the record's stamp

A primary in the cut zone reported the holders out of its reach as failed (stamp 4:ca). The keyspace went to another owner, which recovered the lot under 5:2a with those holders, and back to the first node after the heal (epoch 10). Its process still kept the old reports, so it left the live primary out of each recovery and tried to fence a store that renews its lease: 'the former primary isn't fenced', every 0.55 s to the end. Change: HolderReports keeps reports by stamp. Recovery of open lots is a state machine without input or output (LotRecovery), driven by recovery_driver.cpp under the epoch with which it began. A primary that says itself that it has no intact replica needs no fence. A lot that waits says so again at a bounded rate, with what the last try saw; control-plane lots prints the waiting ones.

--- a/apps/status_reader.cpp
+++ b/apps/status_reader.cpp
@@ -229,13 +229,47 @@
   return table.text();
 }
 
+namespace {
+rapidjson::Document parseObject(string const& json, char const* what) {
+  rapidjson::Document report;
+  report.Parse(json.data(), json.size());
+  if (report.HasParseError() || !report.IsObject()) throw Error(ErrorCode::badMessage, what);
+  return report;
+}
+
+/// Prints what control nodes tell on a page, put together by `tableOf`.
+void addPageCommand(CLI::App& app, string const& name, string const& help, string_view page,
+                    string (*tableOf)(vector<string> const&)) {
+  CLI::App* const command = app.add_subcommand(name, help);
+  std::shared_ptr<vector<string>> const nodes = std::make_shared<vector<string>>();
+  command->add_option("--at", *nodes, "IP:PORT of the metrics of each control node")->required();
+  command->callback([nodes, page, tableOf] {
+    runCommand([nodes, page, tableOf] {
+      vector<string> reports;
+      for (string const& at : *nodes) reports.push_back(getPage(addressArgument(at), string(page)));
+      return tableOf(reports);
+    });
+  });
+}
+}  // namespace
+
+string waitingLotTable(vector<string> const& reportsJson) {
+  Table table({"lot", "owner", "need", "last try", "tries", "waits s", "seen"});
+  for (string const& json : reportsJson) {
+    rapidjson::Document const report = parseObject(json, "the report of lots that wait");
+    for (rapidjson::Value const* const lot : elementsIn(report, "lots"))
+      table.add({textIn(*lot, "lot"), textIn(report, "node"), textIn(*lot, "need"), textIn(*lot, "outcome"),
+                 wholeNumber(numberIn(*lot, "tries")), rounded(numberIn(*lot, "waitsMs") / 1000),
+                 textIn(*lot, "finding")});
+  }
+  return table.text();
+}
+
 string tallyTable(vector<string> const& reportsJson) {
   vector<string> head{"tally", "agree"};
   std::map<string, vector<string>> totals;
   for (std::size_t node = 0; node < reportsJson.size(); ++node) {
-    rapidjson::Document report;
-    report.Parse(reportsJson[node].data(), reportsJson[node].size());
-    if (report.HasParseError() || !report.IsObject()) throw Error(ErrorCode::badMessage, "the report of tallies");
+    rapidjson::Document const report = parseObject(reportsJson[node], "the report of tallies");
     head.push_back(textIn(report, "node"));
     for (rapidjson::Value const* const tally : elementsIn(report, "tallies")) {
       vector<string>& row = totals[textIn(*tally, "tally")];
@@ -258,7 +292,6 @@
 void addStatusCommands(CLI::App& app) {
   struct Options {
     string at, why;
-    vector<string> all;
     bool json = false;
   };
   std::shared_ptr<Options> const options = std::make_shared<Options>();
@@ -289,24 +322,9 @@
       return options->json ? report + "\n" : rolloutTable(report);
     });
   });
-  CLI::App* const tenants = app.add_subcommand("tenants", "print what control nodes granted to tenants, summed up");
-  tenants->add_option("--at", options->all, "IP:PORT of the metrics of each control node")->required();
-  tenants->callback([options] {
-    runCommand([options] {
-      vector<string> reports;
-      for (string const& at : options->all) reports.push_back(getPage(addressArgument(at), string(tenantsPage)));
-      return tenantTable(reports);
-    });
-  });
-  CLI::App* const tallies = app.add_subcommand("tallies", "print the tallies as each control node has them");
-  tallies->add_option("--at", options->all, "IP:PORT of the metrics of each control node")->required();
-  tallies->callback([options] {
-    runCommand([options] {
-      vector<string> reports;
-      for (string const& at : options->all) reports.push_back(getPage(addressArgument(at), string(talliesPage)));
-      return tallyTable(reports);
-    });
-  });
+  addPageCommand(app, "tenants", "print what control nodes granted to tenants, summed up", tenantsPage, tenantTable);
+  addPageCommand(app, "tallies", "print the tallies as each control node has them", talliesPage, tallyTable);
+  addPageCommand(app, "lots", "print the lots whose recovery waits, and why", lotsPage, waitingLotTable);
 }
 
 }  // namespace tealshelf
--- a/apps/status_reader.hpp
+++ b/apps/status_reader.hpp
@@ -26,7 +26,8 @@
 string prefixChoicesTable(string const& reportJson, string const& prefix);
 
 /// Pages of a control node beside its metrics.
-constexpr string_view rolloutsPage = "/rollouts", tenantsPage = "/tenants", talliesPage = "/tallies";
+constexpr string_view rolloutsPage = "/rollouts", tenantsPage = "/tenants", talliesPage = "/tallies",
+                      lotsPage = "/lots";
 /// A table of the rollouts of services; throws ErrorCode::badMessage if the report can't be read.
 string rolloutTable(string const& reportJson);
 /// A table of what control nodes granted to tenants, summed over their reports, the most refused first.
@@ -36,8 +37,12 @@
 /// a report can't be read.
 string tallyTable(vector<string> const& reportsJson);
 
-/// Adds the commands `traffic`, `prefixes`, `rollouts`, `tenants` and `tallies` to a command line. They print to
-/// standard output and end the process with 0, 2 for bad arguments, or 3 if nothing answered.
+/// A table of the lots whose recovery waits, by control node, with the reason; throws ErrorCode::badMessage if a report
+/// can't be read.
+string waitingLotTable(vector<string> const& reportsJson);
+
+/// Adds the commands `traffic`, `prefixes`, `rollouts`, `tenants`, `tallies` and `lots` to a command line. They print
+/// to standard output and end the process with 0, 2 for bad arguments, or 3 if nothing answered.
 void addStatusCommands(CLI::App& app);
 
 }  // namespace tealshelf
--- /dev/null
+++ b/base/json_fields.hpp
@@ -0,0 +1,21 @@
+#pragma once
+#include "base/tealshelf.hpp"
+
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+/// Fields of the JSON reports that processes give to the status commands.
+namespace tealshelf {
+
+using JsonWriter = rapidjson::Writer<rapidjson::StringBuffer>;
+
+inline void writeField(JsonWriter& writer, char const* name, string const& value) {
+  writer.Key(name);
+  writer.String(value.data(), static_cast<rapidjson::SizeType>(value.size()));
+}
+inline void writeField(JsonWriter& writer, char const* name, std::uint64_t value) {
+  writer.Key(name);
+  writer.Uint64(value);
+}
+
+}  // namespace tealshelf
--- a/control/control_node.cpp
+++ b/control/control_node.cpp
@@ -1,9 +1,8 @@
 #include "control/control_node.hpp"
 
+#include "base/json_fields.hpp"
 #include "control/call_input.hpp"
 
-#include <rapidjson/stringbuffer.h>
-#include <rapidjson/writer.h>
 #include <sstream>
 
 namespace tealshelf {
@@ -200,22 +199,19 @@
 
 string ControlNode::tenantReport() const {
   rapidjson::StringBuffer buffer;
-  rapidjson::Writer<rapidjson::StringBuffer> writer(buffer);
+  JsonWriter writer(buffer);
   writer.StartArray();
   for (auto const& [name, use] : quotas_.uses(Clock::now())) {
     writer.StartObject();
-    writer.Key("tenant");
-    writer.String(name.data(), static_cast<rapidjson::SizeType>(name.size()));
+    writeField(writer, "tenant", name);
     writer.Key("ratePerS");
     writer.Double(use.limit.perSecond);
     writer.Key("burst");
     writer.Double(use.limit.burst);
     writer.Key("tokensLeft");
     writer.Double(use.tokens);
-    writer.Key("granted");
-    writer.Uint64(use.granted);
-    writer.Key("refused");
-    writer.Uint64(use.refused);
+    writeField(writer, "granted", use.granted);
+    writeField(writer, "refused", use.refused);
     writer.EndObject();
   }
   writer.EndArray();
--- a/control/control_node.hpp
+++ b/control/control_node.hpp
@@ -24,6 +24,8 @@
   /// For those on call: the rollouts, and the use of tenants' limits, as JSON texts.
   string rolloutReport() const { return rollouts_.report(); }
   string tenantReport() const;
+  /// Lots whose recovery waits, as a JSON text.
+  string waitingLotsReport() const { return lots_.waitingReport(); }
   /// The tallies, as a JSON text.
   string tallyReport() const { return tallyStore_.report(); }
 
--- a/lots/coordination/lot_coordinator.hpp
+++ b/lots/coordination/lot_coordinator.hpp
@@ -3,10 +3,13 @@
 #include "base/invariant.hpp"
 #include "base/metrics.hpp"
 #include "consensus/consensus_driver.hpp"
+#include "lots/coordination/holder_reports.hpp"
 #include "lots/coordination/lease_grants.hpp"
+#include "lots/coordination/lot_recovery.hpp"
 #include "lots/coordination/recovery_metrics.hpp"
 #include "lots/coordination/replica_rules.hpp"
 #include "lots/coordination/store_placement.hpp"
+#include "lots/coordination/waiting_lots.hpp"
 #include "lots/execution/lot_ages.hpp"
 #include "lots/messages.hpp"
 
@@ -31,6 +34,8 @@
   static string keyspaceOf(string const& host);
   static bool isLotKeyspace(string const& keyspace) { return keyspace.starts_with(keyspaceOf("")); }
   std::size_t recoveriesUnderWay() const { return recoveries_; }
+  /// The lots of owned keyspaces whose recovery was tried in vain, with the reason and since when, as a JSON text.
+  string waitingReport() const;
 
  private:
   /// A store as it was heard last.
@@ -46,8 +51,7 @@
     std::uint64_t finishedTokens = 0, listedResults = 0;
     GenerationStamp finalStamp;      ///< under which its primary said that nothing more will be listed
     std::uint64_t finalResults = 0;  ///< and how many results were listed then
-    std::set<NodeId> failedHolders;
-    bool primaryNeedsSettlement = false;
+    HolderReports reports;
     TimePoint openedAt;
     bool recovering = false;
     TimePoint recoveryStartedAt, lastRecoveryAt;
@@ -56,6 +60,8 @@
     RecoveryOutcome lastOutcome = RecoveryOutcome::none;
     std::size_t failedRecoveries = 0;  ///< in a row
     TimePoint failingSince;            ///< when the first of them ended
+    TimePoint toldAt;                  ///< when the log last said that it waits
+    string lastFinding;                ///< what the last recovery saw
     std::optional<AsyncMutex> mutex;   ///< for changes of the record
   };
   /// A lot whose first record is being written.
@@ -155,29 +161,21 @@
   void startRecoveries(vector<PendingRecovery> pending);
   Task<void> recover(LotKey key, RecoveryNeed need);
   Task<RecoveryOutcome> recoverAs(RecoveryNeed need, LotRecord lot, Epoch epoch);
-  /// Notes how a recovery ended and tells of lots that wait for theirs.
+  /// Notes how a recovery ended and tells of lots that wait for theirs, again and again at a bounded rate.
   void noteOutcome(LotKey const& key, RecoveryNeed need, RecoveryOutcome outcome);
 
-  // Recovery of lots that go on: lot_recovery.cpp.
+  // Recovery of lots that go on: recovery_driver.cpp, for LotRecovery.
   Task<RecoveryOutcome> recoverOpen(LotRecord lot, Epoch epoch);
+  RecoveryStart recoveryStart(LotRecord const& lot, LotStatus const& status, TimePoint now) const;
+  std::optional<GenerationStamp> stampUnder(string const& host, Epoch epoch);
   /// Fences a store at a majority of the control nodes; false if its lease may still count.
   Task<bool> fenceEverywhere(NodeId store);
-  struct Survivors {
-    vector<StoreRef> stores;
-    std::uint64_t shortest = ~0ull;  ///< results that all of them have
-    std::size_t withoutReplica = 0;  ///< holders that have no intact replica for certain
-  };
-  Task<Survivors> inspectHolders(LotRecord lot, vector<StoreRef> holders);
-  Task<vector<StoreRef>> settleHolders(LotRecord lot, vector<StoreRef> holders, GenerationStamp stamp,
-                                       std::uint64_t length);
-
-  struct Copies {
-    vector<StoreRef> holders;  ///< those that there were, and behind them those that synced a copy
-    std::size_t made = 0, refused = 0;
-  };
+  Task<vector<std::optional<InspectReplicaReply>>> inspectHolders(LotKey key, vector<StoreRef> holders);
+  Task<vector<StoreRef>> settleHolders(recovery_step::SettleHolders step);
   /// Has a lot copied to other stores until it has enough holders or no store is left that may take it.
-  Task<Copies> makeCopies(CopyReplica request, vector<StoreRef> sources, vector<StoreRef> holders,
-                          std::set<NodeId> excluded);
+  Task<RecoveryCopies> makeCopies(CopyReplica request, vector<StoreRef> sources, vector<StoreRef> holders,
+                                  std::set<NodeId> excluded);
+  void noteRecovered(LotRecovery const& recovery);
 
   // Sealed lots: sealed_lots.cpp.
   /// Records that nothing is listed beyond what all holders have.
@@ -215,6 +213,7 @@
   RecoveryMetrics recoveryMetrics_;
   Counter refusedForRoom_ =
       metrics().counter("tealshelf_lots_refused_for_room_total", "Lots refused as the stores are full.");
+  TimePoint toldAgainAt_;  ///< when the log last repeated why a lot waits
   bool roomForSpares_ = true, mustTrimSpares_ = false;
   double neededCopyShare_ = 1;  ///< part of the copies that the records name that can't be given up
   LotAges ages_;
--- a/lots/coordination/lot_upkeep.cpp
+++ b/lots/coordination/lot_upkeep.cpp
@@ -9,6 +9,8 @@
 constexpr std::size_t maxRecoveries = 12;
 /// The pause before a failed recovery is tried again doubles so often at the most.
 constexpr std::size_t maxPauseDoublings = 4;
+/// Lots in a report of those that wait.
+constexpr std::size_t maxReportedLots = 200;
 }  // namespace
 
 Task<void> LotCoordinator::upkeepLoop() {
@@ -103,29 +105,29 @@
   bool const isFinal = status.finalStamp == lot.stamp && lot.holders.size() >= neededCopies();
   if (isFinal) return RecoveryNeed::seal;
   std::set<string> const retiring = retiringStores ? retiringStores() : std::set<string>();
-  bool failing = status.primaryNeedsSettlement || !status.failedHolders.empty();
+  bool failing = status.reports.tellOfTrouble(lot.stamp);
   for (StoreRef const& holder : lot.holders) failing = failing || isLost(holder, now) || retiring.contains(holder.name);
   if (failing) return RecoveryNeed::serve;
   if (lot.holders.size() < neededCopies()) return RecoveryNeed::replicate;
   if (!roomForSpares_) return RecoveryNeed::none;
-  vector<StoreRef> const wished =
-      chooseWithSpare({lot.id, CopyPurpose::recovery, 0, {}}, status.failedHolders, lot.holders, now);
+  vector<StoreRef> const wished = chooseWithSpare({lot.id, CopyPurpose::recovery, 0, {}}, {}, lot.holders, now);
   return wished.size() > lot.holders.size() ? RecoveryNeed::spare : RecoveryNeed::none;
 }
 
 RecoveryNeed LotCoordinator::needOfSealed(LotRecord const& lot, LotStatus const& status, TimePoint now) const {
   std::set<string> const retiring = retiringStores ? retiringStores() : std::set<string>();
+  std::set<NodeId> const failed = status.reports.failedUnder(lot.stamp);
   std::size_t lasting = 0;
   bool isRetiring = false;
   for (StoreRef const& holder : lot.holders) {
     bool const retires = retiring.contains(holder.name);
-    bool const goes = isLost(holder, now) || retires || status.failedHolders.contains(holder.id);
+    bool const goes = isLost(holder, now) || retires || failed.contains(holder.id);
     if (!goes) ++lasting;
     isRetiring = isRetiring || retires;
   }
   // A retiring store must be named by no record, also where enough other copies are left.
   if (lasting < neededCopies() || isRetiring) return RecoveryNeed::replicate;
-  if (!status.failedHolders.empty()) return RecoveryNeed::replicate;
+  if (!failed.empty()) return RecoveryNeed::replicate;
   if (lasting > neededCopies()) return mustTrimSpares_ ? RecoveryNeed::trim : RecoveryNeed::none;
   if (!roomForSpares_) return RecoveryNeed::none;
   vector<StoreRef> const wished = chooseWithSpare({lot.id, CopyPurpose::recovery, 0, {}}, {}, lot.holders, now);
@@ -183,10 +185,28 @@
     return;
   }
   if (++status.failedRecoveries == 1) status.failingSince = now;
-  if (!changed) return;
+  // The same reason is told again, so that a lot that waits for long is never forgotten; but only so many lines come.
+  bool const repeats =
+      now - status.toldAt >= settings_.bounds.inTouch && now - toldAgainAt_ >= settings_.bounds.inTouch / 8;
+  if (!changed && !repeats) return;
+  if (!changed) toldAgainAt_ = now;
+  status.toldAt = now;
   std::int64_t const waitsMs = std::chrono::duration_cast<Ms>(now - status.failingSince).count();
   logWarning("lots", key.id + " waits (" + string(nameOf(need)) + "): " + string(nameOf(outcome)) + "; tries " +
-                         std::to_string(status.failedRecoveries) + ", for " + std::to_string(waitsMs) + " ms");
+                         std::to_string(status.failedRecoveries) + ", for " + std::to_string(waitsMs) + " ms; " +
+                         status.lastFinding);
+}
+
+string LotCoordinator::waitingReport() const {
+  TimePoint const now = Clock::now();
+  vector<WaitingLot> waiting;
+  for (auto const& [key, status] : lots_) {
+    bool const waits = status.need != RecoveryNeed::none && status.failedRecoveries != 0;
+    if (!waits || !driver_.consensus().owns(keyspaceOf(key.host))) continue;
+    waiting.push_back({key.id, key.host, status.need, status.lastOutcome, status.failedRecoveries,
+                       std::chrono::duration_cast<Ms>(now - status.failingSince), status.lastFinding});
+  }
+  return waitingLotsReport(settings_.nodeName, std::move(waiting), maxReportedLots);
 }
 
 }  // namespace tealshelf
--- /dev/null
+++ b/lots/coordination/recovery_driver.cpp
@@ -0,0 +1,137 @@
+// Carries out what recoveries of lots that go on want done (LotRecovery).
+#include "lots/coordination/lot_coordinator.hpp"
+
+namespace tealshelf {
+
+Task<bool> LotCoordinator::fenceEverywhere(NodeId store) {
+  std::size_t fencedAt = 0;
+  vector<Member> const members = driver_.consensus().membership().members;
+  for (Member const& member : members) {
+    try {
+      FenceStore const request{store};
+      Acknowledgement answer{false};
+      if (member.id == driver_.consensus().self().id)
+        answer = co_await fence(request);
+      else
+        answer = co_await rpc_.call(settings_.controlAddress(member.ip), request, settings_.bounds.inTouch / 6);
+      if (answer.ok) ++fencedAt;
+    } catch (Error const&) {
+      // One that doesn't answer doesn't count.
+    }
+  }
+  co_return fencedAt >= driver_.consensus().membership().quorum();
+}
+
+/// The answers of holders to the question for their stamps and lengths, none from one that didn't answer.
+Task<vector<std::optional<InspectReplicaReply>>> LotCoordinator::inspectHolders(LotKey key, vector<StoreRef> holders) {
+  vector<std::optional<InspectReplicaReply>> replies;
+  for (StoreRef const& holder : holders) {
+    replies.emplace_back();
+    try {
+      InspectReplica const request{key.host, key.id};
+      InspectReplicaReply const reply = co_await rpc_.call(holder.address, request, settings_.bounds.inTouch / 4);
+      replies.back() = reply;
+    } catch (Error const& error) {
+      logDebug("lots", key.id + ": " + holder.name + " can't be inspected: " + error.what());
+    }
+  }
+  co_return replies;
+}
+
+/// The holders that settled their replica; that of any other is stale from now on.
+Task<vector<StoreRef>> LotCoordinator::settleHolders(recovery_step::SettleHolders step) {
+  vector<StoreRef> settled;
+  for (StoreRef const& holder : step.holders) {
+    try {
+      co_await rpc_.call(holder.address, step.request, settings_.bounds.inTouch / 4);
+      settled.push_back(holder);
+    } catch (Error const& error) {
+      logInfo("lots", step.request.lot + ": " + holder.name + " took no fresh stamp: " + error.what());
+    }
+  }
+  co_return settled;
+}
+
+/// A store that refuses or fails a copy is passed over, so that one without room doesn't stand in the way of others.
+Task<RecoveryCopies> LotCoordinator::makeCopies(CopyReplica request, vector<StoreRef> sources, vector<StoreRef> holders,
+                                                std::set<NodeId> excluded) {
+  RecoveryCopies copies{std::move(holders), 0, 0};
+  Placement const placement{request.lot.id, CopyPurpose::recovery, 0, request.lot.holders};
+  for (;;) {
+    vector<StoreRef> const chosen = chooseWithSpare(placement, excluded, copies.holders, Clock::now());
+    if (chosen.size() <= copies.holders.size()) co_return copies;
+    StoreRef const& target = chosen[copies.holders.size()];
+    request.source = sources[(copies.made + copies.refused) % sources.size()].address;
+    try {
+      co_await rpc_.call(target.address, request, settings_.bounds.inTouch / 2);
+      copies.holders.push_back(target);
+      ++copies.made;
+    } catch (Error const& error) {
+      logInfo("lots", request.lot.id + ": " + target.name + " took no copy: " + error.what());
+      excluded.insert(target.id);
+      ++copies.refused;
+    }
+  }
+}
+
+RecoveryStart LotCoordinator::recoveryStart(LotRecord const& lot, LotStatus const& status, TimePoint now) const {
+  RecoveryStart start{lot, {}, 0, status.reports.failedUnder(lot.stamp), {}, neededCopies()};
+  if (retiringStores) start.retiring = retiringStores();
+  for (StoreRef const& holder : lot.holders) {
+    if (isDiskGone(holder))
+      ++start.lostDisks;
+    else if (!isLost(holder, now) && !start.failed.contains(holder.id))
+      start.live.push_back(holder);
+  }
+  return start;
+}
+
+/// A fresh stamp, if this node still owns the keyspace under the epoch with which the recovery began.
+std::optional<GenerationStamp> LotCoordinator::stampUnder(string const& host, Epoch epoch) {
+  string const keyspace = keyspaceOf(host);
+  bool const isOwner = driver_.consensus().owns(keyspace) && driver_.consensus().epochOf(keyspace) == epoch;
+  return isOwner ? std::optional<GenerationStamp>(freshStamp(host)) : std::nullopt;
+}
+
+Task<RecoveryOutcome> LotCoordinator::recoverOpen(LotRecord lot, Epoch epoch) {
+  namespace step = recovery_step;
+  LotStatus& status = lots_[lot.key()];
+  LotRecovery recovery(recoveryStart(lot, status, Clock::now()));
+  while (!std::holds_alternative<step::End>(recovery.step())) {
+    RecoveryStep const next = recovery.step();
+    if (step::InspectHolders const* const inspect = std::get_if<step::InspectHolders>(&next)) {
+      vector<std::optional<InspectReplicaReply>> const replies = co_await inspectHolders(lot.key(), inspect->holders);
+      recovery.inspected(replies);
+    } else if (step::FenceStore const* const fence = std::get_if<step::FenceStore>(&next)) {
+      bool const fenced = co_await fenceEverywhere(fence->store);
+      recovery.fenced(fenced);
+    } else if (std::holds_alternative<step::TakeStamp>(next)) {
+      recovery.stamped(stampUnder(lot.host, epoch));
+    } else if (step::MakeCopies const* const make = std::get_if<step::MakeCopies>(&next)) {
+      RecoveryCopies copies = co_await makeCopies(make->request, make->sources, make->holders, make->excluded);
+      recovery.copied(std::move(copies));
+    } else if (step::SettleHolders const* const settle = std::get_if<step::SettleHolders>(&next)) {
+      vector<StoreRef> const settled = co_await settleHolders(*settle);
+      recovery.settled(settled);
+    } else {
+      bool const saved = co_await save(std::get<step::SaveRecord>(next).lot, epoch);
+      recovery.saved(saved);
+    }
+  }
+  RecoveryOutcome const outcome = std::get<step::End>(recovery.step()).outcome;
+  status.lastFinding = recovery.describe();
+  // All holders failed: which of them can be used shows only when they are asked.
+  if (outcome == RecoveryOutcome::noLiveHolder) status.reports.clear();
+  if (recovery.isWritten()) noteRecovered(recovery);
+  co_return outcome;
+}
+
+void LotCoordinator::noteRecovered(LotRecovery const& recovery) {
+  LotRecord const& lot = recovery.recovered();
+  string names;
+  for (StoreRef const& holder : lot.holders) names += " " + holder.name;
+  logInfo("lots", lot.id + " is recovered under stamp " + hex(lot.stamp.value) + " with " +
+                      std::to_string(recovery.length()) + " results at" + names);
+}
+
+}  // namespace tealshelf
--- a/lots/coordination/sealed_lots.cpp
+++ b/lots/coordination/sealed_lots.cpp
@@ -68,7 +68,7 @@
   LotRecord next = lot;
   next.stamp = freshStamp(lot.host);
   CopyReplica const copy{next, {}, lot.sealedStamp, lot.sealedResults};
-  Copies const copies = co_await makeCopies(copy, answers.confirmed, staying, {});
+  RecoveryCopies const copies = co_await makeCopies(copy, answers.confirmed, staying, {});
   next.holders = copies.holders;
   bool const enough = next.holders.size() >= neededCopies();
   // While too few have it for certain, every store that has or may have it stays named, and serves reads when it can.
@@ -85,7 +85,7 @@
     bool const saved = co_await save(next, epoch);
     if (!saved) co_return RecoveryOutcome::recordNotWritten;
   }
-  status.failedHolders.clear();
+  status.reports.clear();
   if (enough) co_return RecoveryOutcome::done;
   co_return copies.refused ? RecoveryOutcome::copiesRefused : RecoveryOutcome::tooFewStores;
 }
--- a/lots/coordination/store_supervision.cpp
+++ b/lots/coordination/store_supervision.cpp
@@ -139,9 +139,9 @@
     if (!lot || lot->stamp != failure.stamp) continue;
     LotStatus& status = lots_[failure.key()];
     if (failure.holder == heartbeat.self.id && !lot->isSealed())
-      status.primaryNeedsSettlement = true;
+      status.reports.noteUnsettled(failure.stamp);
     else
-      status.failedHolders.insert(failure.holder);
+      status.reports.noteFailed(failure.stamp, failure.holder);
   }
 }
 
--- a/tallies/tally_store.cpp
+++ b/tallies/tally_store.cpp
@@ -1,10 +1,8 @@
 #include "tallies/tally_store.hpp"
 
+#include "base/json_fields.hpp"
 #include "wire/tasks.hpp"
 
-#include <rapidjson/stringbuffer.h>
-#include <rapidjson/writer.h>
-
 namespace tealshelf {
 
 namespace {
@@ -25,13 +23,6 @@
 TallyDurability durabilityFor(Settings const& settings) {
   return {static_cast<std::size_t>(settings.surviveMachines) + 1, static_cast<std::size_t>(settings.surviveZones) + 1};
 }
-
-using JsonWriter = rapidjson::Writer<rapidjson::StringBuffer>;
-
-void writeField(JsonWriter& writer, char const* name, string const& value) {
-  writer.Key(name);
-  writer.String(value.data(), static_cast<rapidjson::SizeType>(value.size()));
-}
 }  // namespace
 
 TallyStore::TallyStore(asio::io_context& io, Settings const& settings, RpcClient& rpc, NodeId self)
@@ -186,10 +177,8 @@
   writeField(writer, "node", settings_.nodeName);
   writer.Key("serving");
   writer.Bool(isServing());
-  writer.Key("recent");
-  writer.Uint64(replica_.table().recentCount());
-  writer.Key("remembered");
-  writer.Uint64(replica_.table().rememberedCount());
+  writeField(writer, "recent", replica_.table().recentCount());
+  writeField(writer, "remembered", replica_.table().rememberedCount());
   writer.Key("tallies");
   writer.StartArray();
   for (auto const& [tally, total] : replica_.table().totals()) {
