--- /dev/null
+++ b/tests/lots/lot_fleet_sim.hpp
@@ -0,0 +1,240 @@
+#pragma once
+#include "lots/coordination/holder_reports.hpp"
+#include "lots/coordination/lease_grants.hpp"
+#include "lots/coordination/lot_recovery.hpp"
+#include "lots/coordination/replica_rules.hpp"
+#include "segments/replica_table.hpp"
+
+#include <random>
+
+namespace tealshelf::sim {
+
+/// Control nodes that own the keyspace of lots in turn, and stores that hold the lots, on a virtual clock.
+///
+/// Real are the recovery (LotRecovery), the reports of holders, the grants of leases and the tables of replicas;
+/// modelled are ownership (epochs, majorities, a preferred owner that gets its keyspace back), disks with their syncs,
+/// links, and the little that coordinators and stores do around. A seed picks cuts, kills, freezes, losses of power and
+/// wiped disks, many of them right after a lot was accepted or an owner changed. run() checks that readers never see a
+/// listed result vanish or change, and at the end, healed, that every accepted lot is there, readable and complete.
+class LotFleet {
+ public:
+  enum class Mutation {
+    none,
+    earlierOwnershipWrites,  ///< a recovery writes its record under whatever epoch its node has by then
+    namesUnsyncedCopies,     ///< a record names copies that their stores haven't synced
+    fenceIsNeverLifted,      ///< a store whose lease was fenced asks for no other
+    skipsFence,              ///< a former primary that takes no part goes on under its lease
+    reportsOutliveStamps,    ///< reports on holders are kept when the record changes
+    failedIsNotRetried       ///< a recovery that failed once isn't tried again
+  };
+  static constexpr Ms step{10}, inTouch{4000}, catchUp{6000};
+  static constexpr std::size_t edges = 4, survive = 2, neededCopies = survive + 1, items = 24, mostLots = 16;
+
+  LotFleet(std::uint64_t seed, Mutation mutation, Ms length = Ms(40000));
+  string run();
+  std::size_t accepted() const { return accepted_.size(); }
+  std::size_t recoveries() const { return recoveries_; }
+  std::size_t ownerships() const { return truth_.epoch; }
+  std::size_t wipes() const { return wipes_; }
+  /// What was done, one line each, for the seed that is looked at.
+  vector<string> const& trace() const { return trace_; }
+
+ private:
+  /// A call to a store whose answer waits for a sync there.
+  struct StoreCall {
+    std::size_t store = 0, life = 0, syncs = 0;
+    TimePoint arrivesAt, end;
+    std::function<bool()> apply;  ///< false if the store refuses
+    bool applied = false, reached = false, done = false, accepted = false;
+  };
+  using CallPtr = std::shared_ptr<StoreCall>;
+
+  struct Run {
+    LotRecord lot;
+    std::size_t listed = 0, appending = 0;  ///< results listed, and those of the append under way
+    bool stalled = false;
+    std::set<NodeId> failedHolders;
+    vector<std::pair<NodeId, CallPtr>> calls;
+  };
+  struct Unusable {
+    GenerationStamp stamp;
+    TimePoint since;
+  };
+  struct Store {
+    StoreRef self;
+    std::size_t index = 0, life = 0;
+    bool up = true;
+    TimePoint upAgainAt, lostUntil;
+    std::uint64_t lease = 1;
+    ReplicaTable table;
+    vector<string> disk;
+    std::deque<std::pair<TimePoint, vector<string>>> pending;
+    std::size_t syncsStarted = 0, syncsDone = 0, turn = 0;
+    TimePoint nextBeatAt;
+    std::map<std::size_t, TimePoint> grantedAt;
+    std::map<LotKey, LotRecord> lots;
+    std::map<LotKey, Unusable> unusable;
+    std::map<LotKey, Run> runs;
+  };
+
+  /// What a control node keeps of a lot in memory, whoever owns it meanwhile.
+  struct LotStatus {
+    HolderReports reports;
+    std::set<NodeId> everFailed;
+    TimePoint openedAt, triedAt;
+    bool recovering = false, hasFailed = false;
+  };
+  struct Control {
+    std::size_t index = 0, life = 0;
+    string zone;
+    bool up = true;
+    TimePoint upAgainAt, frozenUntil, majorityAt, nextUpkeepAt;
+    std::optional<std::uint64_t> epoch;  ///< under which it takes itself for the owner
+    std::uint64_t stamps = 0;
+    std::map<string, LotRecord> records;  ///< as it knows them
+    std::unique_ptr<LeaseGrants> leases;
+    std::map<NodeId, std::pair<StoreRef, TimePoint>> heard;
+    std::map<string, LotStatus> lots;
+  };
+  /// What is committed.
+  struct Truth {
+    std::uint64_t epoch = 1;
+    std::size_t owner = 0;
+    TimePoint ownerBadSince, preferredGoodSince;
+    std::map<string, LotRecord> records;
+  };
+  /// A recovery of one lot at one node.
+  struct RecoveryTask {
+    std::size_t node = 0, life = 0;
+    std::uint64_t epoch = 0;
+    string lot;
+    std::unique_ptr<LotRecovery> recovery;
+    std::size_t at = 0;  ///< index in the present step
+    TimePoint dueAt;
+    CallPtr call;
+    std::shared_ptr<InspectReplicaReply> reply;
+    vector<std::optional<InspectReplicaReply>> replies;
+    vector<StoreRef> settled;
+    std::optional<RecoveryCopies> copies;
+    std::set<NodeId> excluded;
+    std::optional<StoreRef> target;
+    bool ended = false;
+  };
+  /// A client that hands a lot in.
+  struct Submission {
+    LotRecord lot;
+    std::size_t node = 0, at = 0, synced = 0;
+    int phase = 0;
+    TimePoint dueAt;
+    CallPtr call;
+    bool ended = false;
+  };
+  /// A read by an edge, which goes on with the record that it knows as long as that record's primary answers.
+  struct Reader {
+    LotRecord lot;
+    std::size_t edge = 0, mustSee = 0;  ///< results that others had seen as it began
+    TimePoint dueAt;
+  };
+
+  std::uint64_t pick(std::uint64_t below) { return random_() % below; }
+  Ms someDelay() { return Ms(1 + static_cast<std::int64_t>(pick(25))); }
+  void note(string const& text);
+  void fail(string const& what);
+
+  // Machines and links: lot_fleet_sim.cpp.
+  std::size_t machineOf(Store const& store) const { return controls_.size() + store.index; }
+  string const& zoneOf(std::size_t machine) const;
+  bool linked(std::size_t left, std::size_t right) const { return !blocked_[left][right] && !blocked_[right][left]; }
+  bool runs(Control const& node) const { return node.up && now_ >= node.frozenUntil; }
+  bool hasMajority(Control const& node) const;
+  void startStore(Store& store);
+  void flush(Store& store);
+  void advance();
+  void advanceControl(Control& node);
+  void advanceStore(Store& store);
+  void chooseOwner();
+  void takeOver(Control& node);
+  bool confirmsOwnership(Control const& node) const;
+  bool commit(Control& node, LotRecord const& lot, std::uint64_t under);
+  void checkHolders(LotRecord const& lot);
+  Store* storeOf(StoreRef const& ref);
+  CallPtr callStore(std::size_t fromMachine, StoreRef const& to, std::function<bool(Store&)> apply, Ms limit,
+                    bool waitsForSync = true);
+  void advanceCalls();
+
+  // What stores do: lot_fleet_stores.cpp.
+  void beat(Store& store);
+  void receiveBeat(Store& store, Control& node);
+  void learn(Store& store, LotRecord const& lot);
+  void reconcile(Store& store);
+  void startRun(Store& store, LotRecord const& lot);
+  void list(Store& store, Run& run);
+  bool hasLease(Store const& store) const;
+  void renewLease(Store& store, std::uint64_t fencedUpTo);
+  void report(Store& store, Control& node);
+
+  // What coordinators and clients do: lot_fleet_coordination.cpp.
+  bool isDead(Control const& node, NodeId store) const;
+  bool isDiskGone(Control const& node, StoreRef const& holder) const;
+  vector<StoreRef> choose(Control const& node, string const& lot, std::set<NodeId> const& excluded,
+                          vector<StoreRef> holders) const;
+  void upkeep(Control& node);
+  std::set<NodeId> failedOf(LotStatus const& status, GenerationStamp stamp) const;
+  bool needsRecovery(Control const& node, LotRecord const& lot, LotStatus const& status) const;
+  void startRecovery(Control& node, LotRecord const& lot);
+  void advanceRecovery(RecoveryTask& task);
+  void advanceInspect(RecoveryTask& task, recovery_step::InspectHolders const& step);
+  void advanceCopies(RecoveryTask& task, recovery_step::MakeCopies const& step);
+  void advanceSettle(RecoveryTask& task, recovery_step::SettleHolders const& step);
+  bool fenceEverywhere(Control& node, NodeId store);
+  void nextStep(RecoveryTask& task);
+  void endRecovery(RecoveryTask& task, RecoveryOutcome outcome);
+  std::optional<GenerationStamp> freshStamp(Control& node, std::uint64_t epoch);
+  void submit();
+  void advanceSubmission(Submission& submission);
+  void startRead();
+  /// How many results the primary that a record names tells; none if it doesn't answer.
+  std::optional<std::size_t> read(LotRecord const& lot);
+  void finishRead(Reader const& reader);
+
+  // Troubles and the end: lot_fleet_troubles.cpp.
+  void trouble();
+  void stopStore(Store& store, bool losesPower);
+  void stopControl(Control& node);
+  std::size_t lostStores() const;
+  void wipe(Store& store);
+  /// All stores lose power, and as many holders of a lot as may be lost lose their disks too.
+  void powerOffAll(LotRecord const& lot);
+  void cut();
+  void heal();
+  void checkEnd();
+
+  std::mt19937_64 random_;
+  Mutation mutation_;
+  Ms length_;
+  vector<std::unique_ptr<Control>> controls_;
+  vector<std::unique_ptr<Store>> stores_;
+  vector<vector<bool>> blocked_;
+  std::optional<TimePoint> cutEndsAt_;
+  std::set<string> cutZones_;
+  TimePoint healedAt_;
+  Truth truth_;
+  vector<CallPtr> calls_;
+  std::list<RecoveryTask> tasks_;
+  std::list<Submission> submissions_;
+  vector<Reader> readers_;
+  std::map<std::pair<std::size_t, string>, LotRecord> cachedRecords_;  ///< by edge and lot
+  std::set<string> accepted_;
+  std::map<string, vector<string>> seen_;  ///< results that readers saw, by position
+  TimePoint now_ = TimePoint(Ms(1000000));
+  Ms elapsed_{0};
+  bool finishing_ = false;
+  std::uint64_t lastId_ = 0, lotCount_ = 0, texts_ = 0;
+  std::size_t recoveries_ = 0, wipes_ = 0;
+  TimePoint troubleAt_;                ///< of one that was put off until right after something
+  std::optional<LotRecord> powerOff_;  ///< a lot right after whose record all lose power
+  vector<string> trace_;
+  string violation_;
+};
+
+}  // namespace tealshelf::sim
--- /dev/null
+++ b/tests/lots/lot_fleet_troubles.cpp
@@ -0,0 +1,127 @@
+// Troubles of the simulated machines, and what must hold at the end.
+#include "tests/lots/lot_fleet_sim.hpp"
+
+namespace tealshelf::sim {
+
+void LotFleet::trouble() {
+  Store& store = *stores_[pick(stores_.size())];
+  Control& node = *controls_[pick(2) ? pick(controls_.size()) : truth_.owner];
+  switch (pick(11)) {
+    case 0:
+    case 1:
+    case 2:
+    case 8:
+      if (!cutEndsAt_) cut();
+      return;
+    case 3:
+      return stopStore(store, false);
+    case 4:
+      return stopStore(store, true);
+    case 5:
+      return wipe(store);
+    case 6:
+      return stopControl(node);
+    case 9:
+    case 10:
+      // A planned handover; the preferred owner gets its keyspace back soon.
+      if (runs(node) && hasMajority(node)) takeOver(node);
+      return;
+    default:
+      node.frozenUntil = now_ + Ms(500 + static_cast<std::int64_t>(pick(3500)));
+      note("control " + std::to_string(node.index) + " is frozen");
+  }
+}
+
+void LotFleet::stopStore(Store& store, bool losesPower) {
+  if (!store.up) return;
+  // What a killed process wrote stays; without power any beginning of it does.
+  std::size_t keep = losesPower ? pick(store.pending.size() + 1) : store.pending.size();
+  for (auto const& [doneAt, records] : store.pending) {
+    if (!keep--) break;
+    store.disk.insert(store.disk.end(), records.begin(), records.end());
+  }
+  store.up = false;
+  store.upAgainAt = now_ + Ms(300 + static_cast<std::int64_t>(pick(4000)));
+  store.lostUntil = store.upAgainAt + catchUp;
+  note(store.self.name + " is down");
+}
+
+void LotFleet::stopControl(Control& node) {
+  if (!node.up) return;
+  node.up = false;
+  ++node.life;
+  node.upAgainAt = now_ + Ms(300 + static_cast<std::int64_t>(pick(3000)));
+  node.epoch.reset();
+  node.heard.clear();
+  node.lots.clear();
+  // Stamps repeat neither: the epochs of a new ownership are higher.
+  note("control " + std::to_string(node.index) + " is down");
+}
+
+std::size_t LotFleet::lostStores() const {
+  bool const isCut = cutEndsAt_ || now_ - healedAt_ < catchUp;
+  return static_cast<std::size_t>(std::count_if(stores_.begin(), stores_.end(), [&](auto const& store) {
+    return !store->up || now_ < store->lostUntil || (isCut && cutZones_.contains(store->self.zone));
+  }));
+}
+
+void LotFleet::wipe(Store& store) {
+  if (!store.up || lostStores() >= survive) return;
+  stopStore(store, true);
+  store.disk.clear();
+  store.self.id = NodeId(++lastId_);
+  ++wipes_;
+  note(store.self.name + " loses its disk");
+}
+
+void LotFleet::powerOffAll(LotRecord const& lot) {
+  vector<StoreRef> holders = lot.holders;
+  std::shuffle(holders.begin(), holders.end(), random_);
+  for (StoreRef const& holder : holders)
+    if (storeOf(holder)->self.id == holder.id) wipe(*storeOf(holder));
+  for (std::unique_ptr<Store> const& store : stores_) stopStore(*store, true);
+}
+
+void LotFleet::cut() {
+  std::size_t const count = blocked_.size();
+  string const zone = zoneOf(pick(count)), second = zoneOf(pick(count));
+  std::uint64_t const form = pick(4);
+  auto const inFirstHalf = [](string const& name) { return name == "z0" || name == "z1"; };
+  for (std::size_t from = 0; from < count; ++from)
+    for (std::size_t to = 0; to < count; ++to) {
+      string const &left = zoneOf(from), &right = zoneOf(to);
+      bool blocks = (left == zone) != (right == zone);                  // a zone is off
+      if (form == 1) blocks = inFirstHalf(left) != inFirstHalf(right);  // halves
+      if (form == 2) blocks = left == zone && right != zone;            // nothing comes out of it
+      if (form == 3) blocks = left != right && (left == zone || left == second) && (right == zone || right == second);
+      blocked_[from][to] = blocks;
+    }
+  cutZones_ = {zone};
+  if (form == 1) cutZones_ = {"z0", "z1", "z2", "z3"};
+  if (form == 3) cutZones_ = {zone, second};
+  cutEndsAt_ = now_ + Ms(1500 + static_cast<std::int64_t>(pick(pick(3) ? 6000 : 20000)));
+  note("cut " + std::to_string(form) + " of " + zone + " " + second);
+}
+
+void LotFleet::heal() {
+  if (!cutEndsAt_) return;
+  cutEndsAt_.reset();
+  healedAt_ = now_;
+  for (vector<bool>& row : blocked_) row.assign(row.size(), false);
+  note("healed");
+  if (pick(3) == 0) troubleAt_ = now_ + Ms(static_cast<std::int64_t>(pick(2500)));
+}
+
+void LotFleet::checkEnd() {
+  for (string const& lot : accepted_) {
+    auto const record = truth_.records.find(lot);
+    if (record == truth_.records.end() || record->second.state != LotState::accepted)
+      return fail(lot + " has no record");
+    std::optional<std::size_t> const listed = read(record->second);
+    if (!listed) return fail(lot + " can't be read at the end");
+    if (*listed < seen_[lot].size()) return fail("a listed result vanished from " + lot);
+    if (*listed < items) return fail(lot + " isn't complete at the end");
+  }
+}
+
+}  // namespace tealshelf::sim
--- a/tests/seeds.hpp
+++ b/tests/seeds.hpp
@@ -9,4 +9,10 @@
   return wanted ? std::strtoull(wanted, nullptr, 10) : unlessSaid;
 }
 
+/// The one seed to be played, with what happens told, if TEALSHELF_ONLY_SEED names one.
+inline std::optional<std::uint64_t> onlySeed() {
+  char const* const wanted = std::getenv("TEALSHELF_ONLY_SEED");
+  return wanted ? std::optional<std::uint64_t>(std::strtoull(wanted, nullptr, 10)) : std::nullopt;
+}
+
 }  // namespace tealshelf
--- a/tests/tallies/tally_fleet_sim.cpp
+++ b/tests/tallies/tally_fleet_sim.cpp
@@ -49,6 +49,7 @@
 void TallyFleet::start(Node& node) {
   ++node.life;
   node.up = true;
+  node.upSince = now_;
   node.pending.clear();
   node.replies.clear();
   node.callers.clear();
