Soak: a probe that fails tells how long processes waited for a core

Change: the failed check says for how long the edge, and the process that waited longest, were ready to run without a core since the version was acknowledged.

--- a/tools/soak/child_process.cpp
+++ b/tools/soak/child_process.cpp
@@ -4,6 +4,7 @@
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
+#include <fstream>
 
 #include <csignal>
 
@@ -65,6 +66,13 @@
   pid_ = 0;
 }
 
+Ms ChildProcess::waitedForCore() const {
+  std::ifstream scheduling("/proc/" + std::to_string(pid_) + "/schedstat");
+  std::uint64_t ranNs = 0, waitedNs = 0;
+  if (pid_ <= 0 || !(scheduling >> ranNs >> waitedNs)) return Ms(0);
+  return std::chrono::duration_cast<Ms>(std::chrono::nanoseconds(waitedNs));
+}
+
 std::optional<string> ChildProcess::takeOwnEnd() {
   int status = 0;
   if (pid_ <= 0 || ::waitpid(pid_, &status, WNOHANG) != pid_) return std::nullopt;
--- a/tools/soak/child_process.hpp
+++ b/tools/soak/child_process.hpp
@@ -24,6 +24,8 @@
   void signal(int number) const;
   /// Kills the process, a stopped one too, and waits until it is gone.
   void killAndWait();
+  /// How long its main thread was ready to run and waited for a core since it began; 0 if the kernel doesn't tell.
+  Ms waitedForCore() const;
   /// How the process ended by itself, if it did since the last look.
   std::optional<string> takeOwnEnd();
 
--- a/tools/soak/edge_probe.cpp
+++ b/tools/soak/edge_probe.cpp
@@ -18,6 +18,7 @@
   Shown shown;
   while (!stopping_) {
     co_await sleepFor(probePeriod);
+    noteNewest();
     std::uint64_t const version = drawVersion();
     if (version == 0) continue;
     int const life = edge.life;
@@ -65,7 +66,30 @@
   if (served && !newest && version < operators_.newestAcknowledged())
     verdict_.fail("CONFIG", what + " in a calm time, long after a newer one was acknowledged");
   if (newest && answer.status == 404)
-    verdict_.fail("CONFIG", edge.plan.name + " doesn't know version " + std::to_string(version) + " in a calm time");
+    verdict_.fail("CONFIG", edge.plan.name + " doesn't know version " + std::to_string(version) + " in a calm time" +
+                                describeWaits(edge));
+}
+
+void EdgeProbe::noteNewest() {
+  std::uint64_t const newest = operators_.newestAcknowledged();
+  if (newest == std::exchange(newest_, newest)) return;
+  for (std::unique_ptr<ClusterNode> const& node : cluster_.nodes())
+    waitsAtNewest_[node->plan.name] = node->process.waitedForCore();
+}
+
+string EdgeProbe::describeWaits(ClusterNode const& edge) const {
+  Ms ownWait{0}, longest{0};
+  string slowest = "none";
+  for (std::unique_ptr<ClusterNode> const& node : cluster_.nodes()) {
+    auto const before = waitsAtNewest_.find(node->plan.name);
+    Ms const waited = node->process.waitedForCore() - (before == waitsAtNewest_.end() ? Ms(0) : before->second);
+    if (node.get() == &edge) ownWait = waited;
+    if (waited <= longest) continue;
+    longest = waited;
+    slowest = node->plan.name;
+  }
+  return "; since it was acknowledged it waited for a core for " + std::to_string(ownWait.count()) + " ms, " + slowest +
+         " for " + std::to_string(longest.count()) + " ms";
 }
 
 Task<bool> EdgeProbe::serves(ClusterNode& edge, std::uint64_t version) {
--- a/tools/soak/edge_probe.hpp
+++ b/tools/soak/edge_probe.hpp
@@ -27,6 +27,11 @@
   Task<HttpAnswer> ask(ClusterNode& edge, std::uint64_t version);
   void check(ClusterNode const& edge, Shown& shown, std::uint64_t version, HttpAnswer const& answer);
   std::uint64_t drawVersion();
+  /// Notes how long each process has waited for a core when a version is first seen to be acknowledged.
+  void noteNewest();
+  /// How long processes have waited for a core since then, the edge first, then the one that waited most. A machine
+  /// that is busy with other work shows in it; it explains a failed check and excuses none.
+  string describeWaits(ClusterNode const& edge) const;
 
   asio::io_context& io_;
   Cluster& cluster_;
@@ -36,6 +41,8 @@
   Random random_;
   std::size_t underWay_ = 0;
   bool stopping_ = false;
+  std::uint64_t newest_ = 0;
+  std::map<string, Ms> waitsAtNewest_;  ///< by process
 };
 
 }  // namespace tealshelf::soak
