Lots: holders and control nodes are asked at once; pieces that stood twice are one

Change: callEach makes a call to several processes at once and ends when enough have answered. Copies of a tally's addition are counted once; its digest is kept with what it is the digest of. One constant for waiting orders, one for the path of tallies. Services with a cold worker are looked for before the load of the picked one.

--- a/control/control_node.cpp
+++ b/control/control_node.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 constexpr std::uint64_t maxCallBytes = 16u << 20;
-constexpr string_view tallyPath = "/tallies/";
 }  // namespace
 
 ControlNode::ControlNode(asio::io_context& io, Settings const& settings)
--- a/control/evacuation_handler.cpp
+++ b/control/evacuation_handler.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 string const evacuationPrefix = "evacuation/";
-/// Orders that wait for another to be written.
-constexpr std::size_t maxWaitingOrders = 64;
 }  // namespace
 
 EvacuationHandler::EvacuationHandler(asio::io_context& io, Settings const& settings, RpcClient& rpc,
--- a/control/owned_keyspace.hpp
+++ b/control/owned_keyspace.hpp
@@ -4,6 +4,9 @@
 
 namespace tealshelf {
 
+/// Orders of operators that may wait while another one of the same handler is being written.
+constexpr std::size_t maxWaitingOrders = 64;
+
 /// What the handlers of calls about one keyspace have in common: they run at its owner, and only as long as a majority
 /// says that it is the owner.
 class OwnedKeyspace {
--- a/control/rollout_handler.cpp
+++ b/control/rollout_handler.cpp
@@ -13,8 +13,6 @@
 string const collectionPath = "/rollouts";
 /// Decisions are made so often in inTouch.
 constexpr int decisionsInTouch = 80;
-/// Orders that may wait for a decision that is under way.
-constexpr std::size_t maxWaitingRolloutOrders = 64;
 /// Quarters of inTouch that count as lately.
 constexpr int recentEvidence = 2;
 }  // namespace
@@ -29,7 +27,7 @@
       nodes_(nodes),
       keyspace_(settings, rpc, driver, rolloutsKeyspace),
       plan_(RolloutPlan::of(settings.bounds)),
-      changes_(io, maxWaitingRolloutOrders) {}
+      changes_(io, maxWaitingOrders) {}
 
 void RolloutHandler::start() {
   // Elsewhere the first order makes the keyspace known.
--- a/control/tally_handler.cpp
+++ b/control/tally_handler.cpp
@@ -36,7 +36,7 @@
 
 Task<CallReply> TallyHandler::handle(ForwardedCall call) {
   if (call.verb != "POST" && call.verb != "GET") throw Error(ErrorCode::methodNotAllowed);
-  string const tally = idInPath(call.path, "/tallies/");
+  string const tally = idInPath(call.path, string(tallyPath));
   TimePoint const end = Clock::now() + std::min(Ms(call.budgetMs), Ms(settings_.bounds.inTouch / 5));
   bool const isAddition = call.verb == "POST";
   TallyAddition addition;
--- a/control/tally_handler.hpp
+++ b/control/tally_handler.hpp
@@ -14,6 +14,9 @@
 /// most 2^53 either way. Throws ErrorCode::badAddition for anything else.
 TallyAddition readAddition(string const& body);
 
+/// What the paths of tallies begin with.
+constexpr string_view tallyPath = "/tallies/";
+
 /// Handles `/tallies/ID`: applications add to tallies and read them, on either side of a cut. A node that isn't a
 /// member, or is still catching up, passes the call on to one that is.
 class TallyHandler {
--- a/edge/request_targets.cpp
+++ b/edge/request_targets.cpp
@@ -41,8 +41,9 @@
                                                                                RetryState& retries) {
   Pick pick = balancer_.pick(view_, plan.pick, retries.triedWorkers);
   bool const hasGood = pick.worker && !balancer_.isLastResort(*pick.worker);
-  bool const mayWarmUp = !hasGood || !hasRoom(*pick.worker);
-  if (mayWarmUp && balancer_.hasWarmingUp(view_, plan.pick.service)) {
+  // Services with a cold worker are rare, so that is asked first.
+  bool const triesCold = balancer_.hasWarmingUp(view_, plan.pick.service) && (!hasGood || !hasRoom(*pick.worker));
+  if (triesCold) {
     int const most = hasGood ? 1 : maxUnadmitted;
     std::optional<Target> target = co_await warmingTarget(plan, retries.triedWorkers, most);
     if (target) co_return target;
--- a/lots/coordination/recovery_driver.cpp
+++ b/lots/coordination/recovery_driver.cpp
@@ -1,53 +1,61 @@
 // Carries out what recoveries of lots that go on want done (LotRecovery).
 #include "lots/coordination/lot_coordinator.hpp"
 
+#include "wire/call_each.hpp"
+
 namespace tealshelf {
 
+namespace {
+vector<Address> addressesOf(vector<StoreRef> const& stores) {
+  vector<Address> addresses;
+  for (StoreRef const& store : stores) addresses.push_back(store.address);
+  return addresses;
+}
+}  // namespace
+
 Task<bool> LotCoordinator::fenceEverywhere(NodeId store) {
-  std::size_t fencedAt = 0;
-  vector<Member> const members = driver_.consensus().membership().members;
-  for (Member const& member : members) {
-    try {
-      FenceStore const request{store};
-      Acknowledgement answer{false};
-      if (member.id == driver_.consensus().self().id)
-        answer = co_await fence(request);
-      else
-        answer = co_await rpc_.call(settings_.controlAddress(member.ip), request, settings_.bounds.inTouch / 6);
-      if (answer.ok) ++fencedAt;
-    } catch (Error const&) {
-      // One that doesn't answer doesn't count.
-    }
-  }
-  co_return fencedAt >= driver_.consensus().membership().quorum();
+  FenceStore const request{store};
+  Acknowledgement const own = co_await fence(request);
+  std::size_t const neededOthers = driver_.consensus().membership().quorum() - (own.ok ? 1 : 0);
+  vector<Address> others;
+  for (Member const& member : driver_.consensus().membership().members)
+    if (member.id != driver_.consensus().self().id) others.push_back(settings_.controlAddress(member.ip));
+  // Members that are cut off too must not hold up the lots that a cut left without their primary.
+  auto const isFenced = [neededOthers](vector<CallOutcome<Acknowledgement>> const& outcomes) {
+    auto const fenced =
+        std::count_if(outcomes.begin(), outcomes.end(),
+                      [](CallOutcome<Acknowledgement> const& outcome) { return outcome.reply && outcome.reply->ok; });
+    return static_cast<std::size_t>(fenced) >= neededOthers;
+  };
+  vector<CallOutcome<Acknowledgement>> const outcomes =
+      co_await callEach(io_, rpc_, std::move(others), request, settings_.bounds.inTouch / 6, isFenced);
+  co_return isFenced(outcomes);
 }
 
 /// The answers of holders to the question for their stamps and lengths, none from one that didn't answer.
 Task<vector<std::optional<InspectReplicaReply>>> LotCoordinator::inspectHolders(LotKey key, vector<StoreRef> holders) {
+  InspectReplica const request{key.host, key.id};
+  vector<CallOutcome<InspectReplicaReply>> outcomes =
+      co_await callEach(io_, rpc_, addressesOf(holders), request, settings_.bounds.inTouch / 4);
   vector<std::optional<InspectReplicaReply>> replies;
-  for (StoreRef const& holder : holders) {
-    replies.emplace_back();
-    try {
-      InspectReplica const request{key.host, key.id};
-      InspectReplicaReply const reply = co_await rpc_.call(holder.address, request, settings_.bounds.inTouch / 4);
-      replies.back() = reply;
-    } catch (Error const& error) {
-      logDebug("lots", key.id + ": " + holder.name + " can't be inspected: " + error.what());
-    }
+  for (std::size_t i = 0; i < holders.size(); ++i) {
+    if (!outcomes[i].reply)
+      logDebug("lots", key.id + ": " + holders[i].name + " can't be inspected: " + outcomes[i].error);
+    replies.push_back(std::move(outcomes[i].reply));
   }
   co_return replies;
 }
 
 /// The holders that settled their replica; that of any other is stale from now on.
 Task<vector<StoreRef>> LotCoordinator::settleHolders(recovery_step::SettleHolders step) {
+  vector<CallOutcome<Acknowledgement>> const outcomes =
+      co_await callEach(io_, rpc_, addressesOf(step.holders), step.request, settings_.bounds.inTouch / 4);
   vector<StoreRef> settled;
-  for (StoreRef const& holder : step.holders) {
-    try {
-      co_await rpc_.call(holder.address, step.request, settings_.bounds.inTouch / 4);
-      settled.push_back(holder);
-    } catch (Error const& error) {
-      logInfo("lots", step.request.lot + ": " + holder.name + " took no fresh stamp: " + error.what());
-    }
+  for (std::size_t i = 0; i < step.holders.size(); ++i) {
+    if (outcomes[i].reply)
+      settled.push_back(step.holders[i]);
+    else
+      logInfo("lots", step.request.lot + ": " + step.holders[i].name + " took no fresh stamp: " + outcomes[i].error);
   }
   co_return settled;
 }
--- a/tallies/tally_replica.cpp
+++ b/tallies/tally_replica.cpp
@@ -38,6 +38,7 @@
 
 void TallyReplica::noteSynced(VersionVector const& synced) {
   synced_ = synced;
+  digest_ = digestOf(synced_);
   hasSynced_ = true;
 }
 
@@ -53,34 +54,35 @@
   return taken;
 }
 
-bool TallyReplica::hasAllCopies(AddPosition position) const {
-  if (numberIn(synced_, position.origin) < position.sequence) return false;
-  std::size_t copies = 1;
+TallyReplica::Copies TallyReplica::copiesOf(AddPosition position) const {
+  Copies copies;
+  if (numberIn(synced_, position.origin) < position.sequence) return copies;
+  copies.count = 1;
   std::set<string> zones{zone_};
   for (auto const& [id, peer] : peers_) {
-    if (numberIn(peer.synced, position.origin) < position.sequence) continue;
-    ++copies;
-    zones.insert(peer.member.zone);
+    if (numberIn(peer.synced, position.origin) >= position.sequence) {
+      ++copies.count;
+      zones.insert(peer.member.zone);
+    } else if (isReachable(peer)) {
+      copies.lackedByReachable = true;
+    }
   }
-  return copies >= durability_.copies && zones.size() >= durability_.zones;
+  copies.areEnough = copies.count >= durability_.copies && zones.size() >= durability_.zones;
+  return copies;
 }
 
 bool TallyReplica::isDurable(AddPosition position) const {
-  if (numberIn(synced_, position.origin) < position.sequence) return false;
-  if (hasAllCopies(position)) return true;
-  if (!metMajority_ && ticks_ < timing_.ticksUntilAlone) return false;
-  std::size_t copies = 1;
-  for (auto const& [id, peer] : peers_) {
-    bool const hasIt = numberIn(peer.synced, position.origin) >= position.sequence;
-    if (hasIt) ++copies;
-    if (!hasIt && isReachable(peer)) return false;
-  }
+  Copies const copies = copiesOf(position);
+  if (!copies.count) return false;
+  if (copies.areEnough) return true;
+  bool const maySettleForLess = metMajority_ || ticks_ >= timing_.ticksUntilAlone;
+  if (!maySettleForLess || copies.lackedByReachable) return false;
   // A short outage of the others isn't worth an addition on a single disk.
-  return copies >= std::min<std::size_t>(2, durability_.copies) || isAlone();
+  return copies.count >= std::min<std::size_t>(2, durability_.copies) || isAlone();
 }
 
 void TallyReplica::setMembers(vector<Member> const& members) {
-  std::map<NodeId, TallyPeer> const former = std::exchange(peers_, {});
+  std::map<NodeId, TallyPeer> former = std::exchange(peers_, {});
   bool const wasMember = std::exchange(isMember_, false);
   memberCount_ = members.size();
   for (Member const& member : members) {
@@ -90,7 +92,7 @@
       continue;
     }
     auto const known = former.find(member.id);
-    if (known != former.end()) peers_[member.id] = known->second;
+    if (known != former.end()) peers_[member.id] = std::move(known->second);
     peers_[member.id].member = member;
   }
   if (!wasMember) ticksAsMember_ = 0;
@@ -212,10 +214,10 @@
   TallyPushReply reply;
   reply.from = self_;
   reply.synced = synced_;
-  if (!lacksSettled(push.settled) && !push.state.transfer) return reply;
+  bool const lacks = lacksSettled(push.settled);
+  bool const goesOn = incoming_ && push.state.transfer;
   bool const isFree = !incoming_ || incoming_->from == push.from;
-  if (!lacksSettled(push.settled) && !incoming_) return reply;
-  if (!isFree) return reply;
+  if (!isFree || !(lacks || goesOn)) return reply;
   if (!incoming_) incoming_ = IncomingState{push.from, 0, "", 0};
   reply.wantsState = true;
   reply.transfer = incoming_->transfer;
--- a/tallies/tally_replica.hpp
+++ b/tallies/tally_replica.hpp
@@ -57,7 +57,7 @@
   /// True once an addition has reached enough disks, or the disks of all members that can be reached.
   bool isDurable(AddPosition position) const;
   /// True if enough copies exist whoever is reachable.
-  bool hasAllCopies(AddPosition position) const;
+  bool hasAllCopies(AddPosition position) const { return copiesOf(position).areEnough; }
   /// Additions of other origins that a caller waits for are passed on at once while this is set.
   void setAwaited(std::set<OriginId> origins) { awaited_ = std::move(origins); }
   /// True if this node may answer callers.
@@ -68,7 +68,7 @@
 
   void setMembers(vector<Member> const& members);
   /// What this node's digest is, for its heartbeats; 0 as long as it has synced nothing, as all would be alike then.
-  std::uint64_t digest() const { return hasSynced_ ? digestOf(synced_) : 0; }
+  std::uint64_t digest() const { return digest_; }
   void noteHeartbeat(NodeId from, std::uint64_t digest, TimePoint now);
   vector<OutgoingPush> takePushes(TimePoint now);
   /// Takes a push in. Throws notMember if it is meant for another node.
@@ -93,6 +93,13 @@
     int idleTicks = 0;
   };
 
+  /// Where an addition is synced.
+  struct Copies {
+    std::size_t count = 0;  ///< 0 unless this node itself has it
+    bool areEnough = false;
+    bool lackedByReachable = false;  ///< a peer that answers doesn't have it yet
+  };
+  Copies copiesOf(AddPosition position) const;
   void takeChunk(NodeId from, TallyStateChunk const& chunk);
   void installState(string const& bytes);
   bool lacksSettled(VersionVector const& settled) const;
@@ -112,6 +119,7 @@
   OriginId origin_;
   VersionVector synced_;
   vector<string> records_;
+  std::uint64_t digest_ = 0;  ///< of synced_
   bool hasSynced_ = false;
   bool isMember_ = false, caughtUp_ = false, metMajority_ = false;
   string zone_;
--- a/tests/tallies/tally_fleet_sim.cpp
+++ b/tests/tallies/tally_fleet_sim.cpp
@@ -103,7 +103,6 @@
 void TallyFleet::transmit(Packet packet) {
   packet.at = now_ + Ms(1 + pick(20));
   packet.toLife = nodes_[packet.to]->life;
-  packet.fromLife = nodes_[packet.from]->life;
   packets_.push_back(std::move(packet));
 }
 
--- a/tests/tallies/tally_fleet_sim.hpp
+++ b/tests/tallies/tally_fleet_sim.hpp
@@ -93,7 +93,7 @@
   /// Something on its way between two processes.
   struct Packet {
     std::size_t from = 0, to = 0;
-    std::uint64_t toLife = 0, fromLife = 0;
+    std::uint64_t toLife = 0;
     TimePoint at;
     std::optional<TallyPush> push;
     std::optional<TallyPushReply> reply;
--- a/traffic/connection_pool.cpp
+++ b/traffic/connection_pool.cpp
@@ -36,15 +36,25 @@
   connection->idleSince = Clock::now();
   IdleConnections& idle = idleOf(worker);
   idle.connections.push_back(std::move(connection));
-  std::uint64_t const most = idle.limit.value(Clock::now());
-  if (idle.connections.size() > most) idle.connections.erase(idle.connections.begin());
+  trim(idle);
+}
+
+void ConnectionPool::trim(IdleConnections& idle) {
+  std::size_t const count = idle.connections.size();
+  std::uint64_t const most = std::min<std::uint64_t>(count, idle.limit.value(Clock::now()));
+  idle.connections.erase(idle.connections.begin(),
+                         idle.connections.begin() + static_cast<std::ptrdiff_t>(count - most));
+}
+
+std::size_t ConnectionPool::idleCount(string const& worker) const {
+  auto const idle = idle_.find(worker);
+  return idle == idle_.end() ? 0 : idle->second.connections.size();
 }
 
 void ConnectionPool::noteReset(string const& worker) {
   IdleConnections& idle = idleOf(worker);
   idle.limit.noteReset(idle.connections.size(), Clock::now());
-  std::uint64_t const most = idle.limit.value(Clock::now());
-  while (idle.connections.size() > most) idle.connections.erase(idle.connections.begin());
+  trim(idle);
 }
 
 void ConnectionPool::sweep(FleetView const& view) {
@@ -56,6 +66,7 @@
     if (!configuration) continue;
     auto const service = configuration->services.find(view.find(id)->service);
     if (service != configuration->services.end()) idle.limit.setMaxConnections(service->second.maxConnections);
+    trim(idle);
   }
 }
 
--- a/traffic/connection_pool.hpp
+++ b/traffic/connection_pool.hpp
@@ -51,7 +51,8 @@
   void noteReset(string const& worker);
   /// Gives a connection back, clean and between requests. The oldest ones are closed where there are too many.
   void give(string const& worker, std::unique_ptr<WorkerConnection> connection);
-  /// Closes what is idle for workers that are gone or for too long.
+  std::size_t idleCount(string const& worker) const;
+  /// Closes what is idle for workers that are gone, for too long, or beyond what the configuration allows by now.
   void sweep(FleetView const& view);
   IdleTrust& trust() { return trust_; }
   asio::io_context& io() { return io_; }
@@ -67,6 +68,9 @@
     return idle_.try_emplace(worker, settings_.bounds.inTouch).first->second;
   }
 
+  /// Closes the oldest ones beyond the limit.
+  static void trim(IdleConnections& idle);
+
   asio::io_context& io_;
   Settings const& settings_;
   IdleTrust trust_;
