Leases: a fence that a minority agreed to doesn't stall a store's lots

Change: a store takes a new lease only once no majority grants the present one; a fence needs a majority, which such a lease denies it. A coordinator without contact to a majority fences nothing.

--- a/lots/coordination/recovery_driver.cpp
+++ b/lots/coordination/recovery_driver.cpp
@@ -14,6 +14,8 @@
 }  // namespace
 
 Task<bool> LotCoordinator::fenceEverywhere(NodeId store) {
+  // A fence that can't reach a majority would only bar the store's lease at the members that it does reach.
+  if (!driver_.inContactWithMajority()) co_return false;
   FenceStore const request{store};
   Acknowledgement const own = co_await fence(request);
   std::size_t const neededOthers = driver_.consensus().membership().quorum() - (own.ok ? 1 : 0);
--- a/lots/store_node.cpp
+++ b/lots/store_node.cpp
@@ -101,7 +101,8 @@
 
 void StoreNode::applyReply(ControlLink& link, StoreHeartbeat const& sent, StoreHeartbeatReply const& reply) {
   controlMembers_ = reply.members;
-  if (reply.fenced && sent.lease == lease_) renewLease(reply.fencedUpTo);
+  // A fence that a minority agreed to, as one that was cut off does, takes nothing from a lease that a majority grants.
+  if (reply.fenced && sent.lease == lease_ && !hasLease()) renewLease(reply.fencedUpTo);
   if (link.process != reply.process) {
     link.process = reply.process;
     link.revision = 0;
