Exchange: an answer without a length is whole when its connection ends in order

Change: readBody reads such an answer to the end of the connection; a reset, or the time's end, breaks it. Streams and items keep to the former rule (readEvents): a worker that crashes between two events ends its connection as one that is done does.

--- a/edge/request_forwarder.cpp
+++ b/edge/request_forwarder.cpp
@@ -301,7 +301,7 @@
   string body;
   while (!error && state == BodyState::partial) {
     body.clear();
-    state = co_await exchange.readBody(body, plan.deadline);
+    state = co_await exchange.readEvents(body, plan.deadline);
     string const complete = events.feed(body);
     // A stream that ends inside an event was broken off.
     if (state == BodyState::complete && !events.atEventBoundary()) state = BodyState::broken;
--- a/lots/execution/item_execution.cpp
+++ b/lots/execution/item_execution.cpp
@@ -204,7 +204,7 @@
       co_return false;
     }
     body.clear();
-    state = co_await exchange.readBody(body, Clock::now() + settings_.bounds.inTouch);
+    state = co_await exchange.readEvents(body, Clock::now() + settings_.bounds.inTouch);
     if (status == 200) events.feed(body);
   }
   if (state == BodyState::broken) {
--- a/traffic/exchange.cpp
+++ b/traffic/exchange.cpp
@@ -163,6 +163,7 @@
 
 /// Reads an answer to its end and lets it go; true if another may follow on the connection.
 Task<bool> Exchange::skipAnswer(TimePoint until) {
+  if (endsWithConnection()) co_return false;
   bool const keepAlive = parser_->get().keep_alive();
   std::size_t bytes = 0;
   string piece;
@@ -175,15 +176,15 @@
   co_return keepAlive&& state == BodyState::complete;
 }
 
+/// The parser knows how the body is framed; the message would call every answer that closes its connection one without
+/// an end of its own, chunked ones too.
+bool Exchange::endsWithConnection() const {
+  return parser_ && parser_->need_eof();
+}
+
 Task<BodyState> Exchange::readBody(string& body, TimePoint until) {
   if (!connection_) co_return BodyState::broken;
   if (parser_->is_done()) co_return BodyState::complete;
-  // The parser knows how the body is framed; the message would call every answer that closes its connection one
-  // without an end of its own, chunked ones too.
-  if (parser_->need_eof()) {
-    abort();
-    co_return BodyState::broken;
-  }
   char bytes[8192];
   deadline_->expireAt(until);
   http::buffer_body::value_type& target = parser_->get().body();
@@ -202,6 +203,11 @@
   co_return parser_->is_done() ? BodyState::complete : BodyState::partial;
 }
 
+Task<BodyState> Exchange::readEvents(string& body, TimePoint until) {
+  if (connection_ && !parser_->is_done() && endsWithConnection()) abort();
+  co_return co_await readBody(body, until);
+}
+
 Ms Exchange::keepTime() const {
   Ms const inTouch = pool_.settings().bounds.inTouch;
   Ms keep = inTouch;
--- a/traffic/exchange.hpp
+++ b/traffic/exchange.hpp
@@ -49,8 +49,12 @@
   /// True if the answer bears the seal without which a success doesn't count.
   bool isSealed() const { return !header("Server-Seal").empty(); }
   std::optional<WorkerLoad> workerLoad() const { return parseWorkerLoad(header("Server-Load")); }
-  /// Appends some of the body.
+  /// Appends some of the body. One without a length is complete when the worker ends its connection in order, and
+  /// broken if that is reset or the time is up.
   Task<BodyState> readBody(string& body, TimePoint until);
+  /// The same for a stream of events. One without a length counts as broken: a worker that crashes between two events
+  /// ends its connection as one that is done does.
+  Task<BodyState> readEvents(string& body, TimePoint until);
 
   Worker const& worker() const { return worker_; }
   /// True if no request was sent on its connection before.
@@ -75,6 +79,8 @@
   Task<SendResult> readAnswer(HttpRequest const& request, TimePoint until);
   Task<bool> skipAnswer(TimePoint until);
   bool isRefusal() const;
+  /// True if nothing but the end of the connection tells where the answer ends.
+  bool endsWithConnection() const;
   /// Closes the connection; the result for a request of which something may have been sent.
   SendResult giveUp();
   /// How long the connection may be kept idle; 0 if it can't be.
