Tests: the stream without a length names its script, and a cut stream is expected

Change: the script has a name; the check is stricter: no whole answer, a closed connection, no last chunk, one send.

--- a/tests/traffic/exchange_test.cpp
+++ b/tests/traffic/exchange_test.cpp
@@ -245,9 +245,12 @@
 }
 /// A worker that crashes between two events ends its connection as one that is done does.
 TEST(exchange, aStreamWithoutALengthIsNeverTakenForWhole) {
-  EdgeRig rig(at("HTTP/1.1 200 x\r\nAttempt-Id: $ID\r\nServer-Seal: s\r\n\r\nid: 1\ndata: a\n\n", End::close));
+  Script const script = at("HTTP/1.1 200 x\r\nAttempt-Id: $ID\r\nServer-Seal: s\r\n\r\nid: 1\ndata: a\n\n", End::close);
+  EdgeRig rig(script);
   Got const got = rig.call("/streaming/x", "id1");
-  CHECK(got.status != 200);
+  LONGS_EQUAL(0, got.status);
+  CHECK_TEXT(got.closed, "the client isn't told that its stream is cut");
+  CHECK_TEXT(got.raw.find("\r\n0\r\n") == string::npos, "the stream looks complete");
   LONGS_EQUAL(1, rig.sends());
 }
 /// A second answer to a refused try may come late, under the very id of the next try.
