--- a/apps/control_plane.cpp
+++ b/apps/control_plane.cpp
@@ -23,6 +23,7 @@
     daemon.pages[string(rolloutsPage)] = [node] { return node->rolloutReport(); };
     daemon.pages[string(tenantsPage)] = [node] { return node->tenantReport(); };
     daemon.pages[string(lotsPage)] = [node] { return node->waitingLotsReport(); };
+    daemon.pages[string(dutiesPage)] = [node] { return node->dutyReport(); };
     daemon.pages[string(talliesPage)] = [node] { return node->tallyReport(); };
     daemon.minStopTime = settings.bounds.inTouch / 6;
   });
--- a/apps/status_reader.cpp
+++ b/apps/status_reader.cpp
@@ -289,6 +289,43 @@
   return table.text();
 }
 
+string dutyTable(vector<string> const& reportsJson) {
+  Table table({"node", "holder", "fence", "may act", "platform silent s", "window", "closed through", "unsent",
+               "last answer", "waits for"});
+  for (string const& json : reportsJson) {
+    rapidjson::Document const report = parseObject(json, "the report of duties");
+    auto const usage = report.FindMember("usage");
+    if (usage == report.MemberEnd() || !usage->value.IsObject())
+      throw Error(ErrorCode::badMessage, "the report of duties");
+    vector<rapidjson::Value const*> const waited = elementsIn(usage->value, "waitsFor");
+    string waitsFor = std::to_string(waited.size());
+    if (!waited.empty() && waited.front()->IsString()) waitsFor += ", first " + string(waited.front()->GetString());
+    table.add({textIn(report, "node"), textIn(report, "holder"), wholeNumber(numberIn(report, "fence")),
+               textIn(report, "mayAct"), rounded(numberIn(report, "platformSilenceS")),
+               wholeNumber(numberIn(usage->value, "presentWindow")),
+               wholeNumber(numberIn(usage->value, "closedThrough")), wholeNumber(numberIn(usage->value, "unsent")),
+               textIn(usage->value, "lastAnswer"), waitsFor});
+  }
+  return table.text();
+}
+
+string capacityTable(vector<string> const& reportsJson) {
+  Table table({"node", "service", "zone", "lowest", "highest", "present", "ordered", "would order", "in flight",
+               "backlog", "peak", "reason"});
+  for (string const& json : reportsJson) {
+    rapidjson::Document const report = parseObject(json, "the report of duties");
+    for (rapidjson::Value const* const service : elementsIn(report, "capacity"))
+      for (rapidjson::Value const* const zone : elementsIn(*service, "zones"))
+        table.add({textIn(report, "node"), textIn(*service, "service"), textIn(*zone, "zone"),
+                   wholeNumber(numberIn(*service, "lowest")), wholeNumber(numberIn(*service, "highest")),
+                   wholeNumber(numberIn(*zone, "present")), wholeNumber(numberIn(*zone, "ordered")),
+                   wholeNumber(numberIn(*zone, "wouldOrder")), rounded(numberIn(*service, "inFlight")),
+                   rounded(numberIn(*service, "backlog")), rounded(numberIn(*service, "peakDemand")),
+                   textIn(*service, "reason")});
+  }
+  return table.text();
+}
+
 void addStatusCommands(CLI::App& app) {
   struct Options {
     string at, why;
@@ -324,6 +361,10 @@
   });
   addPageCommand(app, "tenants", "print what control nodes granted to tenants, summed up", tenantsPage, tenantTable);
   addPageCommand(app, "tallies", "print the tallies as each control node has them", talliesPage, tallyTable);
+  addPageCommand(app, "duties", "print who holds the duties at the platform, and how usage stands", dutiesPage,
+                 dutyTable);
+  addPageCommand(app, "capacity", "print what would be ordered for each service, and why; orders nothing", dutiesPage,
+                 capacityTable);
   addPageCommand(app, "lots", "print the lots whose recovery waits, and why", lotsPage, waitingLotTable);
 }
 
--- a/apps/status_reader.hpp
+++ b/apps/status_reader.hpp
@@ -27,7 +27,7 @@
 
 /// Pages of a control node beside its metrics.
 constexpr string_view rolloutsPage = "/rollouts", tenantsPage = "/tenants", talliesPage = "/tallies",
-                      lotsPage = "/lots";
+                      lotsPage = "/lots", dutiesPage = "/duties";
 /// A table of the rollouts of services; throws ErrorCode::badMessage if the report can't be read.
 string rolloutTable(string const& reportJson);
 /// A table of what control nodes granted to tenants, summed over their reports, the most refused first.
@@ -41,7 +41,15 @@
 /// can't be read.
 string waitingLotTable(vector<string> const& reportsJson);
 
-/// Adds the commands `traffic`, `prefixes`, `rollouts`, `tenants`, `tallies` and `lots` to a command line. They print
+/// A table of who holds the duties at the platform and how usage stands, by control node; throws ErrorCode::badMessage
+/// if a report can't be read.
+string dutyTable(vector<string> const& reportsJson);
+/// A table of what each control node would order for the services whose number of workers may change, with the reason;
+/// nothing is ordered by it. Throws ErrorCode::badMessage if a report can't be read.
+string capacityTable(vector<string> const& reportsJson);
+
+/// Adds the commands `traffic`, `prefixes`, `rollouts`, `tenants`, `tallies`, `lots`, `duties` and `capacity` to a
+/// command line. They print
 /// to standard output and end the process with 0, 2 for bad arguments, or 3 if nothing answered.
 void addStatusCommands(CLI::App& app);
 
--- a/base/settings.cpp
+++ b/base/settings.cpp
@@ -177,6 +177,33 @@
       {"bounds.mergeMs", boundField(&Bounds::merge, millisecond)},
       {"bounds.evacuateWithinMs", boundField(&Bounds::evacuateWithin, millisecond)},
       {"bounds.revertWithinMs", boundField(&Bounds::revertWithin, millisecond)},
+      {"bounds.leaseMs", boundField(&Bounds::lease, millisecond)},
+      {"bounds.unfreezeSlackMs", boundField(&Bounds::unfreezeSlack, millisecond)},
+      {"bounds.reportWindowS", boundField(&Bounds::reportWindow, second)},
+      {"bounds.usageError", realBoundField(&Bounds::usageError)},
+      {"bounds.usageDelayS", boundField(&Bounds::usageDelay, second)},
+      {"bounds.checksFences",
+       [](Settings& settings, string const& value) {
+         settings.provider.checksFences = value == "true";
+         return value == "true" || value == "false";
+       }},
+      {"providerApi.address",
+       [](Settings& settings, string const& value) {
+         std::optional<Address> const address = parseAddress(value);
+         if (address) settings.provider.address = *address;
+         return address.has_value();
+       }},
+      {"providerApi.dutiesPerS",
+       [](Settings& settings, string const& value) {
+         std::optional<double> const rate = parseReal(value);
+         if (rate) settings.provider.dutiesPerSecond = *rate;
+         return rate && *rate > 0;
+       }},
+      {"providerApi.duties",
+       [](Settings& settings, string const& value) {
+         settings.provider.duties = split(value, ',');
+         return true;
+       }},
       {"bounds.failClosed",
        [](Settings& settings, string const& value) {
          settings.bounds.failClosed = value == "true";
--- a/base/settings.hpp
+++ b/base/settings.hpp
@@ -26,18 +26,31 @@
   Ms seedDelay{3000}, reuseAfter{2000}, inTouch{3000}, confirmWithin{4000}, catchUp{5000}, drain{2000}, grace{8000},
       slack{200}, applyWithin{2000}, revertSlack{250}, stretchLimit{5000}, recover{12000}, step{120},
       finishWithin{10000}, statusEvery{120000}, cancelWithin{3000}, settleWithin{1000}, revokeWithin{5000},
-      quotaWindow{5000}, evacuateWithin{5000}, merge{3000};
+      quotaWindow{5000}, evacuateWithin{5000}, merge{3000}, lease{3000}, unfreezeSlack{300}, reportWindow{5000},
+      usageDelay{10000};
   double quotaOverrun = 0.1;      ///< part by which a quota may be exceeded
   double quotaMargin = 20;        ///< requests by which a quota may be exceeded besides, in one window
   double exposureFraction = 0.1;  ///< part of a service's requests that a bad version may get in a rollout
   double exposureMargin = 50;     ///< requests that it may get besides
   double warmUpOverrun = 1;       ///< times what it bears that a worker may be sent while it warms up
   double warmUpMargin = 0;        ///< requests that it may be sent besides, in a second
+  double usageError = 0.05;       ///< part by which a tenant's reported use may be off
   Ms revertWithin{5000};          ///< from a version's 50th bad answer until it gets nothing
   /// A node that can't prove its configuration recent refuses requests that need a key.
   bool failClosed = false;
 };
 
+/// The platform's interface for the duties that one node does for all.
+struct ProviderApi {
+  Address address;              ///< without a port: there is none
+  double dutiesPerSecond = 10;  ///< calls that the platform takes from all nodes together
+  std::vector<std::string> duties;
+  /// The platform refuses calls under a lower fence than it has seen.
+  bool checksFences = true;
+  bool exists() const { return address.port != 0; }
+  bool hasDuty(std::string_view duty) const { return std::find(duties.begin(), duties.end(), duty) != duties.end(); }
+};
+
 /// What a process is told at its start.
 struct Settings {
   using Ms = std::chrono::milliseconds;
@@ -54,6 +67,7 @@
   Ms reportEvery{1000};  ///< the period of workers' heartbeats
   std::int64_t surviveMachines = 0, surviveZones = 0, surviveRegions = 0;
   Bounds bounds;
+  ProviderApi provider;
   std::vector<std::string> unknownFields;
 
   /// Bounds that are shorter than the times they rest on, a text each. The system runs with them all the same, but may
--- a/configuration/configuration.hpp
+++ b/configuration/configuration.hpp
@@ -50,11 +50,20 @@
   bool isLimited() const { return ratePerSecond > 0; }
 };
 
+/// How many workers a service may have in each of its zones.
+struct ServiceScaling {
+  std::uint64_t lowest = 0, highest = 0;
+  Ms startTime{0};  ///< until a worker that was ordered begins to serve
+  /// A range that holds no number of workers can't be ordered from.
+  bool isUsable() const { return highest > 0 && lowest <= highest; }
+};
+
 struct ServiceSettings {
   string name, healthPath;
   std::uint64_t maxConnections = 0, capacity = 0, cacheTokens = 0;
-  Ms warmUp{0};                ///< for so long a worker warms up after its start
-  double warmUpPerSecond = 0;  ///< requests that it bears then
+  Ms warmUp{0};                           ///< for so long a worker warms up after its start
+  double warmUpPerSecond = 0;             ///< requests that it bears then
+  std::optional<ServiceScaling> scaling;  ///< the platform starts and ends workers of the service on demand
   bool warmsUp() const { return warmUp > Ms(0) || warmUpPerSecond > 0; }
 };
 
--- a/configuration/configuration_reader.cpp
+++ b/configuration/configuration_reader.cpp
@@ -161,6 +161,14 @@
   return 0;
 }
 
+ServiceScaling readScaling(FieldReader& reader, Tree const& object, string const& where) {
+  ServiceScaling scaling;
+  scaling.lowest = reader.number(object, "lowest", where, 0);
+  scaling.highest = reader.number(object, "highest", where, 0);
+  scaling.startTime = Ms(static_cast<std::int64_t>(1000 * readLimit(reader, object, "startTimeS", where)));
+  return scaling;
+}
+
 ServiceSettings readService(FieldReader& reader, Tree const& object) {
   ServiceSettings service;
   service.name = reader.text(object, "name", "service", Presence::required);
@@ -174,6 +182,8 @@
     service.capacity = reader.number(*runtime, "capacity", whereRuntime, 0);
     service.cacheTokens = reader.number(*runtime, "cacheTokens", whereRuntime, 0);
   }
+  boost::optional<Tree const&> const scaling = object.get_child_optional("scaling");
+  if (scaling && !scaling->empty()) service.scaling = readScaling(reader, *scaling, "scaling of " + service.name);
   return service;
 }
 
--- a/consensus/consensus.cpp
+++ b/consensus/consensus.cpp
@@ -143,14 +143,15 @@
 
 Member const* Consensus::preferredOwner(string const& keyspace, TimePoint now) const {
   Member const* best = nullptr;
-  std::pair<bool, std::uint64_t> bestRank;
+  std::tuple<bool, bool, std::uint64_t> bestRank;
   for (Member const& member : membership_.members) {
     if (!isAlive(member.id, now)) continue;
     Heartbeat const* const heartbeat = contacts_.lastHeartbeat(member.id);
     bool const eligible = member.id == self_.id ? holdsAllKeys_ && !abstains_ : heartbeat && heartbeat->holdsAllKeys;
     if (!eligible) continue;
     // One without a disk owns nothing while one with a disk can.
-    std::pair<bool, std::uint64_t> const rank(member.hasDisk, hash64(hex(member.id.value), hash64(keyspace)));
+    std::tuple<bool, bool, std::uint64_t> const rank(member.hasDisk, !isPassedOver(keyspace, member.id),
+                                                     hash64(hex(member.id.value), hash64(keyspace)));
     if (best && rank <= bestRank) continue;
     best = &member;
     bestRank = rank;
@@ -158,6 +159,11 @@
   return best;
 }
 
+bool Consensus::isPassedOver(string const& keyspace, NodeId node) const {
+  auto const found = passedOver_.find(keyspace);
+  return found != passedOver_.end() && found->second.contains(node);
+}
+
 bool Consensus::owns(string const& keyspace) const {
   auto const found = keyspaces_.find(keyspace);
   return found != keyspaces_.end() && found->second.phase == OwnershipPhase::owner;
--- a/consensus/consensus.hpp
+++ b/consensus/consensus.hpp
@@ -101,6 +101,9 @@
   OperationId confirmOwnership(string const& keyspace, TimePoint now);
   /// Gives a keyspace up; open operations end as unknown.
   void relinquish(string const& keyspace);
+  /// Members that shall not own a keyspace while another one can. What nodes know of it may differ for a while: only
+  /// who is preferred depends on it, never who owns.
+  void passOver(string const& keyspace, std::set<NodeId> members) { passedOver_[keyspace] = std::move(members); }
   /// While it abstains, as its disk takes no writes, this node gives its keyspaces up and takes none. True if that
   /// is new.
   bool setAbstaining(bool abstains);
@@ -191,6 +194,8 @@
 
   void handle(Message const&, UnknownMessage const&, KeyspaceState&, TimePoint) {}
 
+  /// True if a node is passed over as owner of a keyspace.
+  bool isPassedOver(string const& keyspace, NodeId node) const;
   bool mayVote() const { return holdsAllKeys_ && isMember(); }
   MembershipRecord membershipRecord() const;
   void record(LogRecord const& record);
@@ -206,6 +211,7 @@
   bool retired_ = false;
   vector<Member> formerVoter_;  ///< this node as it voted in the membership before: one or none
   std::map<string, KeyspaceState> keyspaces_;
+  std::map<string, std::set<NodeId>> passedOver_;  ///< by keyspace
   OperationId lastOperation_ = 0;
   std::uint64_t lastRound_ = 0;  ///< of ownership checks and transfers
   Output output_;
--- a/consensus/control_messages.hpp
+++ b/consensus/control_messages.hpp
@@ -39,8 +39,11 @@
   vector<VersionTally> versionTallies;
   /// Of what the sender has of the applications' tallies on its disk; 0 if it isn't told.
   std::uint64_t tallyDigest = 0;
+  std::int64_t wallMs = 0;  ///< the sender's time of day in milliseconds since 1970; 0 if it isn't told
+  /// For how long the sender hasn't reached the platform; below 0 if it isn't told.
+  std::int64_t platformSilenceMs = -1;
   MSGPACK_DEFINE(heartbeat, membership, workers, wholeRegistry, registryDigest, nodesDigest, carriesNodes, nodes,
-                 tallies, versionTallies, tallyDigest)
+                 tallies, versionTallies, tallyDigest, wallMs, platformSilenceMs)
 };
 
 struct HelloReply {
--- a/consensus/keyspace_names.hpp
+++ b/consensus/keyspace_names.hpp
@@ -6,5 +6,6 @@
 inline constexpr char const* configurationKeyspace = "configuration";
 inline constexpr char const* membersKeyspace = "members";
 inline constexpr char const* rolloutsKeyspace = "rollouts";
+inline constexpr char const* dutiesKeyspace = "duties";
 
 }  // namespace tealshelf
--- /dev/null
+++ b/control/capacity_controller.cpp
@@ -0,0 +1,106 @@
+#include "control/capacity_controller.hpp"
+
+#include "base/json_fields.hpp"
+
+namespace tealshelf {
+
+namespace {
+/// So often in a lease the number of workers is looked at.
+constexpr int decisionsInLease = 6;
+
+string orderBody(string const& service, ScalingOrder const& order) {
+  rapidjson::StringBuffer buffer;
+  JsonWriter writer(buffer);
+  writer.StartObject();
+  writeField(writer, "service", service);
+  writeField(writer, "zone", order.zone);
+  writeField(writer, "wanted", order.wanted);
+  writer.EndObject();
+  return string(buffer.GetString(), buffer.GetSize());
+}
+}  // namespace
+
+CapacityController::CapacityController(asio::io_context& io, Settings const& settings, DutyHolder& duties,
+                                       WorkerDirectory const& workers, EvacuationHandler const& evacuations)
+    : io_(io),
+      settings_(settings),
+      duties_(duties),
+      workers_(workers),
+      evacuations_(evacuations),
+      taken_(metrics().counter("tealshelf_capacity_orders_total", "Orders of workers by their answer",
+                               {{"end", "taken"}})),
+      failed_(metrics().counter("tealshelf_capacity_orders_total", "", {{"end", "not_taken"}})) {}
+
+void CapacityController::start() {
+  bool const isDuty = settings_.provider.exists() && settings_.provider.hasDuty(scalingDuty);
+  if (isDuty) spawnTask(io_, "capacity", orderLoop());
+}
+
+ScalingInputs CapacityController::inputsFor(ServiceSettings const& service) const {
+  ScalingInputs inputs;
+  inputs.scaling = service.scaling.value_or(ServiceScaling());
+  inputs.slotsPerWorker = service.capacity;
+  for (auto const& [zone, count] : workers_.zonesOf(service.name)) {
+    inputs.zones[zone] = ZoneWorkers{count.workers, evacuations_.isActive(zone)};
+    if (!inputs.slotsPerWorker) inputs.slotsPerWorker = count.slots / count.workers;
+  }
+  if (loads) {
+    std::map<string, ServiceLoad> const all = loads();
+    auto const load = all.find(service.name);
+    if (load != all.end()) inputs.load = load->second;
+  }
+  inputs.isRollingOut = isRollingOut && isRollingOut(service.name);
+  return inputs;
+}
+
+Task<void> CapacityController::orderLoop() {
+  for (;;) {
+    co_await sleepFor(settings_.bounds.lease / decisionsInLease);
+    if (duties_.mayAct()) co_await decideAll();
+  }
+}
+
+Task<void> CapacityController::decideAll() {
+  // Another holder may have ordered since this node's last claim.
+  if (fence_ != duties_.fence()) policies_.clear();
+  fence_ = duties_.fence();
+  std::shared_ptr<Configuration const> const present = configuration();
+  if (!present) co_return;
+  for (auto const& [name, service] : present->services) {
+    if (!service.scaling) continue;
+    ScalingDecision const decision = policies_[name].decide(inputsFor(service), Clock::now());
+    for (ScalingOrder const& wanted : decision.orders) {
+      if (!duties_.mayAct() || fence_ != duties_.fence()) co_return;
+      co_await order(name, wanted, decision.reason);
+    }
+  }
+}
+
+Task<void> CapacityController::order(string service, ScalingOrder order, string reason) {
+  PlatformCall call{"/capacity", orderBody(service, order)};
+  PlatformAnswer const answer = co_await duties_.call(std::move(call));
+  bool const isTaken = answer == PlatformAnswer::taken;
+  (isTaken ? taken_ : failed_).increment();
+  if (isTaken) policies_[service].noteOrdered(order, Clock::now());
+  logInfo("duties", "capacity of " + service + " in " + order.zone + ": " + std::to_string(order.wanted) + ", " +
+                        reason + ": " + string(nameOf(answer)));
+}
+
+vector<CapacityController::View> CapacityController::views() const {
+  vector<View> views;
+  std::shared_ptr<Configuration const> const present = configuration();
+  if (!present) return views;
+  for (auto const& [name, service] : present->services) {
+    if (!service.scaling) continue;
+    View view{name, inputsFor(service), {}, {}};
+    auto const policy = policies_.find(name);
+    // A copy: the policy's memory is of its own decisions only.
+    ScalingPolicy trial = policy == policies_.end() ? ScalingPolicy() : policy->second;
+    view.ordered = trial.ordered();
+    view.decision = trial.decide(view.inputs, Clock::now());
+    views.push_back(std::move(view));
+  }
+  return views;
+}
+
+}  // namespace tealshelf
--- a/control/control_node.cpp
+++ b/control/control_node.cpp
@@ -31,7 +31,10 @@
       tallyStore_(io, settings, rpc_, driver_.consensus().self().id),
       tallies_(settings, rpc_, driver_.consensus(), tallyStore_),
       quotas_(settings.bounds),
-      warmUps_(warmUpTiming(settings.bounds)) {
+      warmUps_(warmUpTiming(settings.bounds)),
+      duties_(io, settings, rpc_, driver_),
+      usage_(io, settings, rpc_, driver_, nodes_, duties_),
+      capacity_(io, settings, duties_, workers_, evacuations_) {
   publisher_.proof = [this] {
     bool const healthy = driver_.inContactWithMajority() && workers_.isComplete() && !stopping_;
     return UpdatePublisher::Proof{healthy, 0, driver_.consensus().majorityContact(Clock::now())};
@@ -44,6 +47,8 @@
     nodes_.fillHeartbeat(message, isExtra);
     rollouts_.fillHeartbeat(message);
     message.tallyDigest = tallyStore_.digest();
+    duties_.fillHeartbeat(message);
+    UsageCollector::fillHeartbeat(message);
   };
   driver_.onChange = [this] { onControlStateChange(); };
   rollouts_.services = [this]() -> std::optional<std::set<string>> {
@@ -53,6 +58,9 @@
     for (auto const& [name, service] : configuration->services) names.insert(name);
     return names;
   };
+  capacity_.configuration = [this] { return configuration_.published(); };
+  capacity_.loads = [this] { return usage_.loads(); };
+  capacity_.isRollingOut = [this](string const& service) { return rollouts_.isUnderWay(service); };
   lots_.retiringStores = [this] { return RetirementHandler::retiringStores(driver_.consensus()); };
   std::size_t const neededCopies = static_cast<std::size_t>(settings.surviveMachines) + 1;
   sampler_ = metrics().sample([this, neededCopies] { metrics_.sample(driver_, lots_, neededCopies); });
@@ -63,6 +71,9 @@
   lots_.start(rpcServer_);
   rollouts_.start();
   tallyStore_.start(rpcServer_);
+  duties_.start();
+  usage_.start(rpcServer_);
+  capacity_.start();
   rpcServer_.on<UpdateRequest>([this](UpdateRequest request) { return publisher_.serve(std::move(request)); });
   rpcServer_.on<CompareRegistry>(
       [this](CompareRegistry request) -> Task<RegistryDifference> { co_return workers_.differenceFor(request); });
@@ -138,6 +149,8 @@
   bool const changed = workers_.receive(message, now);
   nodes_.receive(message, now);
   rollouts_.receive(message);
+  duties_.receive(message);
+  usage_.receive(message);
   tallyStore_.noteHeartbeat(message.heartbeat.sender.id, message.tallyDigest);
   if (changed) publish();
 }
--- a/control/control_node.hpp
+++ b/control/control_node.hpp
@@ -1,11 +1,14 @@
 #pragma once
+#include "control/capacity_controller.hpp"
 #include "control/configuration_handler.hpp"
 #include "control/control_metrics.hpp"
+#include "control/duty_report.hpp"
 #include "control/evacuation_handler.hpp"
 #include "control/node_directory.hpp"
 #include "control/retirement_handler.hpp"
 #include "control/rollout_handler.hpp"
 #include "control/tally_handler.hpp"
+#include "control/usage_collector.hpp"
 #include "control/worker_directory.hpp"
 #include "tenants/quota_shard.hpp"
 #include "wire/http.hpp"
@@ -26,6 +29,8 @@
   string tenantReport() const;
   /// Lots whose recovery waits, as a JSON text.
   string waitingLotsReport() const { return lots_.waitingReport(); }
+  /// The duties at the platform, and the orders of workers, as a JSON text.
+  string dutyReport() const { return tealshelf::dutyReport(settings_, duties_, usage_, capacity_); }
   /// The tallies, as a JSON text.
   string tallyReport() const { return tallyStore_.report(); }
 
@@ -64,6 +69,9 @@
   TallyHandler tallies_;
   QuotaShard quotas_;
   CreditShard warmUps_;
+  DutyHolder duties_;
+  UsageCollector usage_;
+  CapacityController capacity_;
   std::shared_ptr<Configuration const> countedConfiguration_;  ///< that quotas_ has
   MembershipNumber publishedMembership_;
   bool wasHealthy_ = false;
--- /dev/null
+++ b/control/duty_holder.cpp
@@ -0,0 +1,165 @@
+#include "control/duty_holder.hpp"
+
+#include "consensus/keyspace_names.hpp"
+#include "traffic/connection_probe.hpp"
+
+namespace tealshelf {
+
+namespace {
+/// So often in a lease the ownership is confirmed, and the platform probed by a bare connection.
+constexpr int confirmationsInLease = 10, probesInLease = 3;
+string const recordKey = "holder";
+}  // namespace
+
+DutyHolder::DutyHolder(asio::io_context& io, Settings const& settings, RpcClient& rpc, ConsensusDriver& driver)
+    : io_(io),
+      settings_(settings),
+      rpc_(rpc),
+      driver_(driver),
+      lease_(settings.bounds.lease),
+      platform_(io, settings, lease_),
+      contact_(driver.consensus().self().id, settings.bounds.lease, Clock::now()),
+      claims_(metrics().counter("tealshelf_duties_claims_total", "Claims of the duties by this node")),
+      givenUp_(metrics().counter("tealshelf_duties_given_up_total", "Duties that this node gave up")),
+      holds_(metrics().gauge("tealshelf_duties_held", "1 while this node may call the platform")),
+      fence_(metrics().gauge("tealshelf_duties_fence", "Fencing token of this node's last claim")),
+      silence_(metrics().gauge("tealshelf_platform_silence_seconds",
+                               "Since this node last reached the platform, or started")) {
+  sampler_ = metrics().sample([this] { sample(); });
+}
+
+void DutyHolder::start() {
+  if (!settings_.provider.exists()) return;
+  driver_.consensus().addKeyspace(dutiesKeyspace);
+  spawnTask(io_, "duties lease", leaseLoop());
+  spawnTask(io_, "platform probe", contactLoop());
+}
+
+Values DutyHolder::values() const {
+  return driver_.consensus().lastKnownValues(dutiesKeyspace).value_or(Values());
+}
+
+std::optional<DutyRecord> DutyHolder::record() const {
+  Values const known = values();
+  auto const record = known.find(recordKey);
+  if (record == known.end()) return std::nullopt;
+  return deserialize<DutyRecord>(record->second);
+}
+
+Task<void> DutyHolder::leaseLoop() {
+  for (;;) {
+    co_await sleepFor(settings_.bounds.lease / confirmationsInLease);
+    co_await keepLease();
+  }
+}
+
+Task<void> DutyHolder::keepLease() {
+  preferIncumbent();
+  Consensus& consensus = driver_.consensus();
+  if (!consensus.owns(dutiesKeyspace)) {
+    lease_.drop();
+    co_return;
+  }
+  bool const isUnfit = contact_.unfit(Clock::now()).contains(consensus.self().id);
+  if (isUnfit) {
+    giveUp("another node reaches the platform and this one doesn't");
+    co_return;
+  }
+  Epoch const epoch = consensus.epochOf(dutiesKeyspace);
+  if (!lease_.isClaimedUnder(epoch)) co_await claim(epoch);
+  if (lease_.isClaimedUnder(epoch)) co_await confirm(epoch);
+}
+
+Task<void> DutyHolder::claim(Epoch epoch) {
+  lease_.drop();
+  Consensus const& consensus = driver_.consensus();
+  Values const& values = consensus.committedValues(dutiesKeyspace);
+  auto const known = values.find(recordKey);
+  bool const hadPredecessor = known != values.end();
+  DutyRecord next;
+  if (hadPredecessor) next = deserialize<DutyRecord>(known->second);
+  string const former = next.holderName;
+  ++next.fence;
+  next.holder = consensus.self().id;
+  next.holderName = settings_.nodeName;
+  vector<KeyChange> changes(1, KeyChange{recordKey, serialize(next), false});
+  OperationResult const result = co_await driver_.propose(dutiesKeyspace, std::move(changes), epoch);
+  if (result != OperationResult::committed) co_return;
+  lease_.noteClaimed(epoch, next.fence, hadPredecessor, Clock::now());
+  claims_.increment();
+  logInfo("duties", "holds the duties under fence " + std::to_string(next.fence) +
+                        (hadPredecessor ? ", after " + former : string()));
+}
+
+Task<void> DutyHolder::confirm(Epoch epoch) {
+  TimePoint const askedAt = Clock::now();
+  bool const isConfirmed = co_await driver_.confirmOwnership(dutiesKeyspace, settings_.bounds.lease / 2);
+  if (!isConfirmed) co_return;
+  lease_.noteConfirmed(epoch, askedAt);
+  platform_.noteExtended();
+}
+
+void DutyHolder::giveUp(string const& reason) {
+  lease_.drop();
+  givenUp_.increment();
+  logWarning("duties", "gives the duties up: " + reason);
+  driver_.consensus().relinquish(dutiesKeyspace);
+  driver_.flush();
+  driver_.sendHeartbeats();
+}
+
+Task<PlatformAnswer> DutyHolder::call(PlatformCall call) {
+  Epoch const epoch = lease_.epoch();
+  PlatformAnswer const answer = co_await platform_.call(std::move(call));
+  bool const wasReached = answer != PlatformAnswer::unanswered && answer != PlatformAnswer::notHolder;
+  if (wasReached) contact_.noteReached(Clock::now());
+  // This fence is of no more use; the next claim takes a higher one.
+  bool const isPresent = driver_.consensus().owns(dutiesKeyspace) && lease_.isClaimedUnder(epoch);
+  if (answer == PlatformAnswer::superseded && isPresent) giveUp("the platform has seen a higher fence");
+  co_return answer;
+}
+
+Task<bool> DutyHolder::commit(vector<KeyChange> changes) {
+  if (!mayAct()) co_return false;
+  OperationResult const result = co_await driver_.propose(dutiesKeyspace, std::move(changes), lease_.epoch());
+  co_return result == OperationResult::committed;
+}
+
+Task<void> DutyHolder::contactLoop() {
+  for (;;) {
+    Ms const period = settings_.bounds.lease / probesInLease;
+    bool const isReached = co_await takesConnection(io_, settings_.provider.address, period);
+    if (isReached) contact_.noteReached(Clock::now());
+    co_await sleepFor(period);
+  }
+}
+
+void DutyHolder::preferIncumbent() {
+  TimePoint const now = Clock::now();
+  Consensus& consensus = driver_.consensus();
+  std::set<NodeId> passedOver = contact_.unfit(now);
+  std::optional<DutyRecord> const known = record();
+  bool const keepsIncumbent = known && consensus.isAlive(known->holder, now) && !passedOver.contains(known->holder);
+  if (keepsIncumbent)
+    for (Member const& member : consensus.membership().members)
+      if (member.id != known->holder) passedOver.insert(member.id);
+  consensus.passOver(dutiesKeyspace, std::move(passedOver));
+}
+
+void DutyHolder::receive(HeartbeatMessage const& message) {
+  std::optional<Ms> silence;
+  if (message.platformSilenceMs >= 0) silence = Ms(message.platformSilenceMs);
+  contact_.notePeer(message.heartbeat.sender.id, silence, Clock::now());
+}
+
+void DutyHolder::fillHeartbeat(HeartbeatMessage& message) const {
+  if (settings_.provider.exists()) message.platformSilenceMs = platformSilence().count();
+}
+
+void DutyHolder::sample() {
+  holds_.setCount(mayAct() ? 1 : 0);
+  fence_.setCount(lease_.fence());
+  if (settings_.provider.exists()) silence_.set(static_cast<double>(platformSilence().count()) / 1000);
+}
+
+}  // namespace tealshelf
--- /dev/null
+++ b/control/duty_holder.hpp
@@ -0,0 +1,60 @@
+#pragma once
+#include "base/metrics.hpp"
+#include "consensus/consensus_driver.hpp"
+#include "duties/platform_client.hpp"
+#include "duties/platform_contact.hpp"
+
+namespace tealshelf {
+
+/// Holds the duties at the platform while this node owns the keyspace `duties`: claims them under the next fencing
+/// token, keeps the lease, makes the calls, and gives them up where another node reaches the platform and this one
+/// doesn't. docs/design-duties.md.
+///
+/// Runs on the io thread. Everything passed in must outlive it.
+class DutyHolder {
+ public:
+  DutyHolder(asio::io_context& io, Settings const& settings, RpcClient& rpc, ConsensusDriver& driver);
+  /// Does nothing where the platform has no duties.
+  void start();
+
+  /// True while this node holds the duties and may call the platform.
+  bool mayAct() const { return lease_.mayAct(Clock::now()); }
+  /// Calls the platform under the fencing token. Where the platform knows a higher one the duties are given up.
+  Task<PlatformAnswer> call(PlatformCall call);
+  /// Writes changes of the keyspace; false unless they were committed while this node held the duties.
+  Task<bool> commit(vector<KeyChange> changes);
+  /// The committed values of the keyspace, as far as this node knows them.
+  Values values() const;
+  std::optional<DutyRecord> record() const;
+  std::uint64_t fence() const { return lease_.fence(); }
+  /// How long ago this node last reached the platform, or started.
+  Ms platformSilence() const { return contact_.silence(Clock::now()); }
+
+  void receive(HeartbeatMessage const& message);
+  void fillHeartbeat(HeartbeatMessage& message) const;
+
+ private:
+  Task<void> leaseLoop();
+  /// One turn of the loop: claims what this node has come to own, or has its ownership confirmed.
+  Task<void> keepLease();
+  Task<void> claim(Epoch epoch);
+  Task<void> confirm(Epoch epoch);
+  void giveUp(string const& reason);
+  Task<void> contactLoop();
+  /// Whoever holds the duties keeps them as long as it lives and reaches the platform, so that they don't swing back.
+  void preferIncumbent();
+  void sample();
+
+  asio::io_context& io_;
+  Settings const& settings_;
+  RpcClient& rpc_;
+  ConsensusDriver& driver_;
+  DutyLease lease_;
+  PlatformClient platform_;
+  PlatformContact contact_;
+  Counter claims_, givenUp_;
+  Gauge holds_, fence_, silence_;
+  SamplerRegistration sampler_;
+};
+
+}  // namespace tealshelf
--- a/control/evacuation_handler.cpp
+++ b/control/evacuation_handler.cpp
@@ -26,6 +26,12 @@
   return records;
 }
 
+bool EvacuationHandler::isActive(string const& zone) const {
+  std::map<string, Evacuation> const present = records();
+  auto const found = present.find(zone);
+  return found != present.end() && found->second.isActive;
+}
+
 std::uint64_t EvacuationHandler::revisionOf(string const& zone) const {
   auto const found = revisions_.find(zone);
   return found == revisions_.end() ? 0 : found->second;
--- a/control/evacuation_handler.hpp
+++ b/control/evacuation_handler.hpp
@@ -15,6 +15,8 @@
   Task<CallReply> handle(ForwardedCall call);
   /// Publishes the committed records; true if one is newer than what was published.
   bool publishCommitted();
+  /// True while a zone's workers shall get nothing, by the committed records.
+  bool isActive(string const& zone) const;
   /// Revision of a zone's record as published here; 0 if the zone was never evacuated.
   std::uint64_t revisionOf(string const& zone) const;
 
--- a/control/rollout_handler.cpp
+++ b/control/rollout_handler.cpp
@@ -103,6 +103,12 @@
   return records;
 }
 
+bool RolloutHandler::isUnderWay(string const& service) const {
+  std::map<string, RolloutRecord> const present = records();
+  auto const record = present.find(service);
+  return record != present.end() && record->second.isServing();
+}
+
 /// The time since an order survives its owner: every control node notes when it saw a record. A process that has just
 /// started goes by the time of day, which may have been stepped, but never below what the record says.
 void RolloutHandler::noteSightings(TimePoint now) {
--- a/control/rollout_handler.hpp
+++ b/control/rollout_handler.hpp
@@ -21,6 +21,8 @@
   /// Publishes the committed records; true if one is newer than what was published.
   bool publishCommitted();
 
+  /// True while a rollout of a service is under way.
+  bool isUnderWay(string const& service) const;
   void receive(HeartbeatMessage const& message);
   void fillHeartbeat(HeartbeatMessage& message);
   /// The present records with what is known of them, as a JSON text for those on call.
--- /dev/null
+++ b/control/usage_collector.cpp
@@ -0,0 +1,195 @@
+#include "control/usage_collector.hpp"
+
+#include "consensus/keyspace_names.hpp"
+
+namespace tealshelf {
+
+namespace {
+/// So often in a window a control node brings on what it was told, and looks for windows to close and to send.
+constexpr int turnsInWindow = 20;
+/// Reports that are committed while the platform takes none, in bytes: other windows wait at the nodes that counted.
+constexpr std::size_t maxUnsentBytes = 256u << 10;
+/// Times that the platform may reject a report before it is given up.
+constexpr int maxRejections = 8;
+/// Parts of a lease: the first and the longest pause before a report is sent again.
+constexpr int firstBackoff = 30, longestBackoff = 2;
+}  // namespace
+
+UsageCollector::UsageCollector(asio::io_context& io, Settings const& settings, RpcClient& rpc, ConsensusDriver& driver,
+                               NodeDirectory const& nodes, DutyHolder& duties)
+    : io_(io),
+      settings_(settings),
+      rpc_(rpc),
+      driver_(driver),
+      nodes_(nodes),
+      duties_(duties),
+      ledger_(UsageLedger::Timing::of(settings.bounds)),
+      loads_(settings.bounds.inTouch / 2),
+      time_(settings.bounds.inTouch / 2),
+      closed_(metrics().counter("tealshelf_usage_windows_closed_total", "Windows of usage that this node closed")),
+      sent_(metrics().counter("tealshelf_usage_reports_total", "Reports of usage by their answer", {{"end", "taken"}})),
+      failed_(metrics().counter("tealshelf_usage_reports_total", "", {{"end", "not_taken"}})),
+      lag_(metrics().gauge("tealshelf_usage_open_windows", "Windows of usage that ended and aren't closed")),
+      unsent_(metrics().gauge("tealshelf_usage_unsent_reports", "Reports that the platform hasn't acknowledged")) {
+  sampler_ = metrics().sample([this] {
+    if (!settings_.provider.exists()) return;
+    Status const present = status();
+    unsent_.setCount(present.unsent);
+    lag_.setCount(present.closedThrough ? present.present.value - 1 - present.closedThrough->value : 0);
+  });
+}
+
+void UsageCollector::start(RpcServer& server) {
+  if (!settings_.provider.exists()) return;
+  server.on<ReportUsage>([this](ReportUsage report) -> Task<UsageReceipt> {
+    TimePoint const now = Clock::now();
+    string const reporter = report.usage.node;
+    table_.merge(report.usage, now);
+    loads_.note(reporter, std::move(report.loads), now);
+    co_return receipt();
+  });
+  server.on<CollectUsage>([this](CollectUsage collected) -> Task<UsageReceipt> {
+    TimePoint const now = Clock::now();
+    for (NodeUsage const& usage : collected.nodes) table_.merge(usage, now);
+    loads_.note(collected.collector, std::move(collected.loads), now);
+    co_return receipt();
+  });
+  spawnTask(io_, "usage forward", forwardLoop());
+  if (!settings_.provider.hasDuty(usageDuty)) return;
+  spawnTask(io_, "usage close", closeLoop());
+  spawnTask(io_, "usage send", sendLoop());
+}
+
+void UsageCollector::receive(HeartbeatMessage const& message) {
+  if (message.wallMs) time_.noteReading(message.heartbeat.sender.id, message.wallMs, Clock::now());
+}
+
+std::int64_t UsageCollector::trueNowMs() const {
+  return time_.nowMs(Clock::now()).value_or(wallClockMs());
+}
+
+UsageReceipt UsageCollector::receipt() const {
+  UsageReceipt receipt{process_, WindowNumber(), trueNowMs()};
+  std::optional<UsageProgress> const progress = UsageLedger::progressIn(duties_.values());
+  if (progress) receipt.closedThrough = progress->closedThrough;
+  return receipt;
+}
+
+void UsageCollector::forgetClosed() {
+  std::optional<UsageProgress> const progress = UsageLedger::progressIn(duties_.values());
+  Ms const memory = settings_.bounds.usageDelay + settings_.bounds.reportWindow;
+  WindowNumber const through = progress ? progress->closedThrough : WindowNumber();
+  table_.forget(through, Clock::now() - 2 * memory);
+}
+
+Task<void> UsageCollector::forwardLoop() {
+  for (;;) {
+    co_await sleepFor(settings_.bounds.reportWindow / turnsInWindow);
+    time_.noteReading(driver_.consensus().self().id, wallClockMs(), Clock::now());
+    forgetClosed();
+    std::optional<Address> const holder = driver_.ownerAddress(dutiesKeyspace);
+    if (!holder || holder->ip == settings_.ip) continue;
+    try {
+      co_await forwardTo(*holder);
+    } catch (Error const& error) {
+      logDebug("duties", error.what());
+    }
+  }
+}
+
+Task<void> UsageCollector::forwardTo(Address holder) {
+  std::uint64_t const told = holder_.toldTo(holder);
+  std::uint64_t const revision = table_.revision();
+  CollectUsage message{settings_.nodeName, table_.changedSince(told), {}};
+  for (auto& [service, load] : loads()) message.loads.push_back(load);
+  if (message.nodes.empty() && message.loads.empty()) co_return;
+  UsageReceipt const receipt = co_await rpc_.call(holder, message, settings_.bounds.reportWindow / turnsInWindow * 2);
+  holder_.noteTaken(holder, receipt.process, told, revision);
+}
+
+vector<string> UsageCollector::unfinishedFor(WindowNumber window) const {
+  TimePoint const now = Clock::now();
+  std::set<string> expected;
+  for (auto const& [name, node] : nodes_.allNodes(now))
+    if (node.role == edgeRole) expected.insert(name);
+  return table_.unfinished(window, expected, now - settings_.bounds.usageDelay - settings_.bounds.reportWindow);
+}
+
+Task<void> UsageCollector::closeLoop() {
+  for (;;) {
+    co_await sleepFor(settings_.bounds.reportWindow / turnsInWindow);
+    bool goesOn = duties_.mayAct();
+    while (goesOn) goesOn = co_await closeNext();
+  }
+}
+
+Task<bool> UsageCollector::closeNext() {
+  Values const values = duties_.values();
+  std::size_t unsentBytes = 0;
+  for (UsageRecord const& record : UsageLedger::unsent(values)) unsentBytes += record.body.size();
+  std::optional<WindowNumber> const window = UsageLedger::nextToClose(values, table_);
+  if (!window || unsentBytes > maxUnsentBytes) co_return false;
+  if (!ledger_.mayClose(*window, trueNowMs(), unfinishedFor(*window))) co_return false;
+  vector<string> const missing = unfinishedFor(*window);
+  if (!missing.empty())
+    logWarning("duties", "window " + std::to_string(window->value) + " is closed without " +
+                             std::to_string(missing.size()) + " nodes, first " + missing.front());
+  vector<KeyChange> changes = UsageLedger::closing(*window, table_.totals(*window));
+  bool const isClosed = co_await duties_.commit(std::move(changes));
+  if (isClosed) closed_.increment();
+  co_return isClosed&& duties_.mayAct();
+}
+
+Task<void> UsageCollector::sendLoop() {
+  for (;;) {
+    co_await sleepFor(std::max(backoff_, settings_.bounds.reportWindow / turnsInWindow));
+    if (!duties_.mayAct()) continue;
+    vector<UsageRecord> records = UsageLedger::unsent(duties_.values());
+    std::erase_if(records, [this](UsageRecord const& record) { return taken_.contains(record.window); });
+    if (!records.empty()) {
+      UsageRecord oldest = std::move(records.front());
+      co_await sendOldest(std::move(oldest));
+      continue;
+    }
+    // What the platform has is forgotten once nothing is left to send: a report may be sent again, but never another.
+    vector<KeyChange> changes;
+    for (WindowNumber const window : taken_) changes.push_back(UsageLedger::settled(window));
+    if (changes.empty()) continue;
+    bool const isWritten = co_await duties_.commit(std::move(changes));
+    if (isWritten) taken_.clear();
+  }
+}
+
+Task<void> UsageCollector::sendOldest(UsageRecord record) {
+  PlatformCall call{"/usage", std::move(record.body)};
+  PlatformAnswer const answer = co_await duties_.call(std::move(call));
+  lastAnswer_ = nameOf(answer);
+  bool const isRejected = answer == PlatformAnswer::rejected && ++rejections_[record.window] >= maxRejections;
+  if (isRejected) logWarning("duties", "the platform rejects window " + std::to_string(record.window.value));
+  if (answer == PlatformAnswer::taken || isRejected) {
+    (isRejected ? failed_ : sent_).increment();
+    taken_.insert(record.window);
+    rejections_.erase(record.window);
+    backoff_ = Ms(0);
+    co_return;
+  }
+  failed_.increment();
+  Ms const lease = settings_.bounds.lease;
+  backoff_ = std::clamp(2 * backoff_, lease / firstBackoff, lease / longestBackoff);
+  logDebug("duties", "window " + std::to_string(record.window.value) + ": " + lastAnswer_);
+}
+
+UsageCollector::Status UsageCollector::status() const {
+  Status status;
+  Values const values = duties_.values();
+  std::optional<UsageProgress> const progress = UsageLedger::progressIn(values);
+  if (progress) status.closedThrough = progress->closedThrough;
+  status.present = ledger_.windowAt(trueNowMs());
+  status.unsent = UsageLedger::unsent(values).size();
+  std::optional<WindowNumber> const next = UsageLedger::nextToClose(values, table_);
+  if (next) status.unfinished = unfinishedFor(*next);
+  status.lastAnswer = lastAnswer_;
+  return status;
+}
+
+}  // namespace tealshelf
--- /dev/null
+++ b/control/usage_collector.hpp
@@ -0,0 +1,71 @@
+#pragma once
+#include "control/duty_holder.hpp"
+#include "control/node_directory.hpp"
+#include "duties/load_board.hpp"
+#include "duties/true_time.hpp"
+#include "duties/usage_ledger.hpp"
+
+namespace tealshelf {
+
+/// Takes in what data-plane nodes report of tenants' use and of services' load, and brings it to the holder of the
+/// duties. While this node is the holder it closes the windows and sends their reports to the platform.
+///
+/// Runs on the io thread. Everything passed in must outlive it.
+class UsageCollector {
+ public:
+  UsageCollector(asio::io_context& io, Settings const& settings, RpcClient& rpc, ConsensusDriver& driver,
+                 NodeDirectory const& nodes, DutyHolder& duties);
+  /// Does nothing where the platform has no duties.
+  void start(RpcServer& server);
+
+  void receive(HeartbeatMessage const& message);
+  static void fillHeartbeat(HeartbeatMessage& message) { message.wallMs = wallClockMs(); }
+  /// What all nodes have to do, by service, as far as it was told here.
+  std::map<string, ServiceLoad> loads() const { return loads_.sums(Clock::now()); }
+
+  /// How the reports of usage stand, for those on call.
+  struct Status {
+    std::optional<WindowNumber> closedThrough;  ///< nothing before the first window
+    WindowNumber present;
+    std::size_t unsent = 0;     ///< reports that the platform hasn't acknowledged
+    vector<string> unfinished;  ///< nodes that the next window waits for
+    string lastAnswer;          ///< of the platform; "" before the first
+  };
+  Status status() const;
+
+ private:
+  UsageReceipt receipt() const;
+  std::int64_t trueNowMs() const;
+  Task<void> forwardLoop();
+  /// Brings the holder what it hasn't heard from here.
+  Task<void> forwardTo(Address holder);
+  Task<void> closeLoop();
+  /// Closes the next window if that is due; true if another may follow at once.
+  Task<bool> closeNext();
+  vector<string> unfinishedFor(WindowNumber window) const;
+  Task<void> sendLoop();
+  Task<void> sendOldest(UsageRecord record);
+  void forgetClosed();
+
+  asio::io_context& io_;
+  Settings const& settings_;
+  RpcClient& rpc_;
+  ConsensusDriver& driver_;
+  NodeDirectory const& nodes_;
+  DutyHolder& duties_;
+  UsageLedger ledger_;
+  std::uint64_t process_ = randomId();
+  UsageTable table_;
+  UsageReceiver holder_;
+  LoadBoard loads_;
+  TrueTime time_;
+  Ms backoff_{0};                 ///< before the next call of a report; 0 after one that was taken
+  std::set<WindowNumber> taken_;  ///< acknowledged by the platform, not yet written
+  std::map<WindowNumber, int> rejections_;
+  string lastAnswer_;
+  Counter closed_, sent_, failed_;
+  Gauge lag_, unsent_;
+  SamplerRegistration sampler_;
+};
+
+}  // namespace tealshelf
--- a/control/worker_directory.cpp
+++ b/control/worker_directory.cpp
@@ -224,6 +224,16 @@
   return versions;
 }
 
+std::map<string, WorkerDirectory::ZoneCount> WorkerDirectory::zonesOf(string const& service) const {
+  std::map<string, ZoneCount> zones;
+  registry_.forEachPresent([&](Worker const& worker) {
+    if (worker.service != service || worker.draining) return;
+    ++zones[worker.zone].workers;
+    zones[worker.zone].slots += worker.capacity;
+  });
+  return zones;
+}
+
 RegistryDifference WorkerDirectory::differenceFor(CompareRegistry const& request) const {
   std::set<std::uint32_t> const buckets = registry_.digest().differingFrom(request.buckets);
   RegistryDifference difference;
--- a/control/worker_directory.hpp
+++ b/control/worker_directory.hpp
@@ -35,6 +35,11 @@
   bool isComplete() const;
   /// Live workers of a service that take requests, by version.
   std::map<string, std::size_t> versionsOf(string const& service) const;
+  /// The workers of a service in one zone that take requests.
+  struct ZoneCount {
+    std::uint64_t workers = 0, slots = 0;
+  };
+  std::map<string, ZoneCount> zonesOf(string const& service) const;
   /// What all nodes together may send to each worker that warms up, or may do so, by its id.
   std::map<string, RateAllowance> warmUpLimits(Configuration const& configuration) const;
   /// Gives the revision of a zone's evacuation, 0 for none.
--- /dev/null
+++ b/duties/load_board.hpp
@@ -0,0 +1,24 @@
+#pragma once
+#include "duties/usage_messages.hpp"
+
+namespace tealshelf {
+
+/// The latest loads of services by who told them; no input or output of its own.
+class LoadBoard {
+ public:
+  /// What wasn't told anew for so long doesn't count.
+  explicit LoadBoard(Ms expiry) : expiry_(expiry) {}
+  void note(string const& reporter, vector<ServiceLoad> loads, TimePoint now);
+  /// Sums over all reporters, by service.
+  std::map<string, ServiceLoad> sums(TimePoint now) const;
+
+ private:
+  struct Entry {
+    vector<ServiceLoad> loads;
+    TimePoint at;
+  };
+  Ms expiry_;
+  std::map<string, Entry> entries_;
+};
+
+}  // namespace tealshelf
--- /dev/null
+++ b/duties/scaling_policy.cpp
@@ -0,0 +1,88 @@
+#include "duties/scaling_policy.hpp"
+
+namespace tealshelf {
+
+namespace {
+/// Parts of the slots that the peak of the demand takes: workers are added above the one, taken away below the other.
+constexpr double highestUtilization = 0.8, lowestUtilization = 0.5;
+/// Start times of a worker for which demand is remembered, and that lie between two reductions.
+constexpr int memoryInStartTimes = 3, reductionsInStartTime = 1;
+/// Part of the memory that must be filled before workers are taken away.
+constexpr double leastKnownPart = 0.3;
+/// Part of the peak that is added to it while nothing is remembered.
+constexpr double reserveOfUnknown = 0.75;
+constexpr Ms shortestStartTime{1000};
+/// Part of a zone's workers that may be taken away at once.
+constexpr double largestReduction = 0.25;
+
+std::uint64_t workersFor(double demand, double slots, ServiceScaling const& scaling) {
+  std::uint64_t const needed = static_cast<std::uint64_t>(std::ceil(demand / slots));
+  return std::clamp(needed, scaling.lowest, scaling.highest);
+}
+}  // namespace
+
+void ScalingPolicy::noteDemand(double slots, Ms memory, TimePoint now) {
+  if (slots > 0 && !loadedSince_) loadedSince_ = now;
+  demands_.push_back({now, slots});
+  while (now - demands_.front().at > memory) demands_.pop_front();
+}
+
+double ScalingPolicy::knownPart(Ms memory, TimePoint now) const {
+  if (!loadedSince_) return 0;
+  double const known = static_cast<double>(std::chrono::duration_cast<Ms>(now - *loadedSince_).count());
+  return std::min(1.0, known / static_cast<double>(memory.count()));
+}
+
+std::uint64_t ScalingPolicy::presentIn(string const& zone, ZoneWorkers const& workers) const {
+  auto const known = ordered_.find(zone);
+  return known == ordered_.end() ? workers.present : known->second;
+}
+
+std::optional<ScalingOrder> ScalingPolicy::orderFor(string const& zone, ZoneWorkers const& workers,
+                                                    ScalingDecision const& decision) const {
+  std::uint64_t const present = presentIn(zone, workers);
+  if (present < decision.least) return ScalingOrder{zone, decision.least, false};
+  if (present <= decision.most) return std::nullopt;
+  std::uint64_t const step =
+      std::max<std::uint64_t>(1, static_cast<std::uint64_t>(static_cast<double>(present) * largestReduction));
+  return ScalingOrder{zone, std::max(decision.most, present - step), true};
+}
+
+ScalingDecision ScalingPolicy::decide(ScalingInputs const& inputs, TimePoint now) {
+  Ms const startTime = std::max(inputs.scaling.startTime, shortestStartTime);
+  Ms const memory = memoryInStartTimes * startTime;
+  noteDemand(inputs.load.inFlight + inputs.load.backlog, memory, now);
+  ScalingDecision decision;
+  for (Demand const& demand : demands_) decision.peakDemand = std::max(decision.peakDemand, demand.slots);
+  vector<string> zones;
+  for (auto const& [zone, workers] : inputs.zones)
+    if (workers.present && !workers.isEvacuated) zones.push_back(zone);
+  if (!inputs.scaling.isUsable() || !inputs.slotsPerWorker || zones.empty()) {
+    decision.reason = "no range, no slots or no worker";
+    return decision;
+  }
+  double const slots = static_cast<double>(inputs.slotsPerWorker * zones.size());
+  double const known = knownPart(memory, now);
+  double const withReserve = decision.peakDemand * (1 + reserveOfUnknown * (1 - known));
+  decision.least = workersFor(decision.peakDemand, slots * highestUtilization, inputs.scaling);
+  decision.most = std::max(decision.least, workersFor(withReserve, slots * lowestUtilization, inputs.scaling));
+  if (inputs.isRollingOut) {
+    decision.reason = "a rollout is under way";
+    return decision;
+  }
+  bool const isSettled = !reducedAt_ || now - *reducedAt_ >= startTime / reductionsInStartTime;
+  bool const mayReduce = known >= leastKnownPart && isSettled;
+  decision.reason = mayReduce ? "by demand" : "by demand, no reduction yet";
+  for (string const& zone : zones) {
+    std::optional<ScalingOrder> order = orderFor(zone, inputs.zones.at(zone), decision);
+    if (order && (mayReduce || !order->isReduction)) decision.orders.push_back(std::move(*order));
+  }
+  return decision;
+}
+
+void ScalingPolicy::noteOrdered(ScalingOrder const& order, TimePoint now) {
+  if (order.isReduction) reducedAt_ = now;
+  ordered_[order.zone] = order.wanted;
+}
+
+}  // namespace tealshelf
--- a/edge/edge_node.cpp
+++ b/edge/edge_node.cpp
@@ -28,9 +28,10 @@
       settings_(settings),
       rpc_(io, settings.bounds.inTouch / 2),
       rpcServer_(io, settings.relayAddress(settings.ip), settings.bounds.inTouch / 2),
-      view_(io, settings, rpc_, "edge", settings.relayAddress(settings.ip)),
+      view_(io, settings, rpc_, string(edgeRole), settings.relayAddress(settings.ip)),
       quotas_(settings, rpc_, view_),
-      forwarder_(io, settings, rpc_, view_, quotas_, stopping_),
+      usage_(io, settings, rpc_, view_),
+      forwarder_(io, settings, rpc_, view_, quotas_, usage_, stopping_),
       zoneProber_(io, settings, view_, forwarder_.balancer()),
       lots_(settings, rpc_, view_),
       readiness_(
@@ -46,7 +47,9 @@
 
 void EdgeNode::start() {
   view_.runningAt = [this](string const& worker) { return forwarder_.runningAt(worker); };
+  usage_.loads = [this] { return loads(); };
   view_.start(rpcServer_);
+  usage_.start();
   rpcServer_.start();
   zoneProber_.start();
   readiness_.start();
@@ -88,6 +91,10 @@
     logInfo("edge", "no longer cut off");
 }
 
+vector<ServiceLoad> EdgeNode::loads() const {
+  return serviceLoads(view_.workers(), [this](string const& worker) { return forwarder_.runningAt(worker); });
+}
+
 void EdgeNode::sampleMetrics() {
   metrics_.activeRequests.setCount(*activeRequests_);
   metrics_.isolated.setCount(isIsolated() ? 1 : 0);
--- a/edge/edge_node.hpp
+++ b/edge/edge_node.hpp
@@ -1,4 +1,5 @@
 #pragma once
+#include "duties/service_loads.hpp"
 #include "edge/edge_metrics.hpp"
 #include "edge/idle_connections.hpp"
 #include "edge/request_forwarder.hpp"
@@ -52,6 +53,8 @@
   /// Tells the log when that begins and ends.
   void noteIsolation();
   Task<void> sweepLoop();
+  /// Requests at workers, by service.
+  vector<ServiceLoad> loads() const;
   void sampleMetrics();
   Task<void> endIdleLoop();
 
@@ -63,6 +66,7 @@
   bool stopping_ = false, wasIsolated_ = false;
   TimePoint stoppedAt_;
   QuotaClient quotas_;
+  UsageReporter usage_;
   RequestForwarder forwarder_;
   ZoneProber zoneProber_;
   LotApi lots_;
--- a/edge/request_forwarder.cpp
+++ b/edge/request_forwarder.cpp
@@ -206,6 +206,8 @@
                                                           Exchange& exchange, RetryState& retries) {
   string const worker = exchange.worker().id;
   ++retries.sends;
+  // A stream begins with its first event.
+  if (!plan.isStream) noteBegun(plan, retries, retries.sentAt);
   if (std::optional<WorkerLoad> const load = exchange.workerLoad()) balancer_.reportLoad(exchange.worker(), *load);
   int const status = exchange.status();
   if (status >= 500) view_.tally(worker, false);
@@ -277,6 +279,11 @@
   co_return true;
 }
 
+void RequestForwarder::noteBegun(RequestPlan const& plan, RetryState& retries, TimePoint begunAt) {
+  if (!plan.caller.tenant || std::exchange(retries.isCounted, true)) return;
+  usage_.count(plan.caller.tenant->name, begunAt);
+}
+
 Task<error_code> RequestForwarder::sendStreamHead(ClientConnection& client, Exchange const& exchange) {
   http::response<http::empty_body> response(static_cast<http::status>(exchange.status()), 11);
   copyHeaders(exchange.headers(), response);
@@ -308,6 +315,7 @@
     bool const ends = state == BodyState::complete;
     if (!body.empty() && retries.probe) retries.probe->noteProgress();
     if (!complete.empty()) pace.note(events.lastId(), Clock::now());
+    if (!complete.empty()) noteBegun(plan, retries, Clock::now());
     if (complete.empty() && !ends) continue;
     deadline.expireAt(Clock::now() + 2 * settings_.bounds.inTouch);
     if (ends) exchange.release();
--- a/edge/request_forwarder.hpp
+++ b/edge/request_forwarder.hpp
@@ -1,4 +1,5 @@
 #pragma once
+#include "duties/usage_reporter.hpp"
 #include "edge/client_connection.hpp"
 #include "edge/client_watch.hpp"
 #include "edge/edge_metrics.hpp"
@@ -19,11 +20,12 @@
  public:
   /// `stopping` is true once the process is told to end: answers then close their connections.
   RequestForwarder(asio::io_context& io, Settings const& settings, RpcClient& rpc, FleetView& view, QuotaClient& quotas,
-                   bool const& stopping)
+                   UsageReporter& usage, bool const& stopping)
       : io_(io),
         settings_(settings),
         view_(view),
         quotas_(quotas),
+        usage_(usage),
         stopping_(stopping),
         pool_(io, settings),
         warmUps_(settings, rpc, view, pool_),
@@ -53,6 +55,7 @@
     EventStreamReader events;
     TimePoint sentAt;               ///< to the present worker
     SilenceProbe* probe = nullptr;  ///< of the present exchange
+    bool isCounted = false;         ///< in its tenant's use
     std::optional<double> paceMs;   ///< of the last whole answer, if it can be told
   };
   enum class NextStep { tryAnother, stop, done };
@@ -92,6 +95,8 @@
   Task<bool> passWhole(ClientConnection& client, RequestPlan const& plan, Exchange& exchange);
   /// Passes events on as they come; true once nothing more is to be done, false if the worker broke off.
   Task<bool> relayEvents(ClientConnection& client, RequestPlan const& plan, Exchange& exchange, RetryState& retries);
+  /// A worker began to run the request: counts it in its tenant's use, once.
+  void noteBegun(RequestPlan const& plan, RetryState& retries, TimePoint begunAt);
   Task<error_code> sendStreamHead(ClientConnection& client, Exchange const& exchange);
   /// Closes the connection in the middle of an answer, which must not look complete.
   void cutOff(ClientConnection& client);
@@ -103,6 +108,7 @@
   Settings const& settings_;
   FleetView& view_;
   QuotaClient& quotas_;
+  UsageReporter& usage_;
   bool const& stopping_;
   ConnectionPool pool_;
   WarmUpGate warmUps_;
--- a/fleet/nodes.hpp
+++ b/fleet/nodes.hpp
@@ -31,6 +31,9 @@
   MSGPACK_DEFINE(worker, succeeded, failed)
 };
 
+/// Roles of data-plane nodes.
+constexpr string_view edgeRole = "edge", storeRole = "store";
+
 /// A data-plane node as the others know it; it may relay updates.
 struct DataNode {
   string name, zone, role;
--- a/lots/execution/item_execution.cpp
+++ b/lots/execution/item_execution.cpp
@@ -91,6 +91,25 @@
   return static_cast<double>(runningItems_) < std::min(wanted, static_cast<double>(slots) / 2);
 }
 
+vector<ServiceLoad> LotRunner::loads() const {
+  TimePoint const now = Clock::now();
+  std::map<string, ServiceLoad> loads;
+  for (ServiceLoad& load : serviceLoads(view_.workers(), [this](string const& worker) { return runningAt(worker); }))
+    loads[load.service] = std::move(load);
+  for (auto const& [key, run] : runs_) {
+    if (!isActive(*run)) continue;
+    auto const queued = std::count_if(run->items.begin(), run->items.end(),
+                                      [](LotRun::Item const& item) { return item.state == ItemState::queued; });
+    double const left = static_cast<double>(remainingTimeMs(run->lot, now));
+    ServiceLoad& load = loads[run->lot.service];
+    load.service = run->lot.service;
+    load.backlog += static_cast<double>(queued) * meanItemMs_ / std::max(left, meanItemMs_);
+  }
+  vector<ServiceLoad> list;
+  for (auto& [service, load] : loads) list.push_back(std::move(load));
+  return list;
+}
+
 bool LotRunner::startNextItem() {
   if (!view_.isFresh() || stopping_ || !hasLease()) return false;
   TimePoint const now = Clock::now();
--- a/lots/execution/lot_runner.hpp
+++ b/lots/execution/lot_runner.hpp
@@ -1,4 +1,5 @@
 #pragma once
+#include "duties/service_loads.hpp"
 #include "lots/execution/lot_ages.hpp"
 #include "lots/execution/lot_run.hpp"
 #include "lots/messages.hpp"
@@ -36,6 +37,8 @@
   LotAges& ages() { return ages_; }
   /// Items under way at a worker.
   std::int64_t runningAt(string const& worker) const { return balancer_.runningAt(worker); }
+  /// Items at workers and in queues, by service.
+  vector<ServiceLoad> loads() const;
   /// Looks for items to start, as the workers or the configuration changed.
   void wake() { startTimer_.cancel(); }
 
--- a/lots/store_node.cpp
+++ b/lots/store_node.cpp
@@ -12,9 +12,10 @@
       settings_(settings),
       rpc_(io, settings.bounds.inTouch / 2),
       server_(io, settings.storeAddress(settings.ip), settings.bounds.inTouch / 2),
-      view_(io, settings, rpc_, "store", settings.storeAddress(settings.ip)),
+      view_(io, settings, rpc_, string(storeRole), settings.storeAddress(settings.ip)),
       replicas_(io, settings, rpc_),
       runner_(io, settings, rpc_, view_, replicas_),
+      usage_(io, settings, rpc_, view_),
       self_{replicas_.id(), settings.nodeName, settings.zone, settings.storeAddress(settings.ip)},
       lease_(static_cast<std::uint64_t>(wallClockMs())) {
   runner_.hasLease = [this] { return hasLease(); };
@@ -31,7 +32,9 @@
   });
   view_.onUpdate = [this] { runner_.wake(); };
   view_.runningAt = [this](string const& worker) { return runner_.runningAt(worker); };
+  usage_.loads = [this] { return runner_.loads(); };
   view_.start(server_);
+  usage_.start();
   runner_.start(server_);
   server_.start();
   spawnTask(io_, "store heartbeat", heartbeatLoop());
--- a/lots/store_node.hpp
+++ b/lots/store_node.hpp
@@ -1,4 +1,5 @@
 #pragma once
+#include "duties/usage_reporter.hpp"
 #include "lots/execution/lot_runner.hpp"
 #include "lots/replicas/store_metrics.hpp"
 #include "updates/fleet_view.hpp"
@@ -53,6 +54,7 @@
   FleetView view_;
   ReplicaStore replicas_;
   LotRunner runner_;
+  UsageReporter usage_;
   StoreRef self_;
   std::uint64_t lease_;
   std::map<Address, ControlLink> controls_;
--- a/tests/base/settings_test.cpp
+++ b/tests/base/settings_test.cpp
@@ -32,6 +32,26 @@
   LONGS_EQUAL(3000, b.bounds.cancelWithin.count());
   LONGS_EQUAL(0, b.surviveZones);
 }
+TEST(settings, readsTheDutiesAtThePlatform) {
+  vector<SettingsFault> f;
+  Settings const none = readSettings(settingsText, f);
+  CHECK(!none.provider.exists());
+  Settings const b = readSettings(settingsText +
+                                      "providerApi.address=127.0.0.7:8306\nproviderApi.duties=usage,scaling\n"
+                                      "providerApi.dutiesPerS=50.0\nbounds.checksFences=false\nbounds.leaseMs=2000\n"
+                                      "bounds.reportWindowS=4\nbounds.usageDelayS=8.5\nbounds.usageError=0.02\n",
+                                  f);
+  CHECK(f.empty());
+  CHECK(b.provider.exists() && b.provider.hasDuty("usage") && b.provider.hasDuty("scaling"));
+  CHECK(!b.provider.hasDuty("other") && !b.provider.checksFences);
+  DOUBLES_EQUAL(50, b.provider.dutiesPerSecond, 0);
+  LONGS_EQUAL(2000, b.bounds.lease.count());
+  LONGS_EQUAL(4000, b.bounds.reportWindow.count());
+  LONGS_EQUAL(8500, b.bounds.usageDelay.count());
+  DOUBLES_EQUAL(0.02, b.bounds.usageError, 0);
+  readSettings(settingsText + "providerApi.address=nowhere\nproviderApi.dutiesPerS=0\n", f);
+  LONGS_EQUAL(2, f.size());
+}
 TEST(settings, aFieldThatIsNeededMustNotBeEmpty) {
   vector<SettingsFault> f;
   readSettings("nodeName=a\nipAddress=\ninternalPorts=\nseedNodes=\n", f);
--- a/tests/configuration/configuration_test.cpp
+++ b/tests/configuration/configuration_test.cpp
@@ -48,6 +48,24 @@
   LONGS_EQUAL(107, firstFault(configuration(route("r", "\"timeLimitMs\":1e300,\"service\":\"s\""))));
   LONGS_EQUAL(108, firstFault(configuration(route("r", fine, "/a"))));
 }
+TEST(configuration, scalingIsReadAndAnEmptyRangeOrdersNothing) {
+  auto const scalingOf = [](string const& scaling) {
+    string text = configuration(route("r", fine));
+    string const service = "{\"name\":\"t\"}";
+    text.replace(text.find(service), service.size(), "{\"name\":\"t\",\"scaling\":" + scaling + "}");
+    vector<ConfigurationFault> faults;
+    std::shared_ptr<Configuration const> const read = readConfiguration(text, faults);
+    return faults.empty() ? read->services.at("t").scaling : std::nullopt;
+  };
+  std::optional<ServiceScaling> const scaling = scalingOf("{\"lowest\":18,\"highest\":44,\"startTimeS\":4.5}");
+  CHECK(scaling && scaling->isUsable());
+  LONGS_EQUAL(18, scaling->lowest);
+  LONGS_EQUAL(44, scaling->highest);
+  LONGS_EQUAL(4500, scaling->startTime.count());
+  CHECK(!scalingOf("{\"lowest\":9,\"highest\":3}")->isUsable());
+  CHECK(!scalingOf("{}"));
+  CHECK(!scalingOf("{\"lowest\":-1}"));
+}
 TEST(configuration, sharesFollowTheWeights) {
   std::shared_ptr<Configuration const> const c = compileConfiguration(configuration(
       route("r", "\"timeLimitMs\":5,\"split\":[{\"service\":\"s\",\"share\":90},{\"service\":\"t\",\"share\":10}]")));
--- /dev/null
+++ b/tests/duties/duties_test.cpp
@@ -0,0 +1,202 @@
+// The pure parts of the duties: lease, contact with the platform, time of day, table and ledger of usage.
+#include "duties/duty_lease.hpp"
+#include "duties/load_board.hpp"
+#include "duties/platform_contact.hpp"
+#include "duties/true_time.hpp"
+#include "duties/usage_ledger.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace tealshelf;
+
+namespace {
+constexpr TimePoint dutyStart = TimePoint() + std::chrono::hours(1);
+constexpr Ms leaseLength{3000};
+Epoch const firstEpoch{1, NodeId(1)}, secondEpoch{2, NodeId(1)};
+UsageTable::ProcessKey const firstEdge{"edge-1", 7}, secondEdge{"edge-2", 8};
+
+NodeUsage usageOf(UsageTable::ProcessKey const& key, std::int64_t window, std::uint64_t requests,
+                  std::int64_t finalThrough) {
+  return NodeUsage{key.node,
+                   key.incarnation,
+                   WindowNumber(finalThrough),
+                   {WindowUsage{WindowNumber(window), {TenantCount{"huka", requests}}}}};
+}
+}  // namespace
+
+TEST_GROUP(dutyLease){};
+
+TEST(dutyLease, aFirstHolderActsOnceAMajorityConfirmsIt) {
+  DutyLease lease(leaseLength);
+  lease.noteClaimed(firstEpoch, 1, false, dutyStart);
+  CHECK(!lease.mayAct(dutyStart));
+  lease.noteConfirmed(firstEpoch, dutyStart);
+  CHECK(lease.mayAct(dutyStart + Ms(2249)));
+  CHECK(!lease.mayAct(dutyStart + Ms(2250)));
+}
+TEST(dutyLease, aSuccessorWaitsForAWholeLease) {
+  DutyLease lease(leaseLength);
+  lease.noteClaimed(firstEpoch, 2, true, dutyStart);
+  for (int ms = 0; ms <= 3000; ms += 300) lease.noteConfirmed(firstEpoch, dutyStart + Ms(ms));
+  CHECK(!lease.mayAct(dutyStart + Ms(2999)));
+  CHECK(lease.mayAct(dutyStart + Ms(3000)));
+}
+TEST(dutyLease, aConfirmationOfAnotherEpochExtendsNothing) {
+  DutyLease lease(leaseLength);
+  lease.noteClaimed(secondEpoch, 2, false, dutyStart);
+  lease.noteConfirmed(firstEpoch, dutyStart);
+  CHECK(!lease.mayAct(dutyStart));
+  lease.noteConfirmed(secondEpoch, dutyStart);
+  lease.drop();
+  CHECK(!lease.mayAct(dutyStart));
+}
+
+TEST_GROUP(platformContact){};
+
+TEST(platformContact, aNodeIsPassedOverOnlyWhileAnotherIsBetterOff) {
+  PlatformContact contact(NodeId(1), leaseLength, dutyStart);
+  TimePoint const later = dutyStart + Ms(4000);
+  contact.notePeer(NodeId(2), Ms(3500), later);
+  CHECK(contact.unfit(later).empty());
+  contact.notePeer(NodeId(3), Ms(200), later);
+  LONGS_EQUAL(2, contact.unfit(later).size());
+  CHECK(contact.unfit(later).contains(NodeId(1)));
+  contact.noteReached(later);
+  CHECK(!contact.unfit(later).contains(NodeId(1)));
+}
+TEST(platformContact, whatASilentNodeSaidIsForgotten) {
+  PlatformContact contact(NodeId(1), leaseLength, dutyStart);
+  contact.notePeer(NodeId(2), Ms(0), dutyStart + Ms(1000));
+  CHECK(contact.unfit(dutyStart + Ms(4000)).empty());
+}
+
+TEST_GROUP(trueTime){};
+
+TEST(trueTime, aMinorityOfSteppedClocksChangesNothing) {
+  TrueTime time(Ms(2500));
+  for (std::uint64_t node = 1; node <= 5; ++node) {
+    std::int64_t const step = node <= 2 ? 2000 : static_cast<std::int64_t>(node);
+    time.noteReading(NodeId(node), 1000000 + step, dutyStart);
+  }
+  LONGS_EQUAL(1000105, *time.nowMs(dutyStart + Ms(100)));
+}
+TEST(trueTime, oldReadingsDoNotCount) {
+  TrueTime time(Ms(2500));
+  CHECK(!time.nowMs(dutyStart));
+  time.noteReading(NodeId(1), 5000000, dutyStart);
+  time.noteReading(NodeId(2), 1000000, dutyStart + Ms(2000));
+  LONGS_EQUAL(1001000, *time.nowMs(dutyStart + Ms(3000)));
+}
+TEST(trueTime, aFollowerTakesHalfOfTheTripOff) {
+  FollowedTime time(Ms(250));
+  CHECK(!time.isFollowing());
+  time.noteAnswer(1000000, dutyStart, dutyStart + Ms(40));
+  LONGS_EQUAL(1000020, time.at(dutyStart + Ms(40)));
+  time.noteAnswer(9000000, dutyStart, dutyStart + Ms(300));
+  LONGS_EQUAL(1000021, time.at(dutyStart + Ms(41)));
+}
+
+TEST_GROUP(usageTable){};
+
+TEST(usageTable, repeatsAndDetoursAddNothing) {
+  UsageTable edge, control;
+  edge.count(firstEdge, WindowNumber(10), "huka");
+  edge.count(firstEdge, WindowNumber(10), "huka");
+  for (int n = 0; n < 3; ++n)
+    for (NodeUsage const& usage : edge.changedSince(0)) control.merge(usage, dutyStart);
+  LONGS_EQUAL(2, control.totals(WindowNumber(10))["huka"]);
+  control.merge(usageOf(firstEdge, 10, 1, 9), dutyStart);
+  LONGS_EQUAL(2, control.totals(WindowNumber(10))["huka"]);
+  control.merge(usageOf(secondEdge, 10, 3, 9), dutyStart);
+  LONGS_EQUAL(5, control.totals(WindowNumber(10))["huka"]);
+}
+TEST(usageTable, onlyChangesAreToldOn) {
+  UsageTable table;
+  table.count(firstEdge, WindowNumber(10), "huka");
+  std::uint64_t const told = table.revision();
+  CHECK(table.changedSince(told).empty());
+  table.count(firstEdge, WindowNumber(11), "puhu");
+  vector<NodeUsage> const changed = table.changedSince(told);
+  LONGS_EQUAL(1, changed.size());
+  LONGS_EQUAL(1, changed[0].windows.size());
+  LONGS_EQUAL(11, changed[0].windows[0].window.value);
+}
+TEST(usageTable, aLateRequestCountsInTheNextWindowThatIsNotFinal) {
+  UsageTable table;
+  table.markFinal(firstEdge, WindowNumber(10), dutyStart);
+  table.count(firstEdge, WindowNumber(9), "huka");
+  LONGS_EQUAL(1, table.totals(WindowNumber(11))["huka"]);
+}
+TEST(usageTable, nodesAreWaitedForUntilTheyAreFinalOrFollowed) {
+  UsageTable table;
+  std::set<string> const expected{"edge-1", "edge-3"};
+  table.merge(usageOf(firstEdge, 10, 1, 9), dutyStart);
+  table.merge(usageOf(secondEdge, 10, 1, 9), dutyStart);
+  LONGS_EQUAL(3, table.unfinished(WindowNumber(10), expected, dutyStart).size());
+  LONGS_EQUAL(2, table.unfinished(WindowNumber(10), expected, dutyStart + Ms(1)).size());
+  // A process that came after it ends the wait for the former one.
+  table.merge(usageOf({"edge-1", 99}, 11, 1, 10), dutyStart + Ms(1));
+  vector<string> const unfinished = table.unfinished(WindowNumber(10), expected, dutyStart + Ms(1));
+  LONGS_EQUAL(1, unfinished.size());
+  STRCMP_EQUAL("edge-3", unfinished[0].c_str());
+}
+TEST(usageTable, closedWindowsAndSilentProcessesAreForgotten) {
+  UsageTable table;
+  table.merge(usageOf(firstEdge, 10, 1, 9), dutyStart);
+  table.merge(usageOf(secondEdge, 11, 1, 9), dutyStart);
+  table.forget(WindowNumber(10), dutyStart + Ms(1));
+  LONGS_EQUAL(1, table.size());
+  LONGS_EQUAL(11, table.firstWindow()->value);
+}
+TEST(usageTable, aReceiverThatWasStartedAnewIsToldEverything) {
+  UsageReceiver receiver;
+  Address const first{"10.0.0.1", 1}, second{"10.0.0.2", 1};
+  LONGS_EQUAL(0, receiver.toldTo(first));
+  receiver.noteTaken(first, 5, 0, 20);
+  LONGS_EQUAL(20, receiver.toldTo(first));
+  LONGS_EQUAL(0, receiver.toldTo(second));
+  receiver.noteTaken(first, 6, 20, 25);
+  LONGS_EQUAL(0, receiver.toldTo(first));
+}
+
+TEST_GROUP(usageLedger){};
+
+TEST(usageLedger, aWindowIsClosedOnceAllCountsAreThereOrTheTimeIsUp) {
+  UsageLedger const ledger({Ms(5000), Ms(10000), Ms(500)});
+  LONGS_EQUAL(2, ledger.windowAt(14999).value);
+  LONGS_EQUAL(0, ledger.finalAt(10499).value);
+  LONGS_EQUAL(1, ledger.finalAt(10500).value);
+  CHECK(!ledger.mayClose(WindowNumber(1), 10499, {}));
+  CHECK(ledger.mayClose(WindowNumber(1), 10500, {}));
+  CHECK(!ledger.mayClose(WindowNumber(1), 17499, {"edge-1"}));
+  CHECK(ledger.mayClose(WindowNumber(1), 17500, {"edge-1"}));
+}
+TEST(usageLedger, theReportIsWhatWasCommitted) {
+  Values values;
+  UsageTable table;
+  CHECK(!UsageLedger::nextToClose(values, table));
+  table.count(firstEdge, WindowNumber(10), "hu\"ka");
+  LONGS_EQUAL(10, UsageLedger::nextToClose(values, table)->value);
+  for (KeyChange const& change : UsageLedger::closing(WindowNumber(10), table.totals(WindowNumber(10))))
+    values[change.key] = change.value;
+  LONGS_EQUAL(11, UsageLedger::nextToClose(values, table)->value);
+  table.count(firstEdge, WindowNumber(10), "hu\"ka");
+  vector<UsageRecord> const unsent = UsageLedger::unsent(values);
+  LONGS_EQUAL(1, unsent.size());
+  STRCMP_EQUAL("{\"windowNumber\":10,\"counts\":{\"hu\\\"ka\":1}}", unsent[0].body.c_str());
+  values.erase(UsageLedger::settled(WindowNumber(10)).key);
+  CHECK(UsageLedger::unsent(values).empty());
+  LONGS_EQUAL(10, UsageLedger::progressIn(values)->closedThrough.value);
+}
+
+TEST_GROUP(loadBoard){};
+
+TEST(loadBoard, sumsWhatWasToldLately) {
+  LoadBoard board(Ms(2500));
+  board.note("edge-1", {{"app", 3, 1}}, dutyStart);
+  board.note("edge-2", {{"app", 4, 0}, {"lm", 2, 0}}, dutyStart + Ms(2000));
+  DOUBLES_EQUAL(7, board.sums(dutyStart + Ms(2000))["app"].inFlight, 0);
+  DOUBLES_EQUAL(4, board.sums(dutyStart + Ms(3000))["app"].inFlight, 0);
+  board.note("edge-2", {}, dutyStart + Ms(3000));
+  CHECK(board.sums(dutyStart + Ms(3000)).empty());
+}
--- /dev/null
+++ b/tests/duties/duty_fleet_test.cpp
@@ -0,0 +1,71 @@
+// Holders of the duties that are killed, frozen and cut off, on a virtual clock: see duty_fleet_sim.hpp.
+#include "tests/duties/duty_fleet_sim.hpp"
+#include "tests/seeds.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <cstdio>
+
+using namespace tealshelf;
+using sim::DutyFleet;
+
+TEST_GROUP(dutyFleet){};
+
+namespace {
+/// The first seed with a violation must come soon.
+void expectMutationCaught(DutyFleet::Mutation mutation, std::uint64_t seedsToCatch = 40) {
+  string violation;
+  for (std::uint64_t seed = 1; seed <= seedsToCatch && violation.empty(); ++seed) {
+    DutyFleet fleet(seed, mutation);
+    violation = fleet.run();
+    if (!violation.empty()) std::printf("seed %zu: %s\n", static_cast<std::size_t>(seed), violation.c_str());
+  }
+  CHECK(!violation.empty());
+}
+}  // namespace
+
+TEST(dutyFleet, oneHolderActsAndEachWindowHasOneReport) {
+  std::uint64_t const seeds = seedCount(30);
+  std::size_t reports = 0, holders = 0, superseded = 0;
+  std::optional<std::uint64_t> const only = onlySeed();
+  for (std::uint64_t seed = only.value_or(1); seed <= only.value_or(seeds); ++seed) {
+    DutyFleet fleet(seed, DutyFleet::Mutation::none);
+    string const violation = fleet.run();
+    if (only)
+      for (string const& line : fleet.trace()) std::printf("%s\n", line.c_str());
+    string const text = "seed " + std::to_string(seed) + ": " + violation;
+    CHECK_TEXT(violation.empty(), text.c_str());
+    reports += fleet.acceptedReports();
+    holders += fleet.holders();
+    superseded += fleet.supersededCalls();
+  }
+  if (only) return;
+  std::printf("%zu reports, %zu holders, %zu superseded calls\n", reports, holders, superseded);
+  // The runs reach what they are for.
+  CHECK(reports > 8 * seeds);
+  CHECK(holders > 2 * seeds);
+  CHECK(superseded > 0);
+}
+TEST(dutyFleet, aFenceThatDoesNotRiseIsCaught) {
+  expectMutationCaught(DutyFleet::Mutation::fenceStays);
+}
+TEST(dutyFleet, aReportThatIsComputedAnewIsCaught) {
+  expectMutationCaught(DutyFleet::Mutation::computesAnew);
+}
+TEST(dutyFleet, aHolderThatActsAfterItsLeaseIsCaught) {
+  expectMutationCaught(DutyFleet::Mutation::actsAfterLease);
+}
+TEST(dutyFleet, aLeaseByTheTimeOfDayIsCaught) {
+  expectMutationCaught(DutyFleet::Mutation::leaseByWallClock);
+}
+TEST(dutyFleet, aCallByAnotherNodeIsCaught) {
+  expectMutationCaught(DutyFleet::Mutation::relayCalls);
+}
+TEST(dutyFleet, countsThatAreAddedTwiceAreCaught) {
+  expectMutationCaught(DutyFleet::Mutation::addsRepeats);
+}
+TEST(dutyFleet, anOrderUnderAFormerFenceIsCaught) {
+  expectMutationCaught(DutyFleet::Mutation::formerFence);
+}
+TEST(dutyFleet, aClaimThatActsAtOnceIsCaught) {
+  expectMutationCaught(DutyFleet::Mutation::actsAtOnce);
+}
--- a/tests/formats.hpp
+++ b/tests/formats.hpp
@@ -3,6 +3,8 @@
 #include "configuration/change_history.hpp"
 #include "consensus/control_messages.hpp"
 #include "control/messages.hpp"
+#include "duties/duty_lease.hpp"
+#include "duties/usage_ledger.hpp"
 #include "fleet/evacuation.hpp"
 #include "lots/messages.hpp"
 #include "segments/replica_table.hpp"
--- a/tests/formats_test.cpp
+++ b/tests/formats_test.cpp
@@ -40,11 +40,12 @@
               heartbeat());
   expectBytes("949701a26e31a831302e302e302e31a27a31c3c30001c302", JoinRequest{founder, 1, true, MembershipNumber(2)});
   expectBytes(
-      "9b969701a26e31a831302e302e302e31a27a31c3c30002c39205cd02589192029206cd02bc9195a16b9203010605c393"
+      "9d969701a26e31a831302e302e302e31a27a31c3c30002c39205cd02589192029206cd02bc9195a16b9203010605c393"
       "02929701a26e31a831302e302e302e31a27a31c3c3009702a26e32a831302e302e302e32a27a32c2c32c919701a26e31"
       "a831302e302e302e31a27a31c3c30091dc0010a3692d31a173a17aa17692a831302e302e302e31500407c3c203c201c302c200"
-      "c30405c39197a16ea17aa46564676592a831302e302e302e31cd1deecd012c00009193a16901029006",
-      HeartbeatMessage{heartbeat(), membership(), {worker()}, true, 4, 5, true, {dataNode()}, {{"i", 1, 2}}, {}, 6});
+      "c30405c39197a16ea17aa46564676592a831302e302e302e31cd1deecd012c00009193a1690102900607fe",
+      HeartbeatMessage{
+          heartbeat(), membership(), {worker()}, true, 4, 5, true, {dataNode()}, {{"i", 1, 2}}, {}, 6, 7, -2});
   expectBytes(
       "929701a26e31a831302e302e302e31a27a31c3c3009194a16b92030182a1619492030b05a176c2a1629492030b06a0c3"
       "c2",
@@ -243,3 +244,22 @@
   expectBytes("94030090919391930b039194a174920102fccd03e89193a17400079192029109",
               TallyRecord{3, OriginId(), {}, {state}});
 }
+
+TEST(formats, dutiesAndUsage) {
+  NodeUsage const usage{"n", 7, WindowNumber(9), {WindowUsage{WindowNumber(10), {TenantCount{"t", 3}}}}};
+  expectBytes(
+      "9303"
+      "0ba16e",
+      DutyRecord{3, NodeId(11), "n"});
+  expectBytes("9109", UsageProgress{WindowNumber(9)});
+  expectBytes(
+      "9294a16e070991920a9192a17403"
+      "9193a1730201",
+      ReportUsage{usage, {ServiceLoad{"s", 2, 1}}});
+  expectBytes(
+      "93a163"
+      "9194a16e070991920a9192a17403"
+      "90",
+      CollectUsage{"c", {usage}, {}});
+  expectBytes("93050906", UsageReceipt{5, WindowNumber(9), 6});
+}
--- a/tests/older_formats_test.cpp
+++ b/tests/older_formats_test.cpp
@@ -101,3 +101,14 @@
       "c30405c39197a16ea17aa46564676592a831302e302e302e31cd1deecd012c00009193a169010290",
       HeartbeatMessage{heartbeat(), membership(), {worker()}, true, 4, 5, true, {dataNode()}, {{"i", 1, 2}}, {}, 0});
 }
+
+/// Bytes that releases wrote before control nodes told their time of day and whether they reach the platform.
+TEST(olderFormats, heartbeatsWithoutDuties) {
+  expectReads(
+      "9b969701a26e31a831302e302e302e31a27a31c3c30002c39205cd02589192029206cd02bc9195a16b9203010605c393"
+      "02929701a26e31a831302e302e302e31a27a31c3c3009702a26e32a831302e302e302e32a27a32c2c32c919701a26e31"
+      "a831302e302e302e31a27a31c3c30091dc0010a3692d31a173a17aa17692a831302e302e302e31500407c3c203c201c302c200"
+      "c30405c39197a16ea17aa46564676592a831302e302e302e31cd1deecd012c00009193a16901029006",
+      HeartbeatMessage{
+          heartbeat(), membership(), {worker()}, true, 4, 5, true, {dataNode()}, {{"i", 1, 2}}, {}, 6, 0, -1});
+}
--- a/tools/check-includes.sh
+++ b/tools/check-includes.sh
@@ -3,7 +3,7 @@
 # to the top; a file may include its own directory and those before it.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-order=(base wire configuration fleet rollouts consensus tallies segments updates tenants workers traffic lots edge control apps)
+order=(base wire configuration fleet rollouts consensus tallies segments updates tenants workers traffic duties lots edge control apps)
 declare -A rank
 for i in "${!order[@]}"; do rank[${order[$i]}]=$i; done
 bad=0
--- a/wire/rpc.hpp
+++ b/wire/rpc.hpp
@@ -33,7 +33,9 @@
   startLot = 49,
   confirmReplicas = 50,
   takeCredit = 70,
-  pushTallies = 80
+  pushTallies = 80,
+  reportUsage = 90,
+  collectUsage = 91
 };
 
 /// A reply without content.
