Soak: a platform in a process of its own checks ONE; the design of the duties

Change: the soak's configuration has a tenant and a service whose workers are ordered; each run starts a platform that is busy, silent, slow, resets and loses answers. It fails a run for two reports of a window, a fence of two holders, a duty that swings back within a lease, and a call that is none. The self-test orders under one fence and two names, and must be noticed. Workers report a client's key that reaches them.

--- a/tools/soak/cluster.cpp
+++ b/tools/soak/cluster.cpp
@@ -1,5 +1,7 @@
 #include "tools/soak/cluster.hpp"
 
+#include "tools/soak/stand_in_platform.hpp"
+
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -65,6 +67,29 @@
   return vector<string>(ips.begin(), ips.end());
 }
 
+void Cluster::startPlatform() {
+  vector<string> command{std::filesystem::read_symlink("/proc/self/exe").string(),
+                         platformCommand,
+                         "--at",
+                         topology_.platformAddress,
+                         "--seed",
+                         std::to_string(options_.seed),
+                         "--lease-ms",
+                         std::to_string(bounds_.lease.count()),
+                         "--calls-per-second",
+                         std::to_string(bounds_.dutiesPerSecond)};
+  if (options_.faults.empty()) command.emplace_back("--well");
+  platform_.start(command, {}, platformLog());
+}
+
+std::size_t Cluster::reportsTaken() const {
+  std::ifstream log(platformLog());
+  std::size_t taken = 0;
+  string line;
+  while (std::getline(log, line)) taken += line.starts_with("taken usage");
+  return taken;
+}
+
 void Cluster::startAll() {
   for (std::unique_ptr<ClusterNode> const& node : nodes_) {
     openTrouble(*node);
@@ -226,6 +251,7 @@
 void Cluster::stopAll() {
   stopping_ = true;
   for (std::unique_ptr<ClusterNode> const& node : nodes_) node->process.killAndWait();
+  platform_.killAndWait();
 }
 
 }  // namespace tealshelf::soak
--- a/tools/soak/cluster.hpp
+++ b/tools/soak/cluster.hpp
@@ -31,6 +31,10 @@
  public:
   Cluster(asio::io_context& io, Options const& options, Topology topology, string directory, Verdict& verdict);
 
+  /// Starts the stand-in of the platform. It lasts for the whole run.
+  void startPlatform();
+  /// Reports of usage that the platform has taken so far.
+  std::size_t reportsTaken() const;
   /// Starts all for the first time.
   void startAll();
   vector<std::unique_ptr<ClusterNode>> const& nodes() const { return nodes_; }
@@ -77,6 +81,7 @@
   void noteOwnEnd(ClusterNode& node, string const& how);
   void openTrouble(ClusterNode& node);
   void closeTrouble(ClusterNode& node);
+  string platformLog() const { return directory_ + "/logs/platform.log"; }
   string folderOf(ClusterNode const& node) const { return directory_ + "/disks/" + node.plan.name; }
   Task<void> noteWhenReady(ClusterNode& node, int life);
   Task<bool> isReady(ClusterNode const& node);
@@ -89,6 +94,7 @@
   Verdict& verdict_;
   CutTable cuts_;
   vector<std::unique_ptr<ClusterNode>> nodes_;
+  ChildProcess platform_;
   bool firstBoot_ = true, stopping_ = false;
   int openFaults_ = 0;
   TimePoint lastFaultEndedAt_;
--- a/tools/soak/configurations.cpp
+++ b/tools/soak/configurations.cpp
@@ -1,5 +1,7 @@
 #include "tools/soak/configurations.hpp"
 
+#include "tools/soak/http_call.hpp"
+
 #include <sstream>
 
 namespace tealshelf::soak {
@@ -23,7 +25,9 @@
   SoakBounds const bounds;
   text << "{\"name\":\"" << name << "\",\"healthPath\":\"/health\",\"maxConnections\":" << 200 + variant % 5
        << ",\"protocol\":\"h1\",\"useTls\":false,\"warmUpS\":" << bounds.warmUp.count() / 1000
-       << ",\"warmupPerS\":" << bounds.warmUpPerSecond << "}";
+       << ",\"warmupPerS\":" << bounds.warmUpPerSecond;
+  if (name == modelService) text << ",\"scaling\":{\"lowest\":1,\"highest\":9,\"startTimeS\":1}";
+  text << "}";
 }
 }  // namespace
 
@@ -73,7 +77,7 @@
   text << ",";
   writeService(text, absentService, variant);
   text << "],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerWaitMs\":3000,\"idleLimitMs\":"
-       << 15000 + variant % 1000 << "}}";
+       << 15000 + variant % 1000 << "},\"customers\":[{\"name\":\"tenant\",\"apiKeys\":[\"" << tenantKey << "\"]}]}";
   return text.str();
 }
 
--- a/tools/soak/http_call.cpp
+++ b/tools/soak/http_call.cpp
@@ -28,6 +28,7 @@
 HttpRequest makeRequest(http::verb verb, string const& target, string const& host) {
   HttpRequest request(verb, target, 11);
   request.set(http::field::host, host);
+  request.set(http::field::authorization, "Bearer " + string(tenantKey));
   request.keep_alive(false);
   return request;
 }
--- a/tools/soak/http_call.hpp
+++ b/tools/soak/http_call.hpp
@@ -28,6 +28,8 @@
   return status == 429 || status == 503 || status == 408 || status == 421;
 }
 
+/// The key of the only tenant, which every request bears.
+constexpr string_view tenantKey = "soak0key1of2the3tenant";
 HttpRequest makeRequest(http::verb verb, string const& target, string const& host);
 /// A connection that is kept for many requests.
 struct KeptConnection {
--- a/tools/soak/main.cpp
+++ b/tools/soak/main.cpp
@@ -1,6 +1,7 @@
 // The soak: runs our programs as real processes on loopback, with stand-in workers, clients and an operator, under
 // faults drawn by a seed, and checks what all of them see. See docs/soak.md.
 #include "tools/soak/soak_run.hpp"
+#include "tools/soak/stand_in_platform.hpp"
 
 #include <sys/prctl.h>
 #include <sys/wait.h>
@@ -108,6 +109,13 @@
   app.add_flag("--self-test", options.sabotage, "break what is checked on purpose: passes if all of it is noticed");
   app.add_option("--log-level", options.logLevel, "log level of the processes");
 }
+void addPlatformOptions(CLI::App& app, PlatformOptions& options) {
+  app.add_option("--at", options.at, "IP:PORT")->required();
+  app.add_option("--seed", options.seed, "seed of its moods");
+  app.add_option("--calls-per-second", options.callsPerSecond, "calls that it takes from all nodes together");
+  app.add_option("--lease-ms", options.leaseMs, "length of the lease of its duties");
+  app.add_flag("--well", options.isWell, "it never misbehaves");
+}
 }  // namespace
 
 int runMain(int argc, char** argv) {
@@ -115,6 +123,13 @@
   Options options;
   CommandLine line;
   addOptions(app, options, line);
+  CLI::App platformApp("The stand-in of the platform, which each run starts for itself.", platformCommand);
+  PlatformOptions platform;
+  addPlatformOptions(platformApp, platform);
+  if (argc > 1 && string_view(argv[1]) == platformCommand) {
+    CLI11_PARSE(platformApp, argc - 1, argv + 1);
+    return runPlatform(platform);
+  }
   CLI11_PARSE(app, argc, argv);
   options.faults = faultsNamed(line.faults);
   std::optional<ClosingFault> const closing = closingNamed(line.closing);
--- a/tools/soak/sabotage.cpp
+++ b/tools/soak/sabotage.cpp
@@ -6,13 +6,24 @@
 namespace tealshelf::soak {
 
 namespace {
-constexpr Ms sabotagePollInterval{20}, unsaidWarmUp{6000};
+constexpr Ms sabotagePollInterval{20}, unsaidWarmUp{6000}, platformCallLimit{2000};
 /// Lots whose items stay on their shelf have bodies to ask for until the end; of the others all results are listed.
 constexpr std::size_t runningLots = 3;
 string const sabotageLog = "sabotage.log", invariantLine = "E invariant soak: written on purpose";
 string const textField = "\"state\":\"finished\",\"message\":\"";
 }  // namespace
 
+Task<void> Sabotage::orderTwice() {
+  for (string const owner : {"sabotage-a", "sabotage-b"}) {
+    HttpRequest order = makeRequest(http::verb::post, "/capacity", "platform");
+    order.set("Duty-Owner", owner);
+    order.set("Fence-Number", "1");
+    order.body() = R"({"service":"none","zone":"nowhere","wanted":1})";
+    Address const platform = *parseAddress(cluster_.topology().platformAddress);
+    co_await callHttp(io_, platform, std::move(order), platformCallLimit);
+  }
+}
+
 Task<void> Sabotage::run() {
   vector<Lot*> running;
   while (running.size() < runningLots || !bodiless_) {
@@ -35,6 +46,7 @@
              {"REFUSED", "", "its client was"},
              {"Own ends", ended.plan.name, "signal 9"},
              {"LOST", tallies_.pretendAcknowledged(), "were acknowledged"},
+             {"ONE", "capacity of none in nowhere", "is used by"},
              {"FAILBACK", flooded.id(), "requests in one second"},
              {"invariant", sabotageLog, invariantLine}};
   verdict_.note("sabotage begins: " + unreadable_->id + " can't be read, " + bodiless_->id + " has no bodies, " +
@@ -43,6 +55,7 @@
   book_.noteRefused(refused);
   flooded.goColdUnsaid(unsaidWarmUp);
   ended.process.signal(SIGKILL);
+  co_await orderTwice();
 }
 
 void Sabotage::spoilRead(Lot const& lot, HttpAnswer& answer) {
--- a/tools/soak/sabotage.hpp
+++ b/tools/soak/sabotage.hpp
@@ -10,9 +10,9 @@
 /// process. The run passes if the checks noticed each break, and nothing else.
 class Sabotage {
  public:
-  Sabotage(bool on, Cluster& cluster, vector<std::unique_ptr<StandInWorker>>& workers, LotBook& book,
-           TallyClient& tallies, Verdict& verdict)
-      : on_(on), cluster_(cluster), workers_(workers), book_(book), tallies_(tallies), verdict_(verdict) {}
+  Sabotage(asio::io_context& io, bool on, Cluster& cluster, vector<std::unique_ptr<StandInWorker>>& workers,
+           LotBook& book, TallyClient& tallies, Verdict& verdict)
+      : io_(io), on_(on), cluster_(cluster), workers_(workers), book_(book), tallies_(tallies), verdict_(verdict) {}
   /// Waits until enough lots were accepted, then begins to break things.
   Task<void> run();
   /// Changes the answer to a read of a lot, before anybody looks at it.
@@ -30,6 +30,10 @@
     string rule, subject, text;
   };
 
+  /// Orders workers at the platform under one fence and two names.
+  Task<void> orderTwice();
+
+  asio::io_context& io_;
   bool on_;
   Cluster& cluster_;
   vector<std::unique_ptr<StandInWorker>>& workers_;
--- a/tools/soak/soak_run.cpp
+++ b/tools/soak/soak_run.cpp
@@ -31,7 +31,7 @@
       kept_(io_, cluster_, requests_, verdict_, options.seed),
       probe_(io_, cluster_, operators_, ledger_, verdict_, options.seed),
       tallies_(io_, cluster_, verdict_, options.seed),
-      sabotage_(options_.sabotage, cluster_, workers_, book_, tallies_, verdict_),
+      sabotage_(io_, options_.sabotage, cluster_, workers_, book_, tallies_, verdict_),
       lots_(io_, options_, cluster_, ledger_, book_, sabotage_, verdict_),
       faults_(io_, cluster_, workers_, operators_, book_, verdict_),
       checks_(io_, cluster_, operators_, requests_, probe_, lots_, book_, verdict_) {
@@ -87,12 +87,21 @@
                 std::to_string(book_.countOf(Lot::State::refused)) + " refused; the last checks begin");
   co_await checks_.run();
   co_await tallies_.checkAtEnd(Clock::now() + cluster_.bounds().recover);
+  co_await checkUsageIsReported(Clock::now() + cluster_.bounds().recover);
   // What reaches a worker after all is told, too.
   co_await sleepFor(pollInterval);
 }
 
+/// With all faults mended, windows are reported again, whoever holds the duties.
+Task<void> SoakRun::checkUsageIsReported(TimePoint until) {
+  std::size_t const before = cluster_.reportsTaken();
+  while (cluster_.reportsTaken() == before && Clock::now() < until) co_await sleepFor(pollInterval);
+  if (cluster_.reportsTaken() == before) verdict_.fail("Duty", "no usage is reported after all faults");
+}
+
 Task<bool> SoakRun::startUp() {
   TimePoint const until = Clock::now() + startLimit;
+  cluster_.startPlatform();
   cluster_.startAll();
   spawnTask(io_, "processes", cluster_.watchProcesses());
   bool const configured = co_await operators_.change(until);
--- a/tools/soak/soak_run.hpp
+++ b/tools/soak/soak_run.hpp
@@ -21,6 +21,7 @@
   Task<void> playFaults();
   Task<void> repair(bool beyondSurvive);
   Task<void> stopClients();
+  Task<void> checkUsageIsReported(TimePoint until);
   void startClients();
   void makeWorkers();
 
--- /dev/null
+++ b/tools/soak/stand_in_platform.cpp
@@ -0,0 +1,121 @@
+#include "tools/soak/stand_in_platform.hpp"
+
+#include <rapidjson/document.h>
+
+#include <iostream>
+
+namespace tealshelf::soak {
+
+namespace {
+constexpr int platformBacklog = 64;
+constexpr Ms shortestMood{500}, longestMood{3000}, shortestSlow{400}, longestSlow{1600}, silence{20000};
+constexpr double wellShare = 0.6, answerLostShare = 0.1;
+
+string textOf(HttpRequest const& request, string_view name) {
+  beast::string_view const value = request[beast::string_view(name.data(), name.size())];
+  return string(value.data(), value.size());
+}
+
+/// Nothing if the call isn't one of a duty.
+std::optional<DutyCall> dutyCallFrom(HttpRequest const& request) {
+  DutyCall call;
+  call.owner = textOf(request, "Duty-Owner");
+  call.body = request.body();
+  std::optional<std::uint64_t> const fence = parseNumber(textOf(request, "Fence-Number"));
+  rapidjson::Document body;
+  body.Parse(call.body.data(), call.body.size());
+  if (!fence || call.owner.empty() || body.HasParseError() || !body.IsObject()) return std::nullopt;
+  call.fence = *fence;
+  if (request.target() == "/usage") {
+    bool const isReport = body.HasMember("windowNumber") && body["windowNumber"].IsInt64() && body.HasMember("counts");
+    if (!isReport) return std::nullopt;
+    call.subject = "usage";
+    call.window = body["windowNumber"].GetInt64();
+    return call;
+  }
+  bool const isOrder = request.target() == "/capacity" && body.HasMember("service") && body["service"].IsString() &&
+                       body.HasMember("zone") && body["zone"].IsString() && body.HasMember("wanted") &&
+                       body["wanted"].IsUint64();
+  if (!isOrder) return std::nullopt;
+  call.subject = string("capacity of ") + body["service"].GetString() + " in " + body["zone"].GetString();
+  return call;
+}
+}  // namespace
+
+StandInPlatform::StandInPlatform(asio::io_context& io, PlatformOptions const& options)
+    : io_(io),
+      options_(options),
+      random_(options.seed, "platform"),
+      ledger_(Ms(options.leaseMs)),
+      listener_(io, *parseAddress(options.at), platformBacklog) {}
+
+void StandInPlatform::start() {
+  listener_.start("platform", [this](tcp::socket socket) {
+    spawnTask(io_, "platform call", serve(std::make_shared<tcp::socket>(std::move(socket))));
+  });
+  if (!options_.isWell) spawnTask(io_, "platform moods", changeMoods());
+}
+
+Task<void> StandInPlatform::changeMoods() {
+  vector<Mood> const bad{Mood::busy, Mood::silent, Mood::resets, Mood::slow};
+  for (;;) {
+    mood_ = random_.chance(wellShare) ? Mood::well : random_.pick(bad);
+    co_await sleepFor(random_.duration(shortestMood, longestMood));
+  }
+}
+
+Task<void> StandInPlatform::serve(std::shared_ptr<tcp::socket> socket) {
+  beast::flat_buffer buffer;
+  HttpRequest request;
+  error_code error;
+  co_await http::async_read(*socket, buffer, request, asio::redirect_error(asio::use_awaitable, error));
+  if (error) co_return;
+  co_await answer(*socket, request);
+  socket->close(error);
+}
+
+Task<void> StandInPlatform::answer(tcp::socket& socket, HttpRequest const& request) {
+  Mood const mood = mood_;
+  if (mood == Mood::slow) co_await sleepFor(random_.duration(shortestSlow, longestSlow));
+  bool const isRead = mood == Mood::well || mood == Mood::slow;
+  int const status = isRead ? statusFor(request) : 503;
+  bool const resets = mood == Mood::resets || (!options_.isWell && random_.chance(answerLostShare));
+  if (mood == Mood::silent) co_await sleepFor(silence);
+  if (resets || mood == Mood::silent) {
+    socket.set_option(asio::socket_base::linger(true, 0));
+    co_return;
+  }
+  HttpReply reply{status, "{}", "application/json", {}};
+  http::response<http::string_body> response = makeResponse(std::move(reply), 11, false);
+  error_code error;
+  co_await http::async_write(socket, response, asio::redirect_error(asio::use_awaitable, error));
+}
+
+int StandInPlatform::statusFor(HttpRequest const& request) {
+  TimePoint const now = Clock::now();
+  while (!calls_.empty() && now - calls_.front() >= std::chrono::seconds(1)) calls_.pop_front();
+  calls_.push_back(now);
+  if (static_cast<double>(calls_.size()) > options_.callsPerSecond) return 429;
+  std::optional<DutyCall> const call = dutyCallFrom(request);
+  if (call) return take(*call);
+  std::cout << "FAILED Duty: a call is none of a duty: " << request.target() << " " << request.body() << std::endl;
+  return 400;
+}
+
+int StandInPlatform::take(DutyCall const& call) {
+  if (!ledger_.admit(call)) return 409;
+  for (string const& broken : ledger_.take(call, Clock::now())) std::cout << "FAILED ONE: " << broken << std::endl;
+  std::cout << "taken " << call.subject << " " << call.window.value_or(0) << " by " << call.owner << " under fence "
+            << call.fence << ", gaps " << ledger_.gaps() << std::endl;
+  return 200;
+}
+
+int runPlatform(PlatformOptions const& options) {
+  asio::io_context io{1};
+  StandInPlatform platform(io, options);
+  platform.start();
+  io.run();
+  return 0;
+}
+
+}  // namespace tealshelf::soak
--- /dev/null
+++ b/tools/soak/stand_in_platform.hpp
@@ -0,0 +1,49 @@
+#pragma once
+#include "tools/soak/http_call.hpp"
+#include "tools/soak/platform_ledger.hpp"
+#include "tools/soak/random.hpp"
+#include "wire/listener.hpp"
+
+namespace tealshelf::soak {
+
+/// What the stand-in of the platform is told.
+struct PlatformOptions {
+  string at;  ///< IP:PORT
+  std::uint64_t seed = 1;
+  double callsPerSecond = 20;
+  int leaseMs = 1500;
+  bool isWell = false;  ///< else it is busy, silent, slow and resets connections for a while, now and then
+};
+
+/// The command that starts the process.
+constexpr char const* platformCommand = "platform";
+
+/// The platform of the soak, in a process of its own: takes the calls of the duties, misbehaves in turns, and checks
+/// the rule ONE. It prints a line for each call that it took (`taken ...`) and for each violation (`FAILED ...`).
+class StandInPlatform {
+ public:
+  StandInPlatform(asio::io_context& io, PlatformOptions const& options);
+  void start();
+
+ private:
+  /// How calls are treated for a while.
+  enum class Mood { well, busy, silent, resets, slow };
+  Task<void> changeMoods();
+  Task<void> serve(std::shared_ptr<tcp::socket> socket);
+  Task<void> answer(tcp::socket& socket, HttpRequest const& request);
+  int statusFor(HttpRequest const& request);
+  int take(DutyCall const& call);
+
+  asio::io_context& io_;
+  PlatformOptions options_;
+  Random random_;
+  PlatformLedger ledger_;
+  Listener listener_;
+  Mood mood_ = Mood::well;
+  std::deque<TimePoint> calls_;  ///< of the last second
+};
+
+/// The main function of that process.
+int runPlatform(PlatformOptions const& options);
+
+}  // namespace tealshelf::soak
--- a/tools/soak/stand_in_worker.cpp
+++ b/tools/soak/stand_in_worker.cpp
@@ -110,6 +110,7 @@
     co_return co_await reply(socket, std::move(answer));
   }
   string const id = headerOf(request, "Attempt-Id"), wanted = headerOf(request, "Wanted-Server");
+  if (!headerOf(request, "Authorization").empty()) verdict_.fail("UNASKED", id + " brings its client's key along");
   if (wanted.empty() || wanted == id_) countArrival();
   std::optional<int> refusedWith;
   if (!wanted.empty() && wanted != id_)
--- a/tools/soak/topology.cpp
+++ b/tools/soak/topology.cpp
@@ -5,7 +5,7 @@
 namespace tealshelf::soak {
 
 namespace {
-constexpr int firstEdgeMachine = 1, firstStoreMachine = 501;
+constexpr int firstEdgeMachine = 1, firstStoreMachine = 501, platformMachine = 901;
 constexpr std::size_t maxSeeds = 3;
 
 string joined(vector<string> const& parts) {
@@ -43,6 +43,7 @@
 Topology makeTopology(Options const& options, AddressBlock const& block) {
   Topology topology;
   for (int zone = 0; zone < options.zones; ++zone) topology.zones.push_back("zone-" + std::to_string(zone + 1));
+  topology.platformAddress = Address{block.ip(platformMachine), platformPort}.text();
   int const edgeMachines = options.controls + options.forwarders + options.plainEdges;
   for (int number = 0; number < edgeMachines; ++number) addEdgeMachine(topology, options, block, number);
   for (int number = 0; number < options.stores; ++number) {
@@ -82,7 +83,11 @@
        << "\nbounds.cancelWithinMs=" << bounds.cancelWithin.count()
        << "\nbounds.settleWithinMs=" << bounds.settleWithin.count()
        << "\nbounds.quotaOverrun=0.1\nbounds.warmUpOverrun=" << bounds.warmUpOverrun
-       << "\nbounds.warmUpMargin=" << bounds.warmUpMargin << "\n";
+       << "\nbounds.warmUpMargin=" << bounds.warmUpMargin << "\nbounds.leaseMs=" << bounds.lease.count()
+       << "\nbounds.reportWindowS=" << bounds.reportWindow.count() / 1000
+       << "\nbounds.usageDelayS=" << bounds.usageDelay.count() / 1000
+       << "\nproviderApi.address=" << topology.platformAddress << "\nproviderApi.dutiesPerS=" << bounds.dutiesPerSecond
+       << "\nproviderApi.duties=usage,scaling\n";
   return text.str();
 }
 
