Duties: lost ones are retaken after a lease only; orders back off; band 0.65 to 0.9

Change: a node that lost the duties passes itself over for a lease; no order before a demand was seen; orders back off as reports do; the band of utilization.

--- a/control/capacity_controller.cpp
+++ b/control/capacity_controller.cpp
@@ -27,6 +27,7 @@
       duties_(duties),
       workers_(workers),
       evacuations_(evacuations),
+      backoff_(settings.bounds.lease),
       taken_(metrics().counter("tealshelf_capacity_orders_total", "Orders of workers by their answer",
                                {{"end", "taken"}})),
       failed_(metrics().counter("tealshelf_capacity_orders_total", "", {{"end", "not_taken"}})) {}
@@ -55,7 +56,7 @@
 
 Task<void> CapacityController::orderLoop() {
   for (;;) {
-    co_await sleepFor(settings_.bounds.lease / decisionsInLease);
+    co_await sleepFor(std::max(backoff_.pause(), settings_.bounds.lease / decisionsInLease));
     if (duties_.mayAct()) co_await decideAll();
   }
 }
@@ -71,12 +72,14 @@
     ScalingDecision const decision = policies_[name].decide(inputsFor(service), Clock::now());
     for (ScalingOrder const& wanted : decision.orders) {
       if (!duties_.mayAct() || fence_ != duties_.fence()) co_return;
-      co_await order(name, wanted, decision.reason);
+      bool const isTaken = co_await order(name, wanted, decision.reason);
+      if (!isTaken) co_return backoff_.noteNotTaken();
+      backoff_.noteTaken();
     }
   }
 }
 
-Task<void> CapacityController::order(string service, ScalingOrder order, string reason) {
+Task<bool> CapacityController::order(string service, ScalingOrder order, string reason) {
   PlatformCall call{"/capacity", orderBody(service, order)};
   PlatformAnswer const answer = co_await duties_.call(std::move(call));
   bool const isTaken = answer == PlatformAnswer::taken;
@@ -84,6 +87,7 @@
   if (isTaken) policies_[service].noteOrdered(order, Clock::now());
   logInfo("duties", "capacity of " + service + " in " + order.zone + ": " + std::to_string(order.wanted) + ", " +
                         reason + ": " + string(nameOf(answer)));
+  co_return isTaken;
 }
 
 vector<CapacityController::View> CapacityController::views() const {
--- a/control/capacity_controller.hpp
+++ b/control/capacity_controller.hpp
@@ -2,6 +2,7 @@
 #include "control/duty_holder.hpp"
 #include "control/evacuation_handler.hpp"
 #include "control/worker_directory.hpp"
+#include "duties/call_backoff.hpp"
 #include "duties/scaling_policy.hpp"
 
 namespace tealshelf {
@@ -38,7 +39,8 @@
   ScalingInputs inputsFor(ServiceSettings const& service) const;
   Task<void> orderLoop();
   Task<void> decideAll();
-  Task<void> order(string service, ScalingOrder order, string reason);
+  /// True if the platform took it.
+  Task<bool> order(string service, ScalingOrder order, string reason);
 
   asio::io_context& io_;
   Settings const& settings_;
@@ -47,6 +49,7 @@
   EvacuationHandler const& evacuations_;
   std::map<string, ScalingPolicy> policies_;  ///< by service, of the present claim of the duties
   std::uint64_t fence_ = 0;                   ///< of that claim
+  CallBackoff backoff_;
   Counter taken_, failed_;
 };
 
--- a/control/duty_holder.cpp
+++ b/control/duty_holder.cpp
@@ -53,7 +53,14 @@
   }
 }
 
+void DutyHolder::noteOwnership() {
+  bool const isOwner = driver_.consensus().owns(dutiesKeyspace);
+  if (wasOwner_ && !isOwner) lostAt_ = Clock::now();
+  wasOwner_ = isOwner;
+}
+
 Task<void> DutyHolder::keepLease() {
+  noteOwnership();
   preferIncumbent();
   Consensus& consensus = driver_.consensus();
   if (!consensus.owns(dutiesKeyspace)) {
@@ -138,6 +145,12 @@
   TimePoint const now = Clock::now();
   Consensus& consensus = driver_.consensus();
   std::set<NodeId> passedOver = contact_.unfit(now);
+  bool const lostLately = lostAt_ && now - *lostAt_ < settings_.bounds.lease;
+  if (lostLately) {
+    passedOver.insert(consensus.self().id);
+    consensus.passOver(dutiesKeyspace, std::move(passedOver));
+    return;
+  }
   std::optional<DutyRecord> const known = record();
   bool const keepsIncumbent = known && consensus.isAlive(known->holder, now) && !passedOver.contains(known->holder);
   if (keepsIncumbent)
--- a/control/duty_holder.hpp
+++ b/control/duty_holder.hpp
@@ -42,7 +42,9 @@
   void giveUp(string const& reason);
   Task<void> contactLoop();
   /// Whoever holds the duties keeps them as long as it lives and reaches the platform, so that they don't swing back.
+  /// A node that lost them takes them back only after a lease, as it learns late who has them.
   void preferIncumbent();
+  void noteOwnership();
   void sample();
 
   asio::io_context& io_;
@@ -52,6 +54,8 @@
   DutyLease lease_;
   PlatformClient platform_;
   PlatformContact contact_;
+  bool wasOwner_ = false;
+  std::optional<TimePoint> lostAt_;  ///< when this node lost the keyspace last
   Counter claims_, givenUp_;
   Gauge holds_, fence_, silence_;
   SamplerRegistration sampler_;
--- a/control/usage_collector.cpp
+++ b/control/usage_collector.cpp
@@ -11,8 +11,6 @@
 constexpr std::size_t maxUnsentBytes = 256u << 10;
 /// Times that the platform may reject a report before it is given up.
 constexpr int maxRejections = 8;
-/// Parts of a lease: the first and the longest pause before a report is sent again.
-constexpr int firstBackoff = 30, longestBackoff = 2;
 }  // namespace
 
 UsageCollector::UsageCollector(asio::io_context& io, Settings const& settings, RpcClient& rpc, ConsensusDriver& driver,
@@ -26,6 +24,7 @@
       ledger_(UsageLedger::Timing::of(settings.bounds)),
       loads_(settings.bounds.inTouch / 2),
       time_(settings.bounds.inTouch / 2),
+      backoff_(settings.bounds.lease),
       closed_(metrics().counter("tealshelf_usage_windows_closed_total", "Windows of usage that this node closed")),
       sent_(metrics().counter("tealshelf_usage_reports_total", "Reports of usage by their answer", {{"end", "taken"}})),
       failed_(metrics().counter("tealshelf_usage_reports_total", "", {{"end", "not_taken"}})),
@@ -142,7 +141,7 @@
 
 Task<void> UsageCollector::sendLoop() {
   for (;;) {
-    co_await sleepFor(std::max(backoff_, settings_.bounds.reportWindow / turnsInWindow));
+    co_await sleepFor(std::max(backoff_.pause(), settings_.bounds.reportWindow / turnsInWindow));
     if (!duties_.mayAct()) continue;
     vector<UsageRecord> records = UsageLedger::unsent(duties_.values());
     std::erase_if(records, [this](UsageRecord const& record) { return taken_.contains(record.window); });
@@ -170,12 +169,11 @@
     (isRejected ? failed_ : sent_).increment();
     taken_.insert(record.window);
     rejections_.erase(record.window);
-    backoff_ = Ms(0);
+    backoff_.noteTaken();
     co_return;
   }
   failed_.increment();
-  Ms const lease = settings_.bounds.lease;
-  backoff_ = std::clamp(2 * backoff_, lease / firstBackoff, lease / longestBackoff);
+  backoff_.noteNotTaken();
   logDebug("duties", "window " + std::to_string(record.window.value) + ": " + lastAnswer_);
 }
 
--- a/control/usage_collector.hpp
+++ b/control/usage_collector.hpp
@@ -1,6 +1,7 @@
 #pragma once
 #include "control/duty_holder.hpp"
 #include "control/node_directory.hpp"
+#include "duties/call_backoff.hpp"
 #include "duties/load_board.hpp"
 #include "duties/true_time.hpp"
 #include "duties/usage_ledger.hpp"
@@ -59,7 +60,7 @@
   UsageReceiver holder_;
   LoadBoard loads_;
   TrueTime time_;
-  Ms backoff_{0};                 ///< before the next call of a report; 0 after one that was taken
+  CallBackoff backoff_;           ///< of reports
   std::set<WindowNumber> taken_;  ///< acknowledged by the platform, not yet written
   std::map<WindowNumber, int> rejections_;
   string lastAnswer_;
--- a/duties/scaling_policy.cpp
+++ b/duties/scaling_policy.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 /// Parts of the slots that the peak of the demand takes: workers are added above the one, taken away below the other.
-constexpr double highestUtilization = 0.8, lowestUtilization = 0.5;
+constexpr double highestUtilization = 0.9, lowestUtilization = 0.65;
 /// Start times of a worker for which demand is remembered, and that lie between two reductions.
 constexpr int memoryInStartTimes = 3, reductionsInStartTime = 1;
 /// Part of the memory that must be filled before workers are taken away.
@@ -66,10 +66,10 @@
   double const withReserve = decision.peakDemand * (1 + reserveOfUnknown * (1 - known));
   decision.least = workersFor(decision.peakDemand, slots * highestUtilization, inputs.scaling);
   decision.most = std::max(decision.least, workersFor(withReserve, slots * lowestUtilization, inputs.scaling));
-  if (inputs.isRollingOut) {
-    decision.reason = "a rollout is under way";
-    return decision;
-  }
+  // Before that the registry of workers may still be filling.
+  if (!loadedSince_) decision.reason = "no demand was seen yet";
+  if (inputs.isRollingOut) decision.reason = "a rollout is under way";
+  if (!loadedSince_ || inputs.isRollingOut) return decision;
   bool const isSettled = !reducedAt_ || now - *reducedAt_ >= startTime / reductionsInStartTime;
   bool const mayReduce = known >= leastKnownPart && isSettled;
   decision.reason = mayReduce ? "by demand" : "by demand, no reduction yet";
