Duties: values are read without a copy; names unique within the lint's units

Cause: each report of an edge copied the whole keyspace, which holds up to 256 KB of unsent reports; sources that came shifted the lint's units, so that three names met.

--- a/consensus/consensus.hpp
+++ b/consensus/consensus.hpp
@@ -138,7 +138,7 @@
   bool owns(string const& keyspace) const;
   /// The epoch of this node's own, present or last, ownership.
   Epoch epochOf(string const& keyspace) const;
-  /// The committed values of a keyspace that this node owns.
+  /// The committed values of a keyspace, as far as this node knows them; all of them where it owns the keyspace.
   Values const& committedValues(string const& keyspace) const;
   /// The newest committed values that this node knows of, whatever is under way; nothing if it knows none.
   std::optional<Values> lastKnownValues(string const& keyspace) const;
--- a/control/duty_holder.cpp
+++ b/control/duty_holder.cpp
@@ -1,6 +1,5 @@
 #include "control/duty_holder.hpp"
 
-#include "consensus/keyspace_names.hpp"
 #include "traffic/connection_probe.hpp"
 
 namespace tealshelf {
@@ -35,14 +34,9 @@
   spawnTask(io_, "platform probe", contactLoop());
 }
 
-Values DutyHolder::values() const {
-  return driver_.consensus().lastKnownValues(dutiesKeyspace).value_or(Values());
-}
-
 std::optional<DutyRecord> DutyHolder::record() const {
-  Values const known = values();
-  auto const record = known.find(recordKey);
-  if (record == known.end()) return std::nullopt;
+  auto const record = values().find(recordKey);
+  if (record == values().end()) return std::nullopt;
   return deserialize<DutyRecord>(record->second);
 }
 
@@ -80,11 +74,9 @@
 Task<void> DutyHolder::claim(Epoch epoch) {
   lease_.drop();
   Consensus const& consensus = driver_.consensus();
-  Values const& values = consensus.committedValues(dutiesKeyspace);
-  auto const known = values.find(recordKey);
-  bool const hadPredecessor = known != values.end();
-  DutyRecord next;
-  if (hadPredecessor) next = deserialize<DutyRecord>(known->second);
+  std::optional<DutyRecord> const known = record();
+  bool const hadPredecessor = known.has_value();
+  DutyRecord next = known.value_or(DutyRecord());
   string const former = next.holderName;
   ++next.fence;
   next.holder = consensus.self().id;
--- a/control/duty_holder.hpp
+++ b/control/duty_holder.hpp
@@ -1,6 +1,7 @@
 #pragma once
 #include "base/metrics.hpp"
 #include "consensus/consensus_driver.hpp"
+#include "consensus/keyspace_names.hpp"
 #include "duties/platform_client.hpp"
 #include "duties/platform_contact.hpp"
 
@@ -23,8 +24,8 @@
   Task<PlatformAnswer> call(PlatformCall call);
   /// Writes changes of the keyspace; false unless they were committed while this node held the duties.
   Task<bool> commit(vector<KeyChange> changes);
-  /// The committed values of the keyspace, as far as this node knows them.
-  Values values() const;
+  /// The committed values of the keyspace, as far as this node knows them; valid until the next wait.
+  Values const& values() const { return driver_.consensus().committedValues(dutiesKeyspace); }
   std::optional<DutyRecord> record() const;
   std::uint64_t fence() const { return lease_.fence(); }
   /// How long ago this node last reached the platform, or started.
--- a/control/usage_collector.cpp
+++ b/control/usage_collector.cpp
@@ -1,7 +1,5 @@
 #include "control/usage_collector.hpp"
 
-#include "consensus/keyspace_names.hpp"
-
 namespace tealshelf {
 
 namespace {
@@ -123,13 +121,13 @@
 }
 
 Task<bool> UsageCollector::closeNext() {
-  Values const values = duties_.values();
+  Values const& values = duties_.values();
   std::size_t unsentBytes = 0;
   for (UsageRecord const& record : UsageLedger::unsent(values)) unsentBytes += record.body.size();
   std::optional<WindowNumber> const window = UsageLedger::nextToClose(values, table_);
   if (!window || unsentBytes > maxUnsentBytes) co_return false;
-  if (!ledger_.mayClose(*window, trueNowMs(), unfinishedFor(*window))) co_return false;
   vector<string> const missing = unfinishedFor(*window);
+  if (!ledger_.mayClose(*window, trueNowMs(), missing)) co_return false;
   if (!missing.empty())
     logWarning("duties", "window " + std::to_string(window->value) + " is closed without " +
                              std::to_string(missing.size()) + " nodes, first " + missing.front());
@@ -179,7 +177,7 @@
 
 UsageCollector::Status UsageCollector::status() const {
   Status status;
-  Values const values = duties_.values();
+  Values const& values = duties_.values();
   std::optional<UsageProgress> const progress = UsageLedger::progressIn(values);
   if (progress) status.closedThrough = progress->closedThrough;
   status.present = ledger_.windowAt(trueNowMs());
--- a/segments/replica_table.cpp
+++ b/segments/replica_table.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 /// Bytes that a replica's record takes on the disk beside its items and results, and a result beside its own.
-constexpr std::size_t recordOverhead = 512, resultOverhead = 8;
+constexpr std::size_t recordOverhead = 512, storedResultOverhead = 8;
 
 SegmentRecord recordOf(SegmentRecordKind kind, LotKey const& key, GenerationStamp stamp, std::uint64_t position = 0) {
   SegmentRecord record;
@@ -63,7 +63,7 @@
 
 std::size_t Replica::bytes() const {
   std::size_t sum = recordOverhead + items.size();
-  for (string const& result : results) sum += resultOverhead + result.size();
+  for (string const& result : results) sum += storedResultOverhead + result.size();
   return sum;
 }
 
--- a/tests/segments/sealed_replica_test.cpp
+++ b/tests/segments/sealed_replica_test.cpp
@@ -8,7 +8,7 @@
 namespace {
 LotKey const key{"h", "lot"};
 
-LotRecord lotWith(std::uint64_t stamp) {
+LotRecord sealedLotWith(std::uint64_t stamp) {
   LotRecord lot;
   lot.host = key.host;
   lot.id = key.id;
@@ -50,7 +50,7 @@
     for (string& record : table.takeRecords()) log.push_back(std::move(record));
   }
   void setup() override {
-    table.create(lotWith(5), twoItems(), {});
+    table.create(sealedLotWith(5), twoItems(), {});
     table.append(key, GenerationStamp(5), 0, {"a", "b"});
     note();
   }
@@ -106,7 +106,7 @@
   std::uint64_t stamp = 5;
   for (int step = 0; step < 400; ++step) {
     LotKey const other{"h", "lot-" + std::to_string(random() % 5)};
-    LotRecord lot = lotWith(++stamp);
+    LotRecord lot = sealedLotWith(++stamp);
     lot.id = other.id;
     Replica const* const present = table.find(other);
     switch (random() % 5) {
--- a/tools/soak/stand_in_platform.cpp
+++ b/tools/soak/stand_in_platform.cpp
@@ -9,7 +9,7 @@
 namespace {
 constexpr int platformBacklog = 64;
 constexpr Ms shortestMood{500}, longestMood{3000}, shortestSlow{400}, longestSlow{1600}, silence{20000};
-constexpr double wellShare = 0.6, answerLostShare = 0.1;
+constexpr double wellShare = 0.6, platformAnswerLostShare = 0.1;
 
 string textOf(HttpRequest const& request, string_view name) {
   beast::string_view const value = request[beast::string_view(name.data(), name.size())];
@@ -79,7 +79,7 @@
   if (mood == Mood::slow) co_await sleepFor(random_.duration(shortestSlow, longestSlow));
   bool const isRead = mood == Mood::well || mood == Mood::slow;
   int const status = isRead ? statusFor(request) : 503;
-  bool const resets = mood == Mood::resets || (!options_.isWell && random_.chance(answerLostShare));
+  bool const resets = mood == Mood::resets || (!options_.isWell && random_.chance(platformAnswerLostShare));
   if (mood == Mood::silent) co_await sleepFor(silence);
   if (resets || mood == Mood::silent) {
     socket.set_option(asio::socket_base::linger(true, 0));
