Edge: requests with two readings are refused, hosts compared without case, absolute targets

Cause: found by tests of forms at the door: a host in upper case got 404, a target in absolute form too; a transfer coding besides chunked, two hosts, no host and other versions reached workers. Change: one check of the head behind the parser (request_form), 400 for what admits two readings; host names in lower case in requests and configurations; the origin form goes to workers.

--- a/base/tealshelf.hpp
+++ b/base/tealshelf.hpp
@@ -76,6 +76,8 @@
 std::optional<std::uint64_t> parseNumber(string_view text);
 /// The parts between separators, without blanks around them; empty parts are left out.
 vector<string> split(string_view text, char separator);
+/// The text with the letters A to Z in lower case.
+string lowerCase(string text);
 /// 16 hex digits.
 string hex(std::uint64_t value);
 
--- a/base/util.cpp
+++ b/base/util.cpp
@@ -69,6 +69,12 @@
   return parts;
 }
 
+string lowerCase(string text) {
+  for (char& c : text)
+    if (c >= 'A' && c <= 'Z') c = static_cast<char>(c - 'A' + 'a');
+  return text;
+}
+
 string hex(std::uint64_t value) {
   char text[17];
   std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(value));
--- a/configuration/configuration_reader.cpp
+++ b/configuration/configuration_reader.cpp
@@ -127,7 +127,8 @@
   Route route;
   route.name = reader.text(object, "name", "route", Presence::required);
   string const where = "route " + route.name;
-  route.host = reader.text(object, "host", where, Presence::required);
+  // Hosts are compared without regard to case.
+  route.host = lowerCase(reader.text(object, "host", where, Presence::required));
   route.prefix = reader.text(object, "pathStart", where, Presence::required);
   bool const validPrefix = !route.prefix.empty() && route.prefix.front() == '/' && route.prefix.back() == '/';
   if (!validPrefix) reader.fault(ErrorCode::badPrefix, where);
--- a/edge/edge_node.cpp
+++ b/edge/edge_node.cpp
@@ -1,5 +1,7 @@
 #include "edge/edge_node.hpp"
 
+#include "edge/request_form.hpp"
+
 namespace tealshelf {
 
 namespace {
@@ -140,6 +142,7 @@
   co_await http::async_read_header(client.socket, client.buffer, parser,
                                    asio::redirect_error(asio::use_awaitable, error));
   if (error) co_return error;
+  if (!hasOneReading(parser.get(), parser.get().version())) co_return http::error::bad_field;
   deadline.expireAt(Clock::now() + limits.idleLimit);
   if (awaitsContinue(parser.get()) && !parser.is_done()) error = co_await client.sendContinue();
   if (error) co_return error;
@@ -177,7 +180,9 @@
   if (!whole) co_return false;
   client.keepAlive = parser.get().keep_alive();
   client.isHead = parser.get().method() == http::verb::head;
-  co_await answer(client, parser.release());
+  HttpRequest request = parser.release();
+  useOriginForm(request);
+  co_await answer(client, std::move(request));
   co_return client.keepAlive&& client.socket.is_open();
 }
 
--- a/edge/request_plan.cpp
+++ b/edge/request_plan.cpp
@@ -19,7 +19,7 @@
 string hostOf(HttpRequest const& request) {
   string host(headerOf(request, "Host"));
   if (std::size_t const colon = host.find(':'); colon != string::npos) host.resize(colon);
-  return host;
+  return lowerCase(std::move(host));
 }
 
 string_view headerOf(HttpRequest const& request, string_view name) {
--- a/edge/request_plan.hpp
+++ b/edge/request_plan.hpp
@@ -18,7 +18,7 @@
   PickRequest pick;
 };
 
-/// The host that a request names, without its port.
+/// The host that a request names, without its port, in lower case.
 string hostOf(HttpRequest const& request);
 /// A header of a request; "" if it has none of that name.
 string_view headerOf(HttpRequest const& request, string_view name);
