edge: empty lines before a request are skipped, folded headers refused

Cause: the parser of the library answers an empty line before a request with 400, and reads a folded header as a blank, which not all who read it do. Change: the head's bytes are looked at before the parser gets them. Clean-ups beside it: one writeReal, the holder's unused RPC client, loads summed once a turn, no copy of the members for each zone.

--- a/base/json_fields.hpp
+++ b/base/json_fields.hpp
@@ -9,7 +9,7 @@
 
 using JsonWriter = rapidjson::Writer<rapidjson::StringBuffer>;
 
-inline void writeField(JsonWriter& writer, char const* name, string const& value) {
+inline void writeField(JsonWriter& writer, char const* name, string_view value) {
   writer.Key(name);
   writer.String(value.data(), static_cast<rapidjson::SizeType>(value.size()));
 }
@@ -17,5 +17,9 @@
   writer.Key(name);
   writer.Uint64(value);
 }
+inline void writeReal(JsonWriter& writer, char const* name, double value) {
+  writer.Key(name);
+  writer.Double(value);
+}
 
 }  // namespace tealshelf
--- a/control/capacity_controller.cpp
+++ b/control/capacity_controller.cpp
@@ -37,7 +37,8 @@
   if (isDuty) spawnTask(io_, "capacity", orderLoop());
 }
 
-ScalingInputs CapacityController::inputsFor(ServiceSettings const& service) const {
+ScalingInputs CapacityController::inputsFor(ServiceSettings const& service,
+                                            std::map<string, ServiceLoad> const& allLoads) const {
   ScalingInputs inputs;
   inputs.scaling = service.scaling.value_or(ServiceScaling());
   inputs.slotsPerWorker = service.capacity;
@@ -45,11 +46,8 @@
     inputs.zones[zone] = ZoneWorkers{count.workers, evacuations_.isActive(zone)};
     if (!inputs.slotsPerWorker) inputs.slotsPerWorker = count.slots / count.workers;
   }
-  if (loads) {
-    std::map<string, ServiceLoad> const all = loads();
-    auto const load = all.find(service.name);
-    if (load != all.end()) inputs.load = load->second;
-  }
+  auto const load = allLoads.find(service.name);
+  if (load != allLoads.end()) inputs.load = load->second;
   inputs.isRollingOut = isRollingOut && isRollingOut(service.name);
   return inputs;
 }
@@ -67,9 +65,10 @@
   fence_ = duties_.fence();
   std::shared_ptr<Configuration const> const present = configuration();
   if (!present) co_return;
+  std::map<string, ServiceLoad> const allLoads = loads();
   for (auto const& [name, service] : present->services) {
     if (!service.scaling) continue;
-    ScalingDecision const decision = policies_[name].decide(inputsFor(service), Clock::now());
+    ScalingDecision const decision = policies_[name].decide(inputsFor(service, allLoads), Clock::now());
     for (ScalingOrder const& wanted : decision.orders) {
       if (!duties_.mayAct() || fence_ != duties_.fence()) co_return;
       bool const isTaken = co_await order(name, wanted, decision.reason);
@@ -94,9 +93,10 @@
   vector<View> views;
   std::shared_ptr<Configuration const> const present = configuration();
   if (!present) return views;
+  std::map<string, ServiceLoad> const allLoads = loads();
   for (auto const& [name, service] : present->services) {
     if (!service.scaling) continue;
-    View view{name, inputsFor(service), {}, {}};
+    View view{name, inputsFor(service, allLoads), {}, {}};
     auto const policy = policies_.find(name);
     // A copy: the policy's memory is of its own decisions only.
     ScalingPolicy trial = policy == policies_.end() ? ScalingPolicy() : policy->second;
--- a/control/capacity_controller.hpp
+++ b/control/capacity_controller.hpp
@@ -36,7 +36,7 @@
   vector<View> views() const;
 
  private:
-  ScalingInputs inputsFor(ServiceSettings const& service) const;
+  ScalingInputs inputsFor(ServiceSettings const& service, std::map<string, ServiceLoad> const& allLoads) const;
   Task<void> orderLoop();
   Task<void> decideAll();
   /// True if the platform took it.
--- a/control/control_node.cpp
+++ b/control/control_node.cpp
@@ -32,7 +32,7 @@
       tallies_(settings, rpc_, driver_.consensus(), tallyStore_),
       quotas_(settings.bounds),
       warmUps_(warmUpTiming(settings.bounds)),
-      duties_(io, settings, rpc_, driver_),
+      duties_(io, settings, driver_),
       usage_(io, settings, rpc_, driver_, nodes_, duties_),
       capacity_(io, settings, duties_, workers_, evacuations_) {
   publisher_.proof = [this] {
--- a/control/duty_holder.cpp
+++ b/control/duty_holder.cpp
@@ -10,10 +10,9 @@
 string const recordKey = "holder";
 }  // namespace
 
-DutyHolder::DutyHolder(asio::io_context& io, Settings const& settings, RpcClient& rpc, ConsensusDriver& driver)
+DutyHolder::DutyHolder(asio::io_context& io, Settings const& settings, ConsensusDriver& driver)
     : io_(io),
       settings_(settings),
-      rpc_(rpc),
       driver_(driver),
       lease_(settings.bounds.lease),
       platform_(io, settings, lease_),
@@ -55,13 +54,14 @@
 
 Task<void> DutyHolder::keepLease() {
   noteOwnership();
-  preferIncumbent();
   Consensus& consensus = driver_.consensus();
+  std::set<NodeId> unfit = contact_.unfit(Clock::now());
+  bool const isUnfit = unfit.contains(consensus.self().id);
+  preferIncumbent(std::move(unfit));
   if (!consensus.owns(dutiesKeyspace)) {
     lease_.drop();
     co_return;
   }
-  bool const isUnfit = contact_.unfit(Clock::now()).contains(consensus.self().id);
   if (isUnfit) {
     giveUp("another node reaches the platform and this one doesn't");
     co_return;
@@ -133,10 +133,9 @@
   }
 }
 
-void DutyHolder::preferIncumbent() {
+void DutyHolder::preferIncumbent(std::set<NodeId> passedOver) {
   TimePoint const now = Clock::now();
   Consensus& consensus = driver_.consensus();
-  std::set<NodeId> passedOver = contact_.unfit(now);
   bool const lostLately = lostAt_ && now - *lostAt_ < settings_.bounds.lease;
   if (lostLately) {
     passedOver.insert(consensus.self().id);
--- a/control/duty_holder.hpp
+++ b/control/duty_holder.hpp
@@ -14,7 +14,7 @@
 /// Runs on the io thread. Everything passed in must outlive it.
 class DutyHolder {
  public:
-  DutyHolder(asio::io_context& io, Settings const& settings, RpcClient& rpc, ConsensusDriver& driver);
+  DutyHolder(asio::io_context& io, Settings const& settings, ConsensusDriver& driver);
   /// Does nothing where the platform has no duties.
   void start();
 
@@ -42,15 +42,14 @@
   Task<void> confirm(Epoch epoch);
   void giveUp(string const& reason);
   Task<void> contactLoop();
-  /// Whoever holds the duties keeps them as long as it lives and reaches the platform, so that they don't swing back.
+  /// Whoever holds the duties keeps them as long as it lives and isn't passed over, so that they don't swing back.
   /// A node that lost them takes them back only after a lease, as it learns late who has them.
-  void preferIncumbent();
+  void preferIncumbent(std::set<NodeId> passedOver);
   void noteOwnership();
   void sample();
 
   asio::io_context& io_;
   Settings const& settings_;
-  RpcClient& rpc_;
   ConsensusDriver& driver_;
   DutyLease lease_;
   PlatformClient platform_;
--- a/control/duty_report.cpp
+++ b/control/duty_report.cpp
@@ -5,11 +5,6 @@
 namespace tealshelf {
 
 namespace {
-void writeReal(JsonWriter& writer, char const* name, double value) {
-  writer.Key(name);
-  writer.Double(value);
-}
-
 void writeUsage(JsonWriter& writer, UsageCollector::Status const& status) {
   writer.Key("usage");
   writer.StartObject();
--- a/control/evacuation_handler.cpp
+++ b/control/evacuation_handler.cpp
@@ -27,9 +27,9 @@
 }
 
 bool EvacuationHandler::isActive(string const& zone) const {
-  std::map<string, Evacuation> const present = records();
-  auto const found = present.find(zone);
-  return found != present.end() && found->second.isActive;
+  Values const& values = driver_.consensus().committedValues(membersKeyspace);
+  auto const record = values.find(evacuationPrefix + zone);
+  return record != values.end() && deserialize<Evacuation>(record->second).isActive;
 }
 
 std::uint64_t EvacuationHandler::revisionOf(string const& zone) const {
--- a/edge/client_connection.cpp
+++ b/edge/client_connection.cpp
@@ -1,5 +1,7 @@
 #include "edge/client_connection.hpp"
 
+#include "edge/request_head.hpp"
+
 #include <sys/socket.h>
 
 namespace tealshelf {
@@ -45,6 +47,14 @@
   return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+string_view ClientConnection::received() const {
+  return {static_cast<char const*>(buffer.data().data()), buffer.size()};
+}
+
+void ClientConnection::skipEmptyLines() {
+  buffer.consume(emptyLinesLength(received()));
+}
+
 void ClientConnection::close() {
   keepAlive = false;
   error_code ignored;
--- a/edge/client_connection.hpp
+++ b/edge/client_connection.hpp
@@ -17,6 +17,10 @@
   Task<error_code> sendContinue();
   /// True if bytes arrived that belong to no request yet.
   bool hasInput();
+  /// The bytes that were read and belong to no request yet; valid until the buffer changes.
+  string_view received() const;
+  /// Drops empty lines before a request.
+  void skipEmptyLines();
   /// Cuts the connection off; an answer that is under way stays incomplete.
   void close();
 
--- a/edge/edge_node.cpp
+++ b/edge/edge_node.cpp
@@ -1,12 +1,15 @@
 #include "edge/edge_node.hpp"
 
 #include "edge/request_form.hpp"
+#include "edge/request_head.hpp"
 
 namespace tealshelf {
 
 namespace {
 constexpr int clientBacklog = 1024;
 constexpr std::uint64_t maxReadinessBytes = 1u << 16;
+/// Bytes of a head that are asked for at once.
+constexpr std::size_t headReadBytes = 1u << 12;
 /// So often within the idle limit is looked for connections that have reached it; and within inTouch, at least, as the
 /// limit may change.
 constexpr int checksInIdleLimit = 16, checksInTouch = 4;
@@ -118,6 +121,7 @@
 }
 
 Task<bool> EdgeNode::awaitRequest(ClientConnection& client) {
+  client.skipEmptyLines();
   // A request may have come in behind the last one.
   if (client.buffer.size()) co_return true;
   bool const hasServed = client.headSent;
@@ -133,12 +137,28 @@
   co_return !error;
 }
 
+Task<HeadState> EdgeNode::receiveHead(ClientConnection& client, std::size_t maxBytes) {
+  for (;;) {
+    client.skipEmptyLines();
+    HeadState const state = headStateOf(client.received());
+    if (state != HeadState::incomplete || client.buffer.size() >= maxBytes) co_return state;
+    error_code error;
+    std::size_t const count = co_await client.socket.async_read_some(client.buffer.prepare(headReadBytes),
+                                                                     asio::redirect_error(asio::use_awaitable, error));
+    client.buffer.commit(count);
+    // The parser meets the same end, and says what it makes of the bytes before it.
+    if (error) co_return state;
+  }
+}
+
 Task<error_code> EdgeNode::readMessage(ClientConnection& client, RequestParser& parser, ClientLimits const& limits) {
   parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
   parser.body_limit(limits.maxBodyBytes);
   error_code error;
   SocketDeadline deadline(io_, client.socket);
   deadline.expireAt(Clock::now() + limits.headerWait);
+  HeadState const head = co_await receiveHead(client, limits.maxHeaderBytes);
+  if (head == HeadState::folded) co_return http::error::bad_field;
   co_await http::async_read_header(client.socket, client.buffer, parser,
                                    asio::redirect_error(asio::use_awaitable, error));
   if (error) co_return error;
--- a/edge/edge_node.hpp
+++ b/edge/edge_node.hpp
@@ -3,6 +3,7 @@
 #include "edge/edge_metrics.hpp"
 #include "edge/idle_connections.hpp"
 #include "edge/request_forwarder.hpp"
+#include "edge/request_head.hpp"
 #include "edge/zone_prober.hpp"
 #include "lots/api/lot_api.hpp"
 #include "wire/listener.hpp"
@@ -33,6 +34,8 @@
   Task<bool> serveRequest(ClientConnection& client);
   /// Reads a request that has begun, and answers one that can't be read; true if it is there whole.
   Task<bool> readRequest(ClientConnection& client, RequestParser& parser);
+  /// Receives a request's head into the client's buffer, as far as it comes and its size is within a limit.
+  static Task<HeadState> receiveHead(ClientConnection& client, std::size_t maxBytes);
   /// Reads a request that has begun, within the limits.
   Task<error_code> readMessage(ClientConnection& client, RequestParser& parser, ClientLimits const& limits);
   /// Answers a request that can't be read.
--- a/edge/request_form.cpp
+++ b/edge/request_form.cpp
@@ -23,11 +23,11 @@
 }
 
 void useOriginForm(HttpRequest& request) {
-  string const target(request.target().data(), request.target().size());
-  bool const isAbsolute = target.size() > absolutePrefix.size() &&
-                          beast::iequals(beast::string_view(target.data(), absolutePrefix.size()),
-                                         beast::string_view(absolutePrefix.data(), absolutePrefix.size()));
+  beast::string_view const prefix(absolutePrefix.data(), absolutePrefix.size());
+  bool const isAbsolute =
+      request.target().size() > prefix.size() && beast::iequals(request.target().substr(0, prefix.size()), prefix);
   if (!isAbsolute) return;
+  string const target(request.target().data(), request.target().size());
   std::size_t const path = std::min(target.find_first_of("/?", absolutePrefix.size()), target.size());
   string origin = target.substr(path);
   if (origin.empty() || origin.front() != '/') origin.insert(0, "/");
--- /dev/null
+++ b/edge/request_head.cpp
@@ -0,0 +1,34 @@
+#include "edge/request_head.hpp"
+
+namespace tealshelf {
+
+namespace {
+constexpr string_view lineEnd = "\r\n";
+/// Some clients send an empty line or two behind a body; the parser refuses what exceeds this.
+constexpr std::size_t maxEmptyLines = 4;
+
+bool isBlank(char byte) {
+  return byte == ' ' || byte == '\t';
+}
+}  // namespace
+
+std::size_t emptyLinesLength(string_view bytes) {
+  std::size_t length = 0;
+  while (length < maxEmptyLines * lineEnd.size() && bytes.substr(length).starts_with(lineEnd)) length += lineEnd.size();
+  return length;
+}
+
+HeadState headStateOf(string_view bytes) {
+  std::size_t lineStart = 0;
+  for (;;) {
+    std::size_t const newline = bytes.find('\n', lineStart);
+    if (newline == string_view::npos) return HeadState::incomplete;
+    bool const isBare = newline == 0 || bytes[newline - 1] != '\r';
+    bool const isEmpty = newline == lineStart + 1;
+    if (isBare || isEmpty) return HeadState::complete;
+    lineStart = newline + 1;
+    if (lineStart < bytes.size() && isBlank(bytes[lineStart])) return HeadState::folded;
+  }
+}
+
+}  // namespace tealshelf
--- a/tests/edge/request_forms_test.cpp
+++ b/tests/edge/request_forms_test.cpp
@@ -41,6 +41,7 @@
       {"an empty header", formHead + "X-Empty:\r\nContent-Length: 4\r\n\r\nbody"},
       {"several options of a connection",
        formHead + "Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\nContent-Length: 4\r\n\r\nbody"},
+      {"an empty line before it", "\r\n" + formHead + "Content-Length: 4\r\n\r\nbody"},
       {"a query",
        "POST /once/x?a=b&c=%20d HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: id1\r\nContent-Length: 4\r\n\r\nbody"},
   };
@@ -72,6 +73,10 @@
       {"a chunk with a bare line end", formHead + chunked + "\r\n4\nbody\r\n0\r\n\r\n"},
       {"a blank before the colon", formHead + "Content-Length : 4\r\n\r\nbody"},
       {"a blank before the first header", "POST /once/x HTTP/1.1\r\n Host: shop.example\r\nAttempt-Id: id1\r\n\r\n"},
+      {"a folded header", formHead + "X-Long: a\r\n b\r\nContent-Length: 4\r\n\r\nbody"},
+      {"a header folded by a tab", formHead + "X-Long: a\r\n\tb\r\nContent-Length: 4\r\n\r\nbody"},
+      {"a folded header of no value", formHead + "X-Long:\r\n b\r\nContent-Length: 4\r\n\r\nbody"},
+      {"a line of blanks before the body", formHead + "Content-Length: 4\r\n \r\nbody"},
       {"bare line ends", "POST /once/x HTTP/1.1\nHost: shop.example\nAttempt-Id: id1\nContent-Length: 4\n\nbody"},
       {"a bare return in a value", formHead + "X-Odd: a\rb\r\nContent-Length: 4\r\n\r\nbody"},
       {"a zero byte in a value", formHead + string("X-Odd: a\0b\r\n", 12) + "Content-Length: 4\r\n\r\nbody"},
@@ -148,24 +153,3 @@
   LONGS_EQUAL(413, body.got.status);
   LONGS_EQUAL(0, head.runs + body.runs);
 }
-
-/// Forms that the parser of the library reads otherwise: see KNOWN-RED.txt.
-TEST_GROUP(requestFormsOpen) {
-  FormRig forms;
-  void setup() override {
-    CHECK(forms.rig.prime());
-  }
-};
-
-TEST(requestFormsOpen, anEmptyLineBeforeARequestIsSkipped) {
-  vector<Form> const form{
-      {"an empty line before it", "\r\n" + formHead + "Content-Length: 4\r\n\r\nbody"},
-  };
-  STRCMP_EQUAL("", forms.failures(form, 200, 1).c_str());
-}
-TEST(requestFormsOpen, aFoldedHeaderReachesNoWorker) {
-  vector<Form> const form{
-      {"a folded header", formHead + "X-Long: a\r\n b\r\nContent-Length: 4\r\n\r\nbody"},
-  };
-  STRCMP_EQUAL("", forms.failures(form, 400, 0).c_str());
-}
--- a/tools/soak/cluster.cpp
+++ b/tools/soak/cluster.cpp
@@ -86,7 +86,7 @@
   std::ifstream log(platformLog());
   std::size_t taken = 0;
   string line;
-  while (std::getline(log, line)) taken += line.starts_with("taken usage");
+  while (std::getline(log, line)) taken += line.find(" taken usage ") != string::npos;
   return taken;
 }
 
--- a/tools/soak/stand_in_platform.cpp
+++ b/tools/soak/stand_in_platform.cpp
@@ -11,6 +11,22 @@
 constexpr Ms shortestMood{500}, longestMood{3000}, shortestSlow{400}, longestSlow{1600}, silence{20000};
 constexpr double wellShare = 0.6, platformAnswerLostShare = 0.1;
 
+string_view nameOf(Mood mood) {
+  switch (mood) {
+    case Mood::well:
+      return "well";
+    case Mood::busy:
+      return "busy";
+    case Mood::silent:
+      return "silent";
+    case Mood::resets:
+      return "resets";
+    case Mood::slow:
+      return "slow";
+  }
+  return "";
+}
+
 string textOf(HttpRequest const& request, string_view name) {
   beast::string_view const value = request[beast::string_view(name.data(), name.size())];
   return string(value.data(), value.size());
@@ -60,6 +76,7 @@
   vector<Mood> const bad{Mood::busy, Mood::silent, Mood::resets, Mood::slow};
   for (;;) {
     mood_ = random_.chance(wellShare) ? Mood::well : random_.pick(bad);
+    print("mood " + string(nameOf(mood_)));
     co_await sleepFor(random_.duration(shortestMood, longestMood));
   }
 }
@@ -79,6 +96,7 @@
   if (mood == Mood::slow) co_await sleepFor(random_.duration(shortestSlow, longestSlow));
   bool const isRead = mood == Mood::well || mood == Mood::slow;
   int const status = isRead ? statusFor(request) : 503;
+  if (status != 200) print("not taken, " + string(nameOf(mood)) + ", status " + std::to_string(status));
   bool const resets = mood == Mood::resets || (!options_.isWell && random_.chance(platformAnswerLostShare));
   if (mood == Mood::silent) co_await sleepFor(silence);
   if (resets || mood == Mood::silent) {
@@ -91,6 +109,10 @@
   co_await http::async_write(socket, response, asio::redirect_error(asio::use_awaitable, error));
 }
 
+void StandInPlatform::print(string const& text) const {
+  std::cout << std::chrono::duration_cast<Ms>(Clock::now() - startedAt_).count() << " ms " << text << std::endl;
+}
+
 int StandInPlatform::statusFor(HttpRequest const& request) {
   TimePoint const now = Clock::now();
   while (!calls_.empty() && now - calls_.front() >= std::chrono::seconds(1)) calls_.pop_front();
@@ -105,8 +127,8 @@
 int StandInPlatform::take(DutyCall const& call) {
   if (!ledger_.admit(call)) return 409;
   for (string const& broken : ledger_.take(call, Clock::now())) std::cout << "FAILED ONE: " << broken << std::endl;
-  std::cout << "taken " << call.subject << " " << call.window.value_or(0) << " by " << call.owner << " under fence "
-            << call.fence << ", gaps " << ledger_.gaps() << std::endl;
+  print("taken " + call.subject + " " + std::to_string(call.window.value_or(0)) + " by " + call.owner +
+        " under fence " + std::to_string(call.fence) + ", gaps " + std::to_string(ledger_.gaps()));
   return 200;
 }
 
--- a/tools/soak/stand_in_platform.hpp
+++ b/tools/soak/stand_in_platform.hpp
@@ -15,23 +15,27 @@
   bool isWell = false;  ///< else it is busy, silent, slow and resets connections for a while, now and then
 };
 
+/// How calls are treated for a while.
+enum class Mood { well, busy, silent, resets, slow };
+
 /// The command that starts the process.
 constexpr char const* platformCommand = "platform";
 
 /// The platform of the soak, in a process of its own: takes the calls of the duties, misbehaves in turns, and checks
-/// the rule ONE. It prints a line for each call that it took (`taken ...`) and for each violation (`FAILED ...`).
+/// the rule ONE. It prints a line for each violation (`FAILED ...`) and, with the time since its start, for each call
+/// that it took or didn't take and for each change of how it treats calls.
 class StandInPlatform {
  public:
   StandInPlatform(asio::io_context& io, PlatformOptions const& options);
   void start();
 
  private:
-  /// How calls are treated for a while.
-  enum class Mood { well, busy, silent, resets, slow };
   Task<void> changeMoods();
   Task<void> serve(std::shared_ptr<tcp::socket> socket);
   Task<void> answer(tcp::socket& socket, HttpRequest const& request);
   int statusFor(HttpRequest const& request);
+  /// Prints a line that begins with the time since the start.
+  void print(string const& text) const;
   int take(DutyCall const& call);
 
   asio::io_context& io_;
@@ -39,6 +43,7 @@
   Random random_;
   PlatformLedger ledger_;
   Listener listener_;
+  TimePoint const startedAt_ = Clock::now();
   Mood mood_ = Mood::well;
   std::deque<TimePoint> calls_;  ///< of the last second
 };
--- a/traffic/prefix_report.cpp
+++ b/traffic/prefix_report.cpp
@@ -1,30 +1,12 @@
 #include "traffic/prefix_report.hpp"
 
-#include <rapidjson/stringbuffer.h>
-#include <rapidjson/writer.h>
+#include "base/json_fields.hpp"
 
 namespace tealshelf {
 
 namespace {
-using Writer = rapidjson::Writer<rapidjson::StringBuffer>;
-
 /// Weight of a new observation in a moving average.
 constexpr double newestWeight = 0.2;
-
-void writeText(Writer& writer, char const* name, string_view text) {
-  writer.Key(name);
-  writer.String(text.data(), static_cast<rapidjson::SizeType>(text.size()));
-}
-
-void writeNumber(Writer& writer, char const* name, std::uint64_t number) {
-  writer.Key(name);
-  writer.Uint64(number);
-}
-
-void writeReal(Writer& writer, char const* name, double number) {
-  writer.Key(name);
-  writer.Double(number);
-}
 }  // namespace
 
 PrefixReport::Prefix& PrefixReport::touch(PrefixPlacement const& placement) {
@@ -78,21 +60,21 @@
 
 string PrefixReport::json() const {
   rapidjson::StringBuffer buffer;
-  Writer writer(buffer);
+  JsonWriter writer(buffer);
   writer.StartArray();
   for (Prefix const& prefix : prefixes_) {
     writer.StartObject();
-    writeText(writer, "prefix", hex(prefix.key));
-    writeNumber(writer, "tokens", prefix.sharedTokens);
-    writeText(writer, "keeper", prefix.keeper);
-    writeText(writer, "keeperZone", prefix.keeperZone);
+    writeField(writer, "prefix", hex(prefix.key));
+    writeField(writer, "tokens", prefix.sharedTokens);
+    writeField(writer, "keeper", prefix.keeper);
+    writeField(writer, "keeperZone", prefix.keeperZone);
     writer.Key("sites");
     writer.StartArray();
     for (auto const& [zone, site] : prefix.sites) {
       writer.StartObject();
-      writeText(writer, "zone", zone);
+      writeField(writer, "zone", zone);
       for (std::size_t choice = 0; choice < prefixChoices; ++choice)
-        writeNumber(writer, nameOf(static_cast<PrefixChoice>(choice)).data(), site.count[choice]);
+        writeField(writer, nameOf(static_cast<PrefixChoice>(choice)).data(), site.count[choice]);
       writeReal(writer, "firstOutputMs", site.firstOutputMs);
       writer.EndObject();
     }
@@ -101,13 +83,13 @@
     writer.StartArray();
     for (PastChoice const& past : prefix.last) {
       writer.StartObject();
-      writeText(writer, "choice", nameOf(past.placement.choice));
-      writeText(writer, "reason", nameOf(past.placement.reason));
-      writeText(writer, "worker", past.placement.worker);
-      writeText(writer, "zone", past.placement.workerZone);
+      writeField(writer, "choice", nameOf(past.placement.choice));
+      writeField(writer, "reason", nameOf(past.placement.reason));
+      writeField(writer, "worker", past.placement.worker);
+      writeField(writer, "zone", past.placement.workerZone);
       writeReal(writer, "keeperCost", past.placement.keeperCost);
       writeReal(writer, "chosenCost", past.placement.chosenCost);
-      writeNumber(writer, "firstOutputMs", static_cast<std::uint64_t>(past.firstOutput.count()));
+      writeField(writer, "firstOutputMs", static_cast<std::uint64_t>(past.firstOutput.count()));
       writer.EndObject();
     }
     writer.EndArray();
