soak: the platform is mended with all other faults, then all that is due must be reported

The stand-in platform went on misbehaving after that. Change: the platform is mended for good with the other faults (SIGUSR1). The check is stricter in turn: the report of a window that ended after that must come within recoverS (before: any report), and no window may be left out.

--- a/tools/soak/cluster.cpp
+++ b/tools/soak/cluster.cpp
@@ -82,11 +82,21 @@
   platform_.start(command, {}, platformLog());
 }
 
-std::size_t Cluster::reportsTaken() const {
+void Cluster::mendPlatform() {
+  platform_.signal(becomeWellSignal);
+}
+
+Cluster::ReportsTaken Cluster::reportsTaken() const {
+  static string const mark = " taken usage ", gapsMark = ", gaps ";
   std::ifstream log(platformLog());
-  std::size_t taken = 0;
+  ReportsTaken taken;
   string line;
-  while (std::getline(log, line)) taken += line.find(" taken usage ") != string::npos;
+  while (std::getline(log, line)) {
+    std::size_t const at = line.find(mark), gapsAt = line.find(gapsMark);
+    if (at == string::npos || gapsAt == string::npos) continue;
+    taken.newestWindow = std::max<std::int64_t>(taken.newestWindow, std::stoll(line.substr(at + mark.size())));
+    taken.gaps = std::stoull(line.substr(gapsAt + gapsMark.size()));
+  }
   return taken;
 }
 
--- a/tools/soak/cluster.hpp
+++ b/tools/soak/cluster.hpp
@@ -33,8 +33,14 @@
 
   /// Starts the stand-in of the platform. It lasts for the whole run.
   void startPlatform();
-  /// Reports of usage that the platform has taken so far.
-  std::size_t reportsTaken() const;
+  /// Ends the platform's misbehaviour for good.
+  void mendPlatform();
+  /// The reports of usage that the platform has taken so far.
+  struct ReportsTaken {
+    std::int64_t newestWindow = 0;  ///< its number; 0 before the first
+    std::size_t gaps = 0;           ///< windows that were left out between the first and the last
+  };
+  ReportsTaken reportsTaken() const;
   /// Starts all for the first time.
   void startAll();
   vector<std::unique_ptr<ClusterNode>> const& nodes() const { return nodes_; }
--- a/tools/soak/soak_run.cpp
+++ b/tools/soak/soak_run.cpp
@@ -81,6 +81,7 @@
   if (!up) co_return;
   startClients();
   co_await playFaults();
+  cluster_.mendPlatform();
   co_await stopClients();
   verdict_.note("all faults are mended: " + std::to_string(book_.countOf(Lot::State::accepted)) + " lots accepted, " +
                 std::to_string(book_.countOf(Lot::State::unclear)) + " unclear, " +
@@ -92,11 +93,14 @@
   co_await sleepFor(pollInterval);
 }
 
-/// With all faults mended, windows are reported again, whoever holds the duties.
+/// With all faults mended, windows are reported again, whoever holds the duties: those that end after that, and all
+/// that were due before.
 Task<void> SoakRun::checkUsageIsReported(TimePoint until) {
-  std::size_t const before = cluster_.reportsTaken();
-  while (cluster_.reportsTaken() == before && Clock::now() < until) co_await sleepFor(pollInterval);
-  if (cluster_.reportsTaken() == before) verdict_.fail("Duty", "no usage is reported after all faults");
+  std::int64_t const present = wallClockMs() / cluster_.bounds().reportWindow.count();
+  while (cluster_.reportsTaken().newestWindow < present && Clock::now() < until) co_await sleepFor(pollInterval);
+  Cluster::ReportsTaken const taken = cluster_.reportsTaken();
+  if (taken.newestWindow < present) verdict_.fail("Duty", "no usage is reported after all faults");
+  if (taken.gaps) verdict_.fail("Duty", std::to_string(taken.gaps) + " windows of usage were never reported");
 }
 
 Task<bool> SoakRun::startUp() {
--- a/tools/soak/stand_in_platform.cpp
+++ b/tools/soak/stand_in_platform.cpp
@@ -69,12 +69,21 @@
   listener_.start("platform", [this](tcp::socket socket) {
     spawnTask(io_, "platform call", serve(std::make_shared<tcp::socket>(std::move(socket))));
   });
+  spawnTask(io_, "platform recovery", awaitRecovery());
   if (!options_.isWell) spawnTask(io_, "platform moods", changeMoods());
 }
 
+Task<void> StandInPlatform::awaitRecovery() {
+  asio::signal_set signals(io_, becomeWellSignal);
+  co_await signals.async_wait(asio::use_awaitable);
+  options_.isWell = true;
+  mood_ = Mood::well;
+  print("well for good");
+}
+
 Task<void> StandInPlatform::changeMoods() {
   vector<Mood> const bad{Mood::busy, Mood::silent, Mood::resets, Mood::slow};
-  for (;;) {
+  while (!options_.isWell) {
     mood_ = random_.chance(wellShare) ? Mood::well : random_.pick(bad);
     print("mood " + string(nameOf(mood_)));
     co_await sleepFor(random_.duration(shortestMood, longestMood));
--- a/tools/soak/stand_in_platform.hpp
+++ b/tools/soak/stand_in_platform.hpp
@@ -4,6 +4,8 @@
 #include "tools/soak/random.hpp"
 #include "wire/listener.hpp"
 
+#include <csignal>
+
 namespace tealshelf::soak {
 
 /// What the stand-in of the platform is told.
@@ -12,12 +14,16 @@
   std::uint64_t seed = 1;
   double callsPerSecond = 20;
   int leaseMs = 1500;
-  bool isWell = false;  ///< else it is busy, silent, slow and resets connections for a while, now and then
+  /// Else it is busy, silent, slow and resets connections for a while, now and then, until it gets `becomeWellSignal`.
+  bool isWell = false;
 };
 
 /// How calls are treated for a while.
 enum class Mood { well, busy, silent, resets, slow };
 
+/// Ends all misbehaviour of the process for good.
+constexpr int becomeWellSignal = SIGUSR1;
+
 /// The command that starts the process.
 constexpr char const* platformCommand = "platform";
 
@@ -31,6 +37,8 @@
 
  private:
   Task<void> changeMoods();
+  /// Waits for the signal that makes it well for good.
+  Task<void> awaitRecovery();
   Task<void> serve(std::shared_ptr<tcp::socket> socket);
   Task<void> answer(tcp::socket& socket, HttpRequest const& request);
   int statusFor(HttpRequest const& request);
