edge: a read behind the end of a connection is avoided; duties: whom to pass over as a rule

Cause: after the end of a client's sending the head was read once more, and a read behind the end never returns: such connections counted as under way until headerWait. Change: the end is told from the first read.

--- a/control/duty_holder.cpp
+++ b/control/duty_holder.cpp
@@ -17,6 +17,7 @@
       lease_(settings.bounds.lease),
       platform_(io, settings, lease_),
       contact_(driver.consensus().self().id, settings.bounds.lease, Clock::now()),
+      preference_(driver.consensus().self().id, settings.bounds.lease),
       claims_(metrics().counter("tealshelf_duties_claims_total", "Claims of the duties by this node")),
       givenUp_(metrics().counter("tealshelf_duties_given_up_total", "Duties that this node gave up")),
       holds_(metrics().gauge("tealshelf_duties_held", "1 while this node may call the platform")),
@@ -46,18 +47,12 @@
   }
 }
 
-void DutyHolder::noteOwnership() {
-  bool const isOwner = driver_.consensus().owns(dutiesKeyspace);
-  if (wasOwner_ && !isOwner) lostAt_ = Clock::now();
-  wasOwner_ = isOwner;
-}
-
 Task<void> DutyHolder::keepLease() {
-  noteOwnership();
   Consensus& consensus = driver_.consensus();
+  preference_.noteOwnership(consensus.owns(dutiesKeyspace), Clock::now());
   std::set<NodeId> unfit = contact_.unfit(Clock::now());
   bool const isUnfit = unfit.contains(consensus.self().id);
-  preferIncumbent(std::move(unfit));
+  applyPreference(std::move(unfit));
   if (!consensus.owns(dutiesKeyspace)) {
     lease_.drop();
     co_return;
@@ -133,21 +128,14 @@
   }
 }
 
-void DutyHolder::preferIncumbent(std::set<NodeId> passedOver) {
+void DutyHolder::applyPreference(std::set<NodeId> unfit) {
   TimePoint const now = Clock::now();
   Consensus& consensus = driver_.consensus();
-  bool const lostLately = lostAt_ && now - *lostAt_ < settings_.bounds.lease;
-  if (lostLately) {
-    passedOver.insert(consensus.self().id);
-    consensus.passOver(dutiesKeyspace, std::move(passedOver));
-    return;
-  }
   std::optional<DutyRecord> const known = record();
-  bool const keepsIncumbent = known && consensus.isAlive(known->holder, now) && !passedOver.contains(known->holder);
-  if (keepsIncumbent)
-    for (Member const& member : consensus.membership().members)
-      if (member.id != known->holder) passedOver.insert(member.id);
-  consensus.passOver(dutiesKeyspace, std::move(passedOver));
+  std::optional<DutyPreference::Incumbent> incumbent;
+  if (known) incumbent = DutyPreference::Incumbent{known->holder, consensus.isAlive(known->holder, now)};
+  consensus.passOver(dutiesKeyspace,
+                     preference_.passedOver(std::move(unfit), incumbent, consensus.membership().members, now));
 }
 
 void DutyHolder::receive(HeartbeatMessage const& message) {
--- a/control/duty_holder.hpp
+++ b/control/duty_holder.hpp
@@ -2,6 +2,7 @@
 #include "base/metrics.hpp"
 #include "consensus/consensus_driver.hpp"
 #include "consensus/keyspace_names.hpp"
+#include "duties/duty_preference.hpp"
 #include "duties/platform_client.hpp"
 #include "duties/platform_contact.hpp"
 
@@ -42,10 +43,8 @@
   Task<void> confirm(Epoch epoch);
   void giveUp(string const& reason);
   Task<void> contactLoop();
-  /// Whoever holds the duties keeps them as long as it lives and isn't passed over, so that they don't swing back.
-  /// A node that lost them takes them back only after a lease, as it learns late who has them.
-  void preferIncumbent(std::set<NodeId> passedOver);
-  void noteOwnership();
+  /// Tells the consensus whom this node passes over as owner of the duties.
+  void applyPreference(std::set<NodeId> unfit);
   void sample();
 
   asio::io_context& io_;
@@ -54,8 +53,7 @@
   DutyLease lease_;
   PlatformClient platform_;
   PlatformContact contact_;
-  bool wasOwner_ = false;
-  std::optional<TimePoint> lostAt_;  ///< when this node lost the keyspace last
+  DutyPreference preference_;
   Counter claims_, givenUp_;
   Gauge holds_, fence_, silence_;
   SamplerRegistration sampler_;
--- a/edge/edge_node.cpp
+++ b/edge/edge_node.cpp
@@ -137,17 +137,21 @@
   co_return !error;
 }
 
-Task<HeadState> EdgeNode::receiveHead(ClientConnection& client, std::size_t maxBytes) {
+Task<error_code> EdgeNode::receiveHead(ClientConnection& client, std::size_t maxBytes) {
   for (;;) {
     client.skipEmptyLines();
     HeadState const state = headStateOf(client.received());
-    if (state != HeadState::incomplete || client.buffer.size() >= maxBytes) co_return state;
+    if (state == HeadState::folded) co_return http::error::bad_field;
+    if (state == HeadState::complete || client.buffer.size() >= maxBytes) co_return error_code();
     error_code error;
-    std::size_t const count = co_await client.socket.async_read_some(client.buffer.prepare(headReadBytes),
-                                                                     asio::redirect_error(asio::use_awaitable, error));
+    asio::mutable_buffer const room = client.buffer.prepare(headReadBytes);
+    std::size_t const count =
+        co_await client.socket.async_read_some(room, asio::redirect_error(asio::use_awaitable, error));
     client.buffer.commit(count);
-    // The parser meets the same end, and says what it makes of the bytes before it.
-    if (error) co_return state;
+    // A read behind the end would never return.
+    if (error == asio::error::eof && client.buffer.size()) co_return http::error::partial_message;
+    if (error == asio::error::eof) co_return http::error::end_of_stream;
+    if (error) co_return error;
   }
 }
 
@@ -157,8 +161,8 @@
   error_code error;
   SocketDeadline deadline(io_, client.socket);
   deadline.expireAt(Clock::now() + limits.headerWait);
-  HeadState const head = co_await receiveHead(client, limits.maxHeaderBytes);
-  if (head == HeadState::folded) co_return http::error::bad_field;
+  error = co_await receiveHead(client, limits.maxHeaderBytes);
+  if (error) co_return error;
   co_await http::async_read_header(client.socket, client.buffer, parser,
                                    asio::redirect_error(asio::use_awaitable, error));
   if (error) co_return error;
--- a/edge/edge_node.hpp
+++ b/edge/edge_node.hpp
@@ -34,8 +34,8 @@
   Task<bool> serveRequest(ClientConnection& client);
   /// Reads a request that has begun, and answers one that can't be read; true if it is there whole.
   Task<bool> readRequest(ClientConnection& client, RequestParser& parser);
-  /// Receives a request's head into the client's buffer, as far as it comes and its size is within a limit.
-  static Task<HeadState> receiveHead(ClientConnection& client, std::size_t maxBytes);
+  /// Receives a request's head into the client's buffer, up to a size; an error if none comes or it can't be read.
+  static Task<error_code> receiveHead(ClientConnection& client, std::size_t maxBytes);
   /// Reads a request that has begun, within the limits.
   Task<error_code> readMessage(ClientConnection& client, RequestParser& parser, ClientLimits const& limits);
   /// Answers a request that can't be read.
--- a/tests/duties/duties_test.cpp
+++ b/tests/duties/duties_test.cpp
@@ -1,5 +1,6 @@
 // The pure parts of the duties: lease, contact with the platform, time of day, table and ledger of usage.
 #include "duties/duty_lease.hpp"
+#include "duties/duty_preference.hpp"
 #include "duties/load_board.hpp"
 #include "duties/platform_contact.hpp"
 #include "duties/true_time.hpp"
@@ -51,6 +52,47 @@
   CHECK(!lease.mayAct(dutyStart));
 }
 
+namespace {
+/// Three control nodes, the first of which decides whom to pass over.
+vector<Member> const threeNodes{Member{NodeId(1), "a", "10.0.0.1", "z"}, Member{NodeId(2), "b", "10.0.0.2", "z"},
+                                Member{NodeId(3), "c", "10.0.0.3", "z"}};
+using Incumbent = DutyPreference::Incumbent;
+
+std::set<NodeId> nodes(std::initializer_list<std::uint64_t> ids) {
+  std::set<NodeId> found;
+  for (std::uint64_t const id : ids) found.insert(NodeId(id));
+  return found;
+}
+}  // namespace
+
+TEST_GROUP(dutyPreference) {
+  DutyPreference preference{NodeId(1), leaseLength};
+};
+
+TEST(dutyPreference, aLivingIncumbentIsPreferredToAll) {
+  CHECK(nodes({1, 3}) == preference.passedOver({}, Incumbent{NodeId(2), true}, threeNodes, dutyStart));
+}
+TEST(dutyPreference, anIncumbentThatIsDeadOrUnfitIsNot) {
+  CHECK(nodes({}) == preference.passedOver({}, Incumbent{NodeId(2), false}, threeNodes, dutyStart));
+  CHECK(nodes({2}) == preference.passedOver(nodes({2}), Incumbent{NodeId(2), true}, threeNodes, dutyStart));
+  CHECK(nodes({}) == preference.passedOver({}, std::nullopt, threeNodes, dutyStart));
+}
+TEST(dutyPreference, aNodeThatLostTheDutiesTakesThemBackOnlyAfterALease) {
+  preference.noteOwnership(true, dutyStart);
+  preference.noteOwnership(false, dutyStart + Ms(100));
+  preference.noteOwnership(false, dutyStart + Ms(200));
+  // Its own copy of the record still names itself.
+  Incumbent const self{NodeId(1), true};
+  CHECK(nodes({1}) == preference.passedOver({}, self, threeNodes, dutyStart + Ms(3099)));
+  CHECK(nodes({1, 3}) == preference.passedOver(nodes({3}), self, threeNodes, dutyStart + Ms(3099)));
+  CHECK(nodes({2, 3}) == preference.passedOver({}, self, threeNodes, dutyStart + Ms(3100)));
+}
+TEST(dutyPreference, aNodeThatKeepsTheDutiesGoesByTheRecord) {
+  preference.noteOwnership(true, dutyStart);
+  preference.noteOwnership(true, dutyStart + Ms(100));
+  CHECK(nodes({2, 3}) == preference.passedOver({}, Incumbent{NodeId(1), true}, threeNodes, dutyStart + Ms(200)));
+}
+
 TEST_GROUP(platformContact){};
 
 TEST(platformContact, aNodeIsPassedOverOnlyWhileAnotherIsBetterOff) {
--- a/tests/edge/request_forms_test.cpp
+++ b/tests/edge/request_forms_test.cpp
@@ -146,6 +146,33 @@
 TEST(requestForms, thoseThatAdmitTwoReadingsReachNoWorker) {
   STRCMP_EQUAL("", forms.failures(ambiguousForms(), 400, 0).c_str());
 }
+TEST(requestForms, anEmptyLineBehindABodyDoesntDisturbTheNextRequest) {
+  string const request = formHead + "Content-Length: 4\r\n\r\nbody";
+  KeptClient client(forms.rig);
+  client.send(request + "\r\n" + request);
+  LONGS_EQUAL(200, client.answer().status);
+  LONGS_EQUAL(200, client.answer().status);
+  client.send("\r\n");
+  forms.rig.run(Ms(20));
+  client.send(request);
+  LONGS_EQUAL(200, client.answer().status);
+}
+TEST(requestForms, aClientThatGoesLeavesNothingUnderWay) {
+  { KeptClient const silent(forms.rig); }
+  {
+    KeptClient partial(forms.rig);
+    partial.send(formHead);
+    forms.rig.run(Ms(20));
+  }
+  forms.rig.run(Ms(20));
+  LONGS_EQUAL(0, forms.rig.activeRequests());
+}
+TEST(requestForms, aHeadThatEndsWithTheSendingIsRefused) {
+  KeptClient client(forms.rig);
+  client.send(formHead);
+  client.endSending();
+  LONGS_EQUAL(400, client.answer().status);
+}
 TEST(requestForms, whatExceedsTheLimitsIsRefusedByItsNumber) {
   Sent const head = sendInPieces(forms.rig, formHead + "X-Long: " + string(20000, 'x') + "\r\n\r\n", 1u << 20);
   LONGS_EQUAL(431, head.got.status);
