consensus: a takeover that is under way elsewhere is left alone for a moment

Cause: nodes that start together each know only some of the others, take themselves for the preferred owner and begin a takeover of each keyspace. Change: a node that voted for another's takeover, or was refused, begins none of its own for one to two resends; the pause differs from node to node. Safety rests on votes as before; the price is that pause if the other one dies.

--- a/consensus/catch_up.cpp
+++ b/consensus/catch_up.cpp
@@ -141,7 +141,7 @@
 void Consensus::handle(Message const& message, TransferChunkReply const& answer, KeyspaceState& keyspace,
                        TimePoint now) {
   if (message.epoch != keyspace.epoch || keyspace.phase != OwnershipPhase::owner) return;
-  if (!answer.accepted) onRefusal(answer.votedEpoch, keyspace);
+  if (!answer.accepted) onRefusal(answer.votedEpoch, keyspace, now);
   auto const found = keyspace.transfers.find(message.from);
   if (found == keyspace.transfers.end()) return;
   OutgoingTransfer& transfer = found->second;
--- a/consensus/consensus.hpp
+++ b/consensus/consensus.hpp
@@ -164,7 +164,9 @@
   void rewriteUnderOwnEpoch(string const& name, KeyspaceState& keyspace, TimePoint now);
   void stepDown(KeyspaceState& keyspace);
   void stepDownEverywhere();
-  void onRefusal(Epoch votedEpoch, KeyspaceState& keyspace);
+  void onRefusal(Epoch votedEpoch, KeyspaceState& keyspace, TimePoint now);
+  /// Leaves another node's takeover the time to end.
+  void yield(KeyspaceState& keyspace, Epoch other, TimePoint now) const;
   void handle(Message const& message, VoteRequest const& request, KeyspaceState& keyspace, TimePoint now);
   void handle(Message const& message, VoteReply const& reply, KeyspaceState& keyspace, TimePoint now);
 
--- a/consensus/ownership.cpp
+++ b/consensus/ownership.cpp
@@ -22,6 +22,9 @@
 
 /// After so many resends a takeover is given up if another node should own the keyspace, or has a higher epoch.
 constexpr int takeoverResends = 20;
+/// A takeover under way elsewhere is left alone for one to two resends, as it takes a few round trips and syncs.
+constexpr int yieldedResends = 1;
+constexpr std::uint64_t yieldSteps = 16;
 }  // namespace
 
 void Consensus::updateOwnership(string const& name, KeyspaceState& keyspace, TimePoint now) {
@@ -29,7 +32,7 @@
   Member const* const preferred = preferredOwner(name, now);
   bool const shouldOwn = preferred && preferred->id == self_.id && inContactWithMajority(now);
   if (keyspace.phase == OwnershipPhase::notOwner) {
-    if (shouldOwn) startTakeover(name, keyspace, now);
+    if (shouldOwn && now >= keyspace.yieldsUntil) startTakeover(name, keyspace, now);
     return;
   }
   bool const overdue = now - keyspace.takeoverStartedAt > takeoverResends * timeouts_.resend;
@@ -58,7 +61,7 @@
     if (!keyspace.votes.contains(member.id)) send(member.id, name, keyspace.epoch, VoteRequest{});
 }
 
-void Consensus::handle(Message const& message, VoteRequest const&, KeyspaceState& keyspace, TimePoint) {
+void Consensus::handle(Message const& message, VoteRequest const&, KeyspaceState& keyspace, TimePoint now) {
   VoteReply answer;
   bool const repeated = message.epoch == keyspace.votedEpoch;
   // An equal number of another owner is refused: a vote is for one owner of each number.
@@ -67,6 +70,7 @@
       keyspace.votedEpoch = message.epoch;
       record(LogRecord::vote(message.keyspace, message.epoch));
       if (keyspace.epoch < message.epoch) stepDown(keyspace);
+      if (message.from != self_.id) yield(keyspace, message.epoch, now);
     }
     output_.needsSync = true;
     answer.granted = true;
@@ -78,7 +82,7 @@
 
 void Consensus::handle(Message const& message, VoteReply const& answer, KeyspaceState& keyspace, TimePoint now) {
   if (keyspace.phase != OwnershipPhase::collectingVotes || message.epoch != keyspace.epoch) return;
-  if (!answer.granted) return onRefusal(answer.votedEpoch, keyspace);
+  if (!answer.granted) return onRefusal(answer.votedEpoch, keyspace, now);
   keyspace.votes.insert(message.from);
   mergeNewer(keyspace.votedEntries, answer.entries);
   // This node's own vote is among them: once it is synced, no later life of this node can take the same epoch again.
@@ -137,10 +141,20 @@
 }
 
 /// A member refused something, as it voted for another epoch.
-void Consensus::onRefusal(Epoch votedEpoch, KeyspaceState& keyspace) {
+void Consensus::onRefusal(Epoch votedEpoch, KeyspaceState& keyspace, TimePoint now) {
   // A vote under the same number but for another owner refuses just as a higher one does.
   bool const overtaken = votedEpoch != keyspace.epoch && votedEpoch.number >= keyspace.epoch.number;
-  if (overtaken && keyspace.phase != OwnershipPhase::notOwner) stepDown(keyspace);
+  if (!overtaken || keyspace.phase == OwnershipPhase::notOwner) return;
+  stepDown(keyspace);
+  yield(keyspace, votedEpoch, now);
+}
+
+/// Nodes that start together each take themselves for the preferred owner until they know all others. Without a pause
+/// that differs from node to node they would overtake each other again and again.
+void Consensus::yield(KeyspaceState& keyspace, Epoch other, TimePoint now) const {
+  std::uint64_t const step = hash64(hex(self_.id.value), other.number) % yieldSteps;
+  Ms const pause = yieldedResends * timeouts_.resend;
+  keyspace.yieldsUntil = now + pause + pause * static_cast<int>(step) / static_cast<int>(yieldSteps);
 }
 
 }  // namespace tealshelf
--- a/consensus/replication.cpp
+++ b/consensus/replication.cpp
@@ -121,10 +121,10 @@
   reply(message, AppendReply{accepted, keyspace.votedEpoch, request.writes.last});
 }
 
-void Consensus::handle(Message const& message, AppendReply const& answer, KeyspaceState& keyspace, TimePoint) {
+void Consensus::handle(Message const& message, AppendReply const& answer, KeyspaceState& keyspace, TimePoint now) {
   bool const writing = keyspace.phase == OwnershipPhase::rewriting || keyspace.phase == OwnershipPhase::owner;
   if (message.epoch != keyspace.epoch || !writing) return;
-  if (!answer.accepted) return onRefusal(answer.votedEpoch, keyspace);
+  if (!answer.accepted) return onRefusal(answer.votedEpoch, keyspace, now);
   for (PendingWrite& write : keyspace.writes)
     if (write.last == answer.last) write.acknowledgedBy.insert(message.from);
   advanceCommitted(keyspace);
@@ -149,9 +149,10 @@
   reply(message, OwnershipCheckReply{confirmed, keyspace.votedEpoch, check.round});
 }
 
-void Consensus::handle(Message const& message, OwnershipCheckReply const& answer, KeyspaceState& keyspace, TimePoint) {
+void Consensus::handle(Message const& message, OwnershipCheckReply const& answer, KeyspaceState& keyspace,
+                       TimePoint now) {
   if (message.epoch != keyspace.epoch || keyspace.phase != OwnershipPhase::owner) return;
-  if (!answer.confirmed) return onRefusal(answer.votedEpoch, keyspace);
+  if (!answer.confirmed) return onRefusal(answer.votedEpoch, keyspace, now);
   auto const read = std::find_if(keyspace.reads.begin(), keyspace.reads.end(),
                                  [&answer](PendingRead const& pending) { return pending.round == answer.round; });
   if (read == keyspace.reads.end()) return;
