review: case 2, lots can't be read once the first tenant is configured

Cause: lot calls need a key even where the route is public, and the tenant is a part of a lot's key.

--- a/review/stand_ins/deployment.sh
+++ b/review/stand_ins/deployment.sh
@@ -134,3 +134,47 @@
   done
   note "all edges are ready"
 }
+
+# Hands in a lot of $2 items with the id $1 until it is accepted; further arguments are headers for each call.
+handIn() { # ID ITEMS [-H HEADER]...
+  local id=$1 items=$2 i answer
+  shift 2
+  "$tool" lot /pule252/ "$id" "$items" > "$dir/$id.json"
+  for i in 1 2 3 1 2 3; do
+    answer=$(call 5500 POST "$net.$i:8144" /pule252/7c41e0 -H "Host: ficu95.example" -H "Attempt-Id: $id" \
+      -H "Content-Type: application/json" "$@" -f "$dir/$id.json")
+    note "client: POST lot $id at edge $i -> ${answer%% *}"
+    [ "${answer%% *}" = 202 ] && return 0
+    sleep 0.5
+  done
+  return 1
+}
+
+readLot() { # EDGE ID [-H HEADER]...
+  local i=$1 id=$2
+  shift 2
+  call 2500 GET "$net.$i:8144" "/lots/$id?startAfter=0" -H "Host: ficu95.example" "$@"
+}
+
+# Reads a lot until all its results are listed, then prints the answer.
+readWhole() { # ID ITEMS [-H HEADER]...
+  local id=$1 items=$2 answer
+  shift 2
+  for _ in $(seq 40); do
+    answer=$(readLot 1 "$id" "$@")
+    case $answer in 200*"\"nextToken\":$items,"*) echo "$answer"; return 0 ;; esac
+    sleep 0.5
+  done
+  return 1
+}
+
+change() { # BASE FILE: sends a change of the configuration until it is acknowledged
+  local i answer=""
+  for i in $(seq 20); do
+    answer=$(call 2000 PUT "$net.$((i % 3 + 1)):8146" /settings -H "If-Match: $1" -f "$2")
+    note "operator: PUT /settings on top of version $1 -> ${answer%% *}"
+    [ "${answer%% *}" = 200 ] && return 0
+    sleep 0.3
+  done
+  return 1
+}
--- a/review/stand_ins/stand_in.cc
+++ b/review/stand_ins/stand_in.cc
@@ -127,6 +127,10 @@
     if (!wanted.empty() && wanted != id_)
       return sendAll(socket, "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: " + attempt +
                                  "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    if (attempt.empty()) {
+      note("turns away a request without an id (" + request.firstLine + ")");
+      return sendAll(socket, "HTTP/1.1 400 Bad Request\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    }
     note("runs " + attempt + " (" + request.firstLine + ") after event " + request.header("last-event-id"));
     if (!sendAll(socket, "HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt + "\r\nServer-Seal: s." + attempt + "\r\n" + load +
                              "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"))
