--- a/review/stand_ins/deployment.sh
+++ b/review/stand_ins/deployment.sh
@@ -107,9 +107,9 @@
   done
 }
 
-startWorker() { # N SERVICE ZONE
+startWorker() { # N SERVICE ZONE [OPTION]...
   startProcess "worker$1" "$tool" worker --at "$net.2$1:9000" --id "i-$1$1$1" --service "$2" --zone "$3" \
-    --controls "$net.1:8146,$net.2:8146,$net.3:8146" --log "$record"
+    --controls "$net.1:8146,$net.2:8146,$net.3:8146" --log "$record" "${@:4}"
 }
 
 call() { "$tool" call "$@"; }
--- a/review/stand_ins/stand_in.cc
+++ b/review/stand_ins/stand_in.cc
@@ -62,8 +62,9 @@
   return 0;
 }
 
-/// A sound worker: --at IP:PORT --id ID --service NAME --zone NAME --controls A,B --log FILE. It runs each request
-/// as a stream of five events, continues after Last-Event-Id, and sends a beat each 1200 ms.
+/// A sound worker: --at IP:PORT --id ID --service NAME --zone NAME --controls A,B --log FILE [--capacity N]
+/// [--event-ms N]. It runs each request as a stream of five events, continues after Last-Event-Id, turns requests away
+/// while it is full, and sends a beat each 1200 ms.
 class Worker {
  public:
   explicit Worker(Arguments const& arguments)
@@ -72,6 +73,8 @@
         service_(optionOf(arguments, "--service", "")),
         zone_(optionOf(arguments, "--zone", "")),
         controls_(listOf(optionOf(arguments, "--controls", ""))),
+        capacity_(std::atoi(optionOf(arguments, "--capacity", "24").c_str())),
+        eventMs_(std::atoi(optionOf(arguments, "--event-ms", "10").c_str())),
         log_(optionOf(arguments, "--log", ""), std::ios::app) {}
 
   [[noreturn]] void run() {
@@ -94,7 +97,7 @@
     int last = 200;
     for (int count = 1;; ++count) {
       string const body = "{\"service\":\"" + service_ + "\",\"address\":\"" + at_ + "\",\"zone\":\"" + zone_ +
-                          "\",\"version\":\"v1\",\"capacity\":24,\"state\":\"ready\",\"warmupLeftMs\":0,"
+                          "\",\"version\":\"v1\",\"capacity\":" + std::to_string(capacity_) + ",\"state\":\"ready\",\"warmupLeftMs\":0,"
                           "\"phase\":\"both\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],"
                           "\"callCount\":" +
                           std::to_string(count) + "}";
@@ -119,7 +122,8 @@
 
   bool answer(int socket, Message const& request) {
     string const attempt = request.header("attempt-id"), wanted = request.header("wanted-server");
-    string const load = "Server-Load: 1,0,24\r\n";
+    string const load =
+        "Server-Load: " + std::to_string(running_) + ",0," + std::to_string(capacity_) + "\r\n";
     if (request.firstLine.rfind("GET /health", 0) == 0)
       return sendAll(socket, "HTTP/1.1 200 OK\r\nServer-Id: " + id_ + "\r\n" + load + "Content-Length: 0\r\n\r\n");
     if (request.firstLine.rfind("GET /report", 0) == 0)
@@ -131,22 +135,36 @@
       note("turns away a request without an id (" + request.firstLine + ")");
       return sendAll(socket, "HTTP/1.1 400 Bad Request\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
     }
+    if (++running_ > capacity_) {
+      --running_;
+      return sendAll(socket, "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: " + attempt + "\r\nNot-Run: 1\r\n" +
+                                 load + "Content-Length: 0\r\n\r\n");
+    }
+    bool const whole = stream(socket, request, attempt, load);
+    --running_;
+    return whole;
+  }
+
+  bool stream(int socket, Message const& request, string const& attempt, string const& load) {
     note("runs " + attempt + " (" + request.firstLine + ") after event " + request.header("last-event-id"));
     if (!sendAll(socket, "HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt + "\r\nServer-Seal: s." + attempt + "\r\n" + load +
                              "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"))
       return false;
     for (int event = std::atoi(request.header("last-event-id").c_str()) + 1; event <= 5; ++event) {
-      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+      std::this_thread::sleep_for(std::chrono::milliseconds(eventMs_));
       string const text = "id: " + std::to_string(event) + "\ndata: " + attempt + "." + std::to_string(event) + "\n\n";
       char size[16];
       std::snprintf(size, sizeof size, "%zx\r\n", text.size());
       if (!sendAll(socket, size + text + "\r\n")) return false;
     }
+    note("has finished " + attempt);
     return sendAll(socket, "0\r\n\r\n");
   }
 
   string at_, id_, service_, zone_;
   std::vector<string> controls_;
+  int capacity_, eventMs_;
+  std::atomic<int> running_{0};
   std::mutex mutex_;
   std::ofstream log_;
 };
