review: each run.sh reads TROUBLE itself

Cause: the scripts took it from the shared functions, where a reader of a script doesn't see it. Added: the line in each run.sh, in place of that in the shared functions.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,6 +1,7 @@
 #!/bin/bash
 # The only worker of a lot's service crashes and its successor comes. Exit 1: the rule is broken; 0: it held; 2: the case couldn't run.
 here=$(cd "$(dirname "$0")" && pwd)
+trouble=${TROUBLE:-1}  # 0: the same without the disruption
 . "$here/../stand_ins/deployment.sh"
 
 cat > "$dir/settings.json" <<'X'
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -2,6 +2,7 @@
 # A route is added whose name another route has on another host. Exit 1: the rule is broken; 0: it held; 2: the case
 # couldn't run.
 here=$(cd "$(dirname "$0")" && pwd)
+trouble=${TROUBLE:-1}  # 0: the same without the disruption
 . "$here/../stand_ins/deployment.sh"
 
 bulk() { # HOST PREFIX
--- a/review/stand_ins/deployment.sh
+++ b/review/stand_ins/deployment.sh
@@ -1,10 +1,9 @@
 # Functions for the review's scripts: a small deployment on loopback addresses, started with the commands of
-# deploy/system.toml. Source it from a run.sh; it sets `repo`, `dir`, `net`, `tool` and `record`.
+# deploy/system.toml. Source it from a run.sh that has set `here`; it sets `repo`, `dir`, `net`, `tool` and `record`.
 set -u
 repo=$(cd "$here/../.." && pwd)
 tool=$repo/target/review/stand-in
 record=$here/record.txt
-trouble=${TROUBLE:-1}
 for program in "$tool" "$repo/target/tealshelf-control-plane" "$repo/target/tealshelf-data-plane"; do
   if [ ! -x "$program" ]; then echo "missing: build the project, then review/build.sh"; exit 2; fi
 done
