lots: a record tells the prefix of its route and a configuration that has the route

Cause: a lot's record holds the host and the name of its route. Change: the edge that takes a lot records the route's prefix and the version of the configuration that it used. Both are new fields at the end of LotRecord; records of older releases are read with "" and 0, and older releases read the new records without them. Nothing reads the fields yet. The bytes of the former format are among those that formats and olderFormats read; the bytes of the new one are checked beside them.

--- a/edge/edge_node.cpp
+++ b/edge/edge_node.cpp
@@ -281,7 +281,8 @@
 Task<HttpReply> EdgeNode::submitLot(RequestPlan const& plan, HttpRequest const& request) {
   try {
     if (request.method() != http::verb::post) throw Error(ErrorCode::lotUnreadable);
-    co_return co_await lots_.submit(*plan.route, plan.caller.tenantName(), plan.attempt, request.body());
+    LotSubmission submission{*plan.route, plan.configuration->version, plan.caller.tenantName(), plan.attempt};
+    co_return co_await lots_.submit(std::move(submission), request.body());
   } catch (Error const& error) {
     co_return errorReply(error);
   }
--- a/lots/api/lot_api.cpp
+++ b/lots/api/lot_api.cpp
@@ -126,21 +126,30 @@
   }
 }
 
-Task<HttpReply> LotApi::submit(Route const& route, string tenant, string id, string const& body) {
+LotRecord LotApi::recordOf(LotSubmission const& submission, vector<ItemRecord> const& items) {
+  Route const& route = submission.route;
+  LotRecord lot;
+  lot.id = scopedLotId(submission.tenant, submission.id);
+  lot.tenant = submission.tenant;
+  lot.host = route.host;
+  lot.route = route.name;
+  lot.routePrefix = route.prefix;
+  lot.configurationVersion = submission.configurationVersion;
+  lot.keepForMs = route.keepFor.count();
+  lot.dueInMs = route.dueIn.count();
+  lot.itemCount = items.size();
+  lot.tries = route.tries;
+  for (ItemRecord const& item : items) lot.tokens += item.tokens;
+  return lot;
+}
+
+Task<HttpReply> LotApi::submit(LotSubmission submission, string const& body) {
   vector<ItemRecord> items = parseLot(body);
   if (!view_.isFresh()) throw Error(ErrorCode::lotStateUnknown);
-  if (id.empty()) throw Error(ErrorCode::lotUnreadable, "the lot has no id");
+  if (submission.id.empty()) throw Error(ErrorCode::lotUnreadable, "the lot has no id");
   OpenLot request;
-  request.lot.id = scopedLotId(tenant, id);
-  request.lot.tenant = std::move(tenant);
-  request.lot.host = route.host;
-  request.lot.route = route.name;
-  request.lot.keepForMs = route.keepFor.count();
-  request.lot.dueInMs = route.dueIn.count();
-  request.lot.itemCount = items.size();
-  request.lot.tries = route.tries;
-  for (ItemRecord const& item : items) request.lot.tokens += item.tokens;
-  request.maxQueuedTokens = route.maxQueuedTokens;
+  request.lot = recordOf(submission, items);
+  request.maxQueuedTokens = submission.route.maxQueuedTokens;
   string serializedItems = serialize(items);
   request.itemBytes = serializedItems.size();
   items.clear();
--- a/lots/api/lot_api.hpp
+++ b/lots/api/lot_api.hpp
@@ -11,6 +11,14 @@
   string tenant;  ///< "" if the configuration has no tenants
 };
 
+/// The lot that a client submits, and the route that it is submitted to.
+struct LotSubmission {
+  Route const& route;
+  std::uint64_t configurationVersion = 0;  ///< of the configuration that has the route
+  string tenant;                           ///< "" if the configuration has no tenants
+  string id;                               ///< the client's id of the lot
+};
+
 /// Serves clients' HTTP requests about lots at an edge node.
 ///
 /// Runs on the io thread. The constructor's arguments must outlive it.
@@ -24,9 +32,10 @@
   Task<HttpReply> call(LotCaller caller, string verb, string target, Ms hold);
   /// Submits a lot: opens it at its coordinator, creates its replicas, and has it accepted. Throws only errors after
   /// which no item of the lot runs.
-  Task<HttpReply> submit(Route const& route, string tenant, string id, string const& body);
+  Task<HttpReply> submit(LotSubmission submission, string const& body);
 
  private:
+  static LotRecord recordOf(LotSubmission const& submission, vector<ItemRecord> const& items);
   /// Calls the control node in use, and others if it fails; each forwards to the lot's coordinator.
   template <class Request>
   Task<typename Request::Reply> askCoordinator(Request request, Ms limit);
--- a/segments/messages.hpp
+++ b/segments/messages.hpp
@@ -25,7 +25,9 @@
 /// The coordinator's record of a lot. A replica's items and results share one generation stamp; a higher stamp
 /// supersedes a lower one.
 struct LotRecord {
-  string id, host, route, service;
+  string id, host;
+  string route;  ///< name of the route at the submission, for operators; other routes may share it
+  string service;
   std::uint64_t tokens = 0, itemCount = 0, tries = 1;
   std::int64_t submittedAtMs = 0;  ///< wall clock of the coordinator
   std::int64_t keepForMs = 0, dueInMs = 0;
@@ -37,13 +39,17 @@
   GenerationStamp sealedStamp;
   std::uint64_t sealedResults = 0;  ///< number of results of a sealed lot
   string tenant;                    ///< that submitted it; "" if the configuration has no tenants
+  /// Path prefix of the route that the lot was submitted to, which together with `host` identifies the route; "" in
+  /// records of older releases.
+  string routePrefix;
+  std::uint64_t configurationVersion = 0;  ///< of a configuration with that route; 0 in records of older releases
   LotKey key() const { return {host, id}; }
   bool isHeldBy(NodeId store) const;
   bool isSealed() const { return sealedStamp.value != 0; }
   /// The lowest stamp at which a replica counts as a copy of the lot.
   GenerationStamp lowestReplicaStamp() const { return isSealed() ? sealedStamp : stamp; }
   MSGPACK_DEFINE(id, host, route, service, tokens, itemCount, tries, submittedAtMs, keepForMs, dueInMs, state, stamp,
-                 holders, sealedStamp, sealedResults, tenant)
+                 holders, sealedStamp, sealedResults, tenant, routePrefix, configurationVersion)
 };
 
 /// Identifies a replica of a lot at one stamp.
--- a/tests/formats_test.cpp
+++ b/tests/formats_test.cpp
@@ -101,16 +101,26 @@
   table.append(key, GenerationStamp(5), 0, {"a", "b"});
   table.settle(key, GenerationStamp(5), GenerationStamp(8), 1);
   vector<string> const expected{
+      "9a01a168a36c6f740500dc0012a36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e"
+      "302e302e39cd1ded0000a0a000a56974656d7390c3c2",
+      "9a02a168a36c6f740500dc0012a0a0a0a00000010000000000900000a0a000a092a161a162c3c2",
+      "9a03a168a36c6f740801dc0012a0a0a0a00000010000000000900000a0a000a090c3c2",
+  };
+  vector<string> const snapshot{
+      "9a01a168a36c6f740800dc0012a36c6f74a168a172a173280203cd03e8cdea60cd1f400108919409a27374a17a92a831302e"
+      "302e302e39cd1ded0000a0a000a56974656d7391a161c3c2"};
+  expectRecords(expected, table.takeRecords());
+  expectRecords(snapshot, table.snapshot());
+  // The format before lots told the prefix of their route.
+  vector<string> const unprefixed{
       "9a01a168a36c6f740500dc0010a36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e"
       "302e302e39cd1ded0000a0a56974656d7390c3c2",
       "9a02a168a36c6f740500dc0010a0a0a0a00000010000000000900000a0a092a161a162c3c2",
       "9a03a168a36c6f740801dc0010a0a0a0a00000010000000000900000a0a090c3c2",
   };
-  vector<string> const snapshot{
+  vector<string> const unprefixedSnapshot{
       "9a01a168a36c6f740800dc0010a36c6f74a168a172a173280203cd03e8cdea60cd1f400108919409a27374a17a92a831302e"
       "302e302e39cd1ded0000a0a56974656d7391a161c3c2"};
-  expectRecords(expected, table.takeRecords());
-  expectRecords(snapshot, table.snapshot());
   // The format before lots had a tenant.
   vector<string> const untenanted{
       "9a01a168a36c6f7405009fa36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e"
@@ -131,7 +141,8 @@
   vector<string> const olderSnapshot{
       "9901a168a36c6f7408009da36c6f74a168a172a173280203cd03e8cdea60cd1f400108919409a27374a17a92a831302e"
       "302e302e39cd1deda56974656d7391a161c3"};
-  for (vector<string> const& log : {expected, snapshot, untenanted, untenantedSnapshot, older, olderSnapshot}) {
+  for (vector<string> const& log :
+       {expected, snapshot, unprefixed, unprefixedSnapshot, untenanted, untenantedSnapshot, older, olderSnapshot}) {
     ReplicaTable restarted;
     for (string const& record : log) restarted.replay(fromHex(record));
     LONGS_EQUAL(1, restarted.find(key)->results.size());
@@ -139,30 +150,32 @@
     CHECK_FALSE(restarted.find(key)->sealed);
   }
   table.remove(key, GenerationStamp(8));
-  expectRecords({"9a04a168a36c6f740800dc0010a0a0a0a00000010000000000900000a0a090c3c2"}, table.takeRecords());
+  expectRecords({"9a04a168a36c6f740800dc0012a0a0a0a00000010000000000900000a0a000a090c3c2"}, table.takeRecords());
 }
 
 TEST(formats, lots) {
   LotRecord sealed = lot();
   sealed.sealedStamp = GenerationStamp(4);
   sealed.sealedResults = 2;
-  expectBytes("dc0010a36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e302e302e39cd1ded0402a0",
-              sealed);
-  expectBytes("dc0010a36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e302e302e39cd1ded0000a0",
-              lot());
+  expectBytes(
+      "dc0012a36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e302e302e39cd1ded0402a0a000",
+      sealed);
+  expectBytes(
+      "dc0012a36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e302e302e39cd1ded0000a0a000",
+      lot());
   expectBytes("95a169a22f70a1629192a54d6f64656ca16d0a", ItemRecord{"i", "/p", "b", {{"Model", "m"}}, 10});
   expectBytes("9301c3a174", ResultRecord{1, true, "t"});
   expectBytes("919195a168a36c6f74050191a161", AppendResults{{{"h", "lot", GenerationStamp(5), 1, {"a"}}}});
   expectBytes(
-      "94dc0010a36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e302e302e39cd1ded0000a0"
+      "94dc0012a36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e302e302e39cd1ded0000a0a000"
       "a56974656d7391a161c3",
       CreateReplica{lot(), "items", {"a"}, true});
   expectBytes(
-      "95dc0010a36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e302e302e39cd1ded0000a0"
+      "95dc0012a36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e302e302e39cd1ded0000a0a000"
       "64019109cd012c",
       OpenLot{lot(), 100, 1, {NodeId(9)}, 300});
   expectBytes(
-      "94dc0010a36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e302e302e39cd1ded0000a0"
+      "94dc0012a36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e302e302e39cd1ded0000a0a000"
       "92a831302e302e302e39cd1ded0402",
       CopyReplica{lot(), store().address, GenerationStamp(4), 2});
   expectBytes("94a168a36c6f7404c3", FetchReplica{"h", "lot", GenerationStamp(4), true});
@@ -193,8 +206,8 @@
   reply.members = {founder};
   reply.fencedUpTo = 2;
   expectBytes(
-      "99c3c2040591dc0010a36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e302e302e"
-      "39cd1ded0000a09193a168a36c6f740591a66c6f74732f68919701a26e31a831302e302e302e31a27a31c3c30002",
+      "99c3c2040591dc0012a36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e302e302e"
+      "39cd1ded0000a0a0009193a168a36c6f740591a66c6f74732f68919701a26e31a831302e302e302e31a27a31c3c30002",
       reply);
 }
 
--- a/tests/older_formats_test.cpp
+++ b/tests/older_formats_test.cpp
@@ -18,8 +18,24 @@
   LotRecord tenanted = lot();
   tenanted.tenant = "t";
   expectBytes(
+      "dc0012a36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e302e302e39cd1ded0000a174a000",
+      tenanted);
+}
+
+/// Bytes of releases before lots told the prefix of their route.
+TEST(olderFormats, lotsWithoutRoutePrefix) {
+  LotRecord tenanted = lot();
+  tenanted.tenant = "t";
+  expectReads(
       "dc0010a36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e302e302e39cd1ded0000a174",
       tenanted);
+  LotRecord prefixed = lot();
+  prefixed.routePrefix = "/p/";
+  prefixed.configurationVersion = 7;
+  expectBytes(
+      "dc0012a36c6f74a168a172a173280203cd03e8cdea60cd1f400105919409a27374a17a92a831302e302e302e39cd1ded0000a0a32f702f"
+      "07",
+      prefixed);
 }
 
 /// Bytes of releases before lots could be sealed and stores reported their load.
