lots: a lot's route is found by host and prefix, not by its name

Cause: LotRunner::routeOf took the first route of the configuration with the lot's route name, and took the lot's route for removed if that one had another host or kind. Change: findLotRoute looks for the host and the prefix of the record. Whatever name, position or kind a route has, it is the lot's route as long as these are in the configuration, and it is removed once they aren't. Records of older releases don't tell a prefix: they belong to the bulk route of their host and name; the store notes its prefix under the first configuration that has it, so that a later change of names doesn't matter. If none has the name (the route was renamed before the store started), items wait, and are given up only after keepForS or once the host has no bulk route. Configuration::findByName is gone, so that no other code can take a name for a route.

--- a/configuration/configuration.cpp
+++ b/configuration/configuration.cpp
@@ -11,14 +11,28 @@
   return shares.front().service;
 }
 
+vector<Route const*> Configuration::routesOf(string_view host) const {
+  vector<Route const*> ofHost;
+  auto const found = routesByHost.find(host);
+  if (found == routesByHost.end()) return ofHost;
+  for (std::uint32_t const index : found->second) ofHost.push_back(&routes[index]);
+  return ofHost;
+}
+
 Route const* Configuration::findRoute(string_view host, string_view path) const {
   string_view const withoutQuery = path.substr(0, path.find('?'));
   auto const found = routesByHost.find(host);
   if (found == routesByHost.end()) return nullptr;
-  for (std::uint32_t const index : found->second) {
-    string const& prefix = routes[index].prefix;
-    if (withoutQuery.substr(0, prefix.size()) == prefix) return &routes[index];
-  }
+  for (std::uint32_t const index : found->second)
+    if (withoutQuery.starts_with(routes[index].prefix)) return &routes[index];
+  return nullptr;
+}
+
+Route const* Configuration::findByPrefix(string_view host, string_view prefix) const {
+  auto const found = routesByHost.find(host);
+  if (found == routesByHost.end()) return nullptr;
+  for (std::uint32_t const index : found->second)
+    if (routes[index].prefix == prefix) return &routes[index];
   return nullptr;
 }
 
@@ -32,10 +46,4 @@
   return found == tenantsByName.end() ? nullptr : &tenants[found->second];
 }
 
-Route const* Configuration::findByName(string_view name) const {
-  for (Route const& route : routes)
-    if (route.name == name) return &route;
-  return nullptr;
-}
-
 }  // namespace tealshelf
--- a/configuration/configuration.hpp
+++ b/configuration/configuration.hpp
@@ -19,8 +19,9 @@
 };
 
 struct Route {
-  string name, host;
-  string prefix;  ///< prefix of the path; begins and ends with a slash
+  string name;  ///< for operators only: may change, and other routes may share it
+  string host;
+  string prefix;  ///< prefix of the path; begins and ends with a slash; identifies the route together with the host
   RouteKind kind = RouteKind::oneShot;
   Ms timeLimit{0};  ///< the longest time that a request may take
   Ms target{0};     ///< latency target of a response, or of a stream's first event
@@ -89,7 +90,10 @@
 
   /// The route of a request, or null. The path may have a query.
   Route const* findRoute(string_view host, string_view path) const;
-  Route const* findByName(string_view name) const;
+  /// The route with exactly this host and prefix, or null. No two routes share both; names may be shared.
+  Route const* findByPrefix(string_view host, string_view prefix) const;
+  /// The routes of a host, longest prefix first.
+  vector<Route const*> routesOf(string_view host) const;
   /// The tenant that holds a key, or null.
   Tenant const* findTenantByKey(string_view key) const;
   Tenant const* findTenant(string_view name) const;
--- a/lots/execution/item_execution.cpp
+++ b/lots/execution/item_execution.cpp
@@ -40,10 +40,28 @@
   }
 }
 
-Route const* LotRunner::routeOf(LotRecord const& lot, Configuration const& configuration) {
-  Route const* const route = configuration.findByName(lot.route);
-  bool const isSame = route && route->kind == RouteKind::bulk && route->host == lot.host;
-  return isSame ? route : nullptr;
+LotRoute LotRunner::routeOf(LotRun const& run, Configuration const& configuration) {
+  return findLotRoute(run.lot, run.items.empty() ? string_view() : run.items.front().record.path, configuration);
+}
+
+/// Records of older releases don't tell the prefix of their route, so it is noted under the first configuration that
+/// has the route.
+void LotRunner::identifyRoutes() {
+  std::shared_ptr<Configuration const> const configuration = view_.configuration();
+  if (!configuration) return;
+  for (auto const& [key, run] : runs_) {
+    if (!run->lot.routePrefix.empty()) continue;
+    Route const* const route = routeOf(*run, *configuration).route;
+    if (route) run->lot.routePrefix = route->prefix;
+  }
+}
+
+bool LotRunner::mayGiveUp(LotRun const& run, LotRoute const& found, TimePoint now) const {
+  Ms const age = ages_.atLeast(run.lot.key(), now);
+  // The edge that received the lot may have a newer configuration than this store, so a route that is missing counts as
+  // removed only after a delay.
+  bool const routeRemoved = found.isRemoved && age > settings_.bounds.applyWithin;
+  return routeRemoved || age > Ms(run.lot.keepForMs);
 }
 
 std::uint64_t LotRunner::slotsOf(Route const& route) const {
@@ -53,9 +71,10 @@
   return slots;
 }
 
-bool LotRunner::canRunItems(LotRun const& run) const {
-  Route const* const route = routeOf(run.lot, *view_.configuration());
-  return !route || slotsOf(*route) > 0;
+bool LotRunner::canRunItems(LotRun const& run, TimePoint now) const {
+  LotRoute const found = routeOf(run, *view_.configuration());
+  if (found.isUnknown()) return mayGiveUp(run, found, now);
+  return found.isRemoved || slotsOf(*found.route) > 0;
 }
 
 LotRunner::RunPtr LotRunner::mostUrgentRun(TimePoint now) const {
@@ -65,7 +84,7 @@
     if (!isActive(*run) || run->stalled) continue;
     while (run->nextItem < run->items.size() && run->items[run->nextItem].state != ItemState::queued) ++run->nextItem;
     // A lot without workers must not block other lots.
-    if (run->nextItem >= run->items.size() || !canRunItems(*run)) continue;
+    if (run->nextItem >= run->items.size() || !canRunItems(*run, now)) continue;
     std::int64_t const remaining = remainingTimeMs(run->lot, now);
     if (best && remaining >= least) continue;
     best = run;
@@ -75,7 +94,7 @@
 }
 
 bool LotRunner::mayStartItem(LotRun const& next, TimePoint now) const {
-  Route const* const route = routeOf(next.lot, *view_.configuration());
+  Route const* const route = routeOf(next, *view_.configuration()).route;
   // Items of a lot without a route are given up, which needs no worker.
   if (!route) return true;
   std::uint64_t const slots = slotsOf(*route);
@@ -135,7 +154,7 @@
       logWarning("lots", "lot " + run->lot.id + ": sending item " + run->items[index].record.id +
                              " to a worker failed: " + error.what());
     }
-    if (over || !canRunItems(*run)) break;
+    if (over || !canRunItems(*run, Clock::now())) break;
     co_await sleepFor(retryPause);
     retryPause = std::min(retryPause * 2, settings_.bounds.step);
   }
@@ -156,15 +175,12 @@
   ItemRecord const& item = run->items[index].record;
   LotRecord const& lot = run->lot;
   std::shared_ptr<Configuration const> const configuration = view_.configuration();
-  Route const* const route = routeOf(lot, *configuration);
-  Ms const age = ages_.atLeast(lot.key(), Clock::now());
-  // The edge that received the lot may have a newer configuration than this store, so a route that is missing counts as
-  // removed only after a delay.
-  bool const routeRemoved = !route && age > settings_.bounds.applyWithin;
-  if (routeRemoved || age > Ms(lot.keepForMs)) {
+  LotRoute const found = routeOf(*run, *configuration);
+  if (mayGiveUp(*run, found, Clock::now())) {
     finishItem(*run, index, false, "");
     co_return true;
   }
+  Route const* const route = found.route;
   if (!route) co_return false;
   PickRequest pick;
   pick.service = route->serviceFor(hash64(item.id));
--- a/lots/execution/lot_runner.cpp
+++ b/lots/execution/lot_runner.cpp
@@ -65,7 +65,10 @@
   // An item whose result the recovery truncated runs again; its body was dropped and is loaded from the replica.
   if (resultsTruncated) loadItems(*run, replica);
   run->nextItem = 0;
+  string const knownPrefix = run->lot.routePrefix;
   run->lot = lot;
+  if (lot.routePrefix.empty()) run->lot.routePrefix = knownPrefix;
+  identifyRoutes();
   run->listedResults = replica.results.size();
   run->stalled = false;
   run->needsSettlement = false;
--- a/lots/execution/lot_runner.hpp
+++ b/lots/execution/lot_runner.hpp
@@ -1,6 +1,7 @@
 #pragma once
 #include "duties/service_loads.hpp"
 #include "lots/execution/lot_ages.hpp"
+#include "lots/execution/lot_route.hpp"
 #include "lots/execution/lot_run.hpp"
 #include "lots/messages.hpp"
 #include "lots/replicas/replica_store.hpp"
@@ -40,7 +41,10 @@
   /// RunningLog and queued items by service.
   vector<ServiceLoad> loads() const;
   /// Starts items that can run now; called after a change of workers or configuration.
-  void wake() { startItemsTimer_.cancel(); }
+  void wake() {
+    identifyRoutes();
+    startItemsTimer_.cancel();
+  }
 
  private:
   using RunPtr = std::shared_ptr<LotRun>;
@@ -61,12 +65,16 @@
   Task<void> startItemsLoop();
   /// Starts the next queued item of the most urgent lot, if few enough are running; false if none was started.
   bool startNextItem();
-  /// The route that a lot was submitted to, or null if the configuration no longer has it.
-  static Route const* routeOf(LotRecord const& lot, Configuration const& configuration);
+  /// The route that a lot was submitted to.
+  static LotRoute routeOf(LotRun const& run, Configuration const& configuration);
+  /// Adds the prefix of the route to records of older releases.
+  void identifyRoutes();
+  /// True if unfinished items of a lot may be given up: its route was removed, or its time is over.
+  bool mayGiveUp(LotRun const& run, LotRoute const& found, TimePoint now) const;
   /// Capacity of all workers that may run items of a route, in concurrent requests.
   std::uint64_t slotsOf(Route const& route) const;
-  /// True if a lot has workers, or no route any more: its items are then given up, which needs no worker.
-  bool canRunItems(LotRun const& run) const;
+  /// True if a lot has workers, or its items are to be given up, which needs no worker.
+  bool canRunItems(LotRun const& run, TimePoint now) const;
   RunPtr mostUrgentRun(TimePoint now) const;
   bool mayStartItem(LotRun const& next, TimePoint now) const;
   Task<void> runItem(RunPtr run, std::size_t index);
--- /dev/null
+++ b/tests/lots/lot_routes_test.cpp
@@ -0,0 +1,259 @@
+#include "lots/store_node.hpp"
+#include "tests/wire/loopback.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <filesystem>
+
+using namespace tealshelf;
+
+namespace {
+constexpr std::size_t itemCount = 40;
+constexpr int firstPort = 17410, controlPort = firstPort + 8;
+string const lotHost = "shop.example", lotId = "lot", lotPrefix = "/night/";
+/// Services, each with one worker.
+string const ownService = "app", foreignService = "other";
+
+struct RouteText {
+  string name, host, prefix, service;
+  string kind = "bulk";
+};
+RouteText const ownRoute{"night", lotHost, lotPrefix, ownService};
+
+string configurationText(std::uint64_t version, vector<RouteText> const& routes) {
+  string list;
+  for (RouteText const& route : routes)
+    list += string(list.empty() ? "" : ",") + "{\"name\":\"" + route.name + "\",\"host\":\"" + route.host +
+            "\",\"pathStart\":\"" + route.prefix + "\",\"kind\":\"" + route.kind +
+            "\",\"timeLimitMs\":9000,\"targetMs\":500,\"priority\":2,\"service\":\"" + route.service +
+            "\",\"tries\":3,\"dueInMs\":300,\"keepForS\":60,\"maxQueuedTokens\":0}";
+  string services;
+  for (string const& service : {ownService, foreignService})
+    services += string(services.empty() ? "" : ",") + "{\"name\":\"" + service +
+                "\",\"healthPath\":\"/h\",\"maxConnections\":100,\"protocol\":\"h1\",\"useTls\":false}";
+  return "{\"version\":" + std::to_string(version) + ",\"routes\":[" + list + "],\"services\":[" + services +
+         "],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerWaitMs\":3000,\"idleLimitMs\":"
+         "15000}}";
+}
+
+/// A worker that holds each request until it is released.
+struct HeldWorker {
+  HeldWorker(asio::io_context& io, string const& ip, int port)
+      : server(
+            io, {ip, port}, [this](HttpCall call) { return run(std::move(call)); }, 1u << 20, Ms(5000)) {
+    server.start();
+  }
+  Task<HttpReply> run(HttpCall call) {
+    string const id = call.header("Attempt-Id");
+    ++started;
+    while (!isReleased) co_await sleepFor(Ms(5));
+    HttpReply reply{200, "id: 1\ndata: " + id + "\n\n", "text/event-stream", {}};
+    reply.headers = {{"Attempt-Id", id}, {"Server-Seal", "s"}};
+    co_return reply;
+  }
+  std::size_t started = 0;
+  bool isReleased = false;
+  HttpServer server;
+};
+
+/// A store on loopback that is the only holder of a lot, with a worker for each of two services and a control node
+/// that grants every lease and publishes the configurations of the test.
+struct OneStoreCluster {
+  explicit OneStoreCluster(vector<RouteText> const& routes)
+      : control(io, settings.controlAddress(settings.ip), Ms(1000)),
+        publisher(io, settings, 0),
+        own(io, settings.ip, firstPort + 9),
+        foreign(io, settings.ip, firstPort - 1),
+        rpc(io, Ms(1000)) {
+    std::filesystem::remove_all(settings.dataFolder);
+    std::filesystem::create_directories(settings.dataFolder);
+    store = std::make_unique<StoreNode>(io, settings);
+    publisher.proof = [] { return UpdatePublisher::Proof{true, 0, Clock::now()}; };
+    configure(routes);
+    addWorker("i-own", ownService, firstPort + 9);
+    addWorker("i-foreign", foreignService, firstPort - 1);
+    control.on<UpdateRequest>([this](UpdateRequest request) { return publisher.serve(std::move(request)); });
+    control.on<StoreHeartbeat>([this](StoreHeartbeat heartbeat) -> Task<StoreHeartbeatReply> {
+      StoreHeartbeatReply reply;
+      reply.granted = true;
+      reply.process = 1;
+      reply.revision = ++revision;
+      if (record) reply.lots = {*record};
+      reply.members.resize(1);
+      reply.members[0].ip = settings.ip;
+      holder = heartbeat.self;
+      co_return reply;
+    });
+    control.start();
+    store->start();
+    CHECK(runUntil([this] { return holder.has_value(); }));
+  }
+  static Settings makeSettings() {
+    Settings made;
+    made.nodeName = "store-1";
+    made.ip = loopbackOfThisProcess();
+    made.firstInternalPort = firstPort;
+    made.seeds = {{made.ip, controlPort}};
+    made.dataFolder = "/tmp/tealshelf-lot-routes-" + made.ip;
+    made.bounds.inTouch = Ms(1200);
+    made.bounds.step = Ms(40);
+    made.bounds.applyWithin = Ms(400);
+    made.surviveMachines = 0;
+    return made;
+  }
+  void addWorker(string const& id, string const& service, int port) {
+    Worker worker;
+    worker.id = id;
+    worker.service = service;
+    worker.address = {settings.ip, port};
+    worker.capacity = 8;
+    publisher.common.put("w/" + id, serialize(worker));
+  }
+  /// Publishes the next configuration.
+  void configure(vector<RouteText> const& routes) {
+    ++version;
+    publisher.setConfiguration(version, configurationText(version, routes));
+    publisher.notifyAfter(Ms(1));
+  }
+  /// Runs until a condition holds; false if it doesn't in time.
+  bool runUntil(std::function<bool()> const& condition, Ms limit = Ms(8000)) {
+    TimePoint const end = Clock::now() + limit;
+    while (!condition() && Clock::now() < end) {
+      io.restart();
+      io.run_one_for(Ms(5));
+    }
+    return condition();
+  }
+  void runFor(Ms duration) {
+    runUntil([] { return false; }, duration);
+  }
+  /// Creates the lot, as an edge node does with the lot's own route; `change` alters the record.
+  void submit(std::function<void(LotRecord&)> const& change = {}) {
+    LotRecord lot;
+    lot.id = lotId;
+    lot.host = lotHost;
+    lot.route = ownRoute.name;
+    lot.routePrefix = lotPrefix;
+    lot.configurationVersion = version;
+    lot.itemCount = itemCount;
+    lot.submittedAtMs = wallClockMs();
+    lot.dueInMs = 300;
+    lot.keepForMs = 60000;
+    lot.state = LotState::accepted;
+    lot.stamp = GenerationStamp(1);
+    lot.holders = {*holder};
+    if (change) change(lot);
+    vector<ItemRecord> items;
+    for (std::size_t number = 0; number < itemCount; ++number)
+      items.push_back({"item-" + std::to_string(number), lotPrefix + "x", "b", {}, 10});
+    bool created = false;
+    asio::co_spawn(io, rpc.call(holder->address, CreateReplica{lot, serialize(items), {}, false}, Ms(1000)),
+                   [&created](std::exception_ptr failure, Acknowledgement) { created = !failure; });
+    CHECK(runUntil([&created] { return created; }));
+    record = lot;
+  }
+  void release() { own.isReleased = foreign.isReleased = true; }
+  /// The listed results.
+  vector<ResultRecord> results() {
+    std::optional<ReadResultsReply> reply;
+    bool done = false;
+    asio::co_spawn(io, rpc.call(holder->address, ReadResults{lotHost, lotId, record->stamp, 0, 1u << 20, 0}, Ms(1000)),
+                   [&reply, &done](std::exception_ptr failure, ReadResultsReply received) {
+                     if (!failure) reply = std::move(received);
+                     done = true;
+                   });
+    CHECK(runUntil([&done] { return done; }));
+    return reply ? reply->results : vector<ResultRecord>();
+  }
+  std::size_t count(bool finished) {
+    vector<ResultRecord> const listed = results();
+    return static_cast<std::size_t>(std::count_if(
+        listed.begin(), listed.end(), [finished](ResultRecord const& result) { return result.finished == finished; }));
+  }
+  /// Runs until all items have ended.
+  void runToEnd() {
+    CHECK(runUntil([this] { return results().size() == itemCount; }));
+  }
+
+  asio::io_context io{1};
+  Settings settings = makeSettings();
+  RpcServer control;
+  UpdatePublisher publisher;
+  HeldWorker own, foreign;
+  RpcClient rpc;
+  std::unique_ptr<StoreNode> store;
+  std::optional<StoreRef> holder;
+  std::optional<LotRecord> record;  ///< sent to the store in heartbeat replies
+  std::uint64_t revision = 0, version = 0;
+};
+
+/// Changes the configuration while some items run, and expects that all items are finished by the lot's own service.
+void expectFinishedAfterChange(vector<RouteText> const& before, vector<RouteText> const& after,
+                               std::function<void(LotRecord&)> const& alter = {}) {
+  OneStoreCluster cluster(before);
+  cluster.submit(alter);
+  CHECK(cluster.runUntil([&] { return cluster.own.started > 0; }));
+  cluster.configure(after);
+  cluster.runFor(Ms(200));
+  CHECK(cluster.own.started < itemCount);
+  cluster.release();
+  cluster.runToEnd();
+  LONGS_EQUAL(itemCount, cluster.count(true));
+  LONGS_EQUAL(0, cluster.foreign.started);
+}
+
+/// A record as older releases wrote it.
+void removeIdentity(LotRecord& lot) {
+  lot.routePrefix = "";
+  lot.configurationVersion = 0;
+}
+}  // namespace
+
+/// A lot's route is identified by host and prefix; its name may change, and other routes may share it.
+TEST_GROUP(lotRoutes){};
+
+// Guards against items given up when another host's route takes the name of their route.
+TEST(lotRoutes, itemsAreFinishedThoughAnotherHostsRouteTakesTheName) {
+  expectFinishedAfterChange({ownRoute}, {{ownRoute.name, "other.example", "/day/", ownService}, ownRoute});
+}
+// Guards against items given up when a route of another kind takes the name of their route.
+TEST(lotRoutes, itemsAreFinishedThoughARouteOfAnotherKindTakesTheName) {
+  expectFinishedAfterChange({ownRoute},
+                            {{ownRoute.name, "other.example", "/day/", foreignService, "repeatable"}, ownRoute});
+}
+// Guards against items given up when their route gets another name.
+TEST(lotRoutes, itemsAreFinishedThoughTheirRouteIsRenamed) {
+  expectFinishedAfterChange({ownRoute}, {{"renamed", lotHost, lotPrefix, ownService}});
+}
+// Guards against items run by the service of another route that takes the name of their route.
+TEST(lotRoutes, itemsRunAtTheirOwnServiceBesideARouteOfTheSameNameAndHost) {
+  expectFinishedAfterChange({ownRoute}, {{ownRoute.name, lotHost, "/day/", foreignService}, ownRoute});
+}
+// Guards against items given up when two routes swap their names.
+TEST(lotRoutes, itemsRunAtTheirOwnServiceThoughTwoRoutesSwapTheirNames) {
+  RouteText const day{"day", lotHost, "/day/", foreignService};
+  expectFinishedAfterChange({ownRoute, day},
+                            {{"day", lotHost, lotPrefix, ownService}, {"night", lotHost, "/day/", foreignService}});
+}
+// Guards against records of older releases, which tell no prefix, losing their route.
+TEST(lotRoutes, itemsOfOlderRecordsAreFinishedThoughTheirRouteIsRenamed) {
+  expectFinishedAfterChange({ownRoute}, {ownRoute}, removeIdentity);
+  expectFinishedAfterChange({ownRoute}, {{"renamed", lotHost, lotPrefix, ownService}}, removeIdentity);
+  RouteText const sameName{ownRoute.name, lotHost, "/day/", foreignService};
+  expectFinishedAfterChange({sameName, ownRoute}, {sameName, ownRoute}, removeIdentity);
+}
+// Guards against items that wait for a route that is gone, or run as another route has its name.
+TEST(lotRoutes, itemsOfARemovedRouteAreGivenUp) {
+  for (char const* const otherHost : {"other.example", "shop.example"}) {
+    OneStoreCluster cluster({ownRoute});
+    cluster.submit();
+    CHECK(cluster.runUntil([&] { return cluster.own.started > 0; }));
+    std::size_t const started = cluster.own.started;
+    cluster.configure({{ownRoute.name, otherHost, "/day/", foreignService}});
+    cluster.runFor(cluster.settings.bounds.applyWithin);
+    cluster.release();
+    cluster.runToEnd();
+    LONGS_EQUAL(itemCount - started, cluster.count(false));
+    LONGS_EQUAL(started, cluster.own.started);
+    LONGS_EQUAL(0, cluster.foreign.started);
+  }
+}
