lots: queued tokens are counted by the prefix of a lot's route, not by its name

Seen by callers: after a route got another name, a lot that didn't fit its maxQueuedTokens got 202, as the tokens under the former name were forgotten (QUOTA). A lot to a route with another prefix of the host was refused with 429 for the tokens of a route that shared its name, though nothing waited at its own. Cause: LotCoordinator::checkQuota took two lots for lots of one route if the names of their routes were the same. For lots whose first record was just being committed it didn't compare the host either. Change: sharesQuota compares the prefixes, and lots that are being opened count for their own host only.

--- a/lots/coordination/lot_coordinator.cpp
+++ b/lots/coordination/lot_coordinator.cpp
@@ -10,9 +10,11 @@
 constexpr std::size_t maxWaitingCalls = 16;
 string const keyspacePrefix = "lots/";
 
-/// Queued tokens are limited for each tenant of a route.
+/// Queued tokens are limited for each tenant of a route; both lots are of one host. A record of an older release
+/// doesn't tell the prefix of its route, so it counts towards each route of its host: else the limit could be exceeded.
 bool sharesQuota(LotRecord const& left, LotRecord const& right) {
-  return left.route == right.route && left.tenant == right.tenant;
+  bool const isOlder = left.routePrefix.empty() || right.routePrefix.empty();
+  return left.tenant == right.tenant && (isOlder || left.routePrefix == right.routePrefix);
 }
 }  // namespace
 
@@ -131,7 +133,7 @@
     queuedTokens += other.tokens > finished ? other.tokens - finished : 0;
   }
   for (auto const& [key, other] : opening_)
-    if (key != lot.key() && other.route == lot.route && other.tenant == lot.tenant) queuedTokens += other.tokens;
+    if (key.host == lot.host && key != lot.key() && sharesQuota(other.lot, lot)) queuedTokens += other.lot.tokens;
   if (queuedTokens + lot.tokens > maxQueuedTokens) throw Error(ErrorCode::lotOverQuota, std::to_string(queuedTokens));
 }
 
@@ -160,7 +162,7 @@
   lot.state = LotState::opening;
   lot.stamp = freshStamp(lot.host);
   lots_[key].openedAt = Clock::now();
-  opening_[key] = OpeningLot{lot.route, lot.tenant, lot.tokens, Clock::now()};
+  opening_[key] = OpeningLot{lot, Clock::now()};
   bool const saved = co_await save(lot, epoch);
   opening_.erase(key);
   if (!saved) throw Error(ErrorCode::noQuorum);
--- a/lots/coordination/lot_coordinator.hpp
+++ b/lots/coordination/lot_coordinator.hpp
@@ -66,8 +66,7 @@
   };
   /// A lot whose first record is being committed.
   struct OpeningLot {
-    string route, tenant;
-    std::uint64_t tokens = 0;
+    LotRecord lot;
     TimePoint startedAt;
   };
 
--- a/tests/lots/store_fleet.hpp
+++ b/tests/lots/store_fleet.hpp
@@ -33,11 +33,21 @@
   int submit(string const& id, std::size_t bytes) { return submitFor("", id, bytes, 0); }
   /// The same for a tenant with a limit of queued tokens; 0 means no limit.
   int submitFor(string const& tenant, string const& id, std::size_t bytes, std::uint64_t maxQueuedTokens) {
+    return submitTo({"night", "/night/"}, tenant, id, bytes, maxQueuedTokens);
+  }
+  /// A route of `host()` that lots are submitted to. Without a prefix it is one as edge nodes of older releases tell
+  /// it.
+  struct LotRoute {
+    string name, prefix;
+  };
+  int submitTo(LotRoute const& route, string const& tenant, string const& id, std::size_t bytes,
+               std::uint64_t maxQueuedTokens) {
     string const items = serialize(vector<ItemRecord>{{"item-" + id, "/night/x", string(bytes, 'b'), {}, 10}});
     OpenLot open;
     open.lot.id = id;
     open.lot.host = host();
-    open.lot.route = "night";
+    open.lot.route = route.name;
+    open.lot.routePrefix = route.prefix;
     open.lot.itemCount = 1;
     open.lot.tokens = 10;
     open.lot.keepForMs = 60000;
