rollouts: outcomes of versions are counted by host and prefix of a route, not by its name

Items of a lot counted as sent under one name and as answered under the other if their route was renamed. Cause: FleetView::tallyVersion got the name of the route from its callers, and VersionEvidence sums by that text; the lots passed the name in the configuration when they sent an item, and the one in the lot's record for its outcome. Change: tallyVersion takes the route and counts under Route::id(), host and prefix. An item's outcome counts for the route that it was sent under. Nodes of both releases in one deployment count the same route under two texts until all are new; sums over all routes are as before.

--- a/configuration/configuration.hpp
+++ b/configuration/configuration.hpp
@@ -36,6 +36,8 @@
   vector<TrafficShare> shares;
   std::uint64_t totalWeight = 0;
 
+  /// Identifies the route: its host and prefix.
+  string id() const { return host + prefix; }
   /// True if a request may run more than once.
   bool mayRepeat() const { return kind == RouteKind::repeatable || (kind == RouteKind::streaming && resumable); }
   /// The service for a request, by a hash of the request.
--- a/edge/request_forwarder.cpp
+++ b/edge/request_forwarder.cpp
@@ -98,7 +98,7 @@
   balancer_.requestStarted(worker.id, prefillTokens);
   TimePoint const sentAt = Clock::now();
   retries.sentAt = sentAt;
-  view_.tallyVersion(worker, plan.route->name, sentTally());
+  view_.tallyVersion(worker, *plan.route, sentTally());
   SilenceProbe::Timing const timing{plan.route->target / probeAfterTargetDivisor,
                                     settings_.bounds.inTouch / probeTimeoutDivisor};
   SilenceProbe probe(io_, worker.address, timing,
@@ -215,7 +215,7 @@
   if (std::optional<WorkerLoad> const load = exchange.workerLoad()) balancer_.reportLoad(exchange.worker(), *load);
   int const status = exchange.status();
   if (status >= 500) view_.tally(worker, false);
-  if (status >= 500) view_.tallyVersion(exchange.worker(), plan.route->name, outcomeTally(false, std::nullopt));
+  if (status >= 500) view_.tallyVersion(exchange.worker(), *plan.route, outcomeTally(false, std::nullopt));
   bool const tryAgain = plan.mayRepeat && status >= 500 && retries.sends < plan.tries;
   bool const relays = !tryAgain && mayRelay(client, plan, exchange);
   bool relayed = false;
@@ -230,7 +230,7 @@
     co_return NextStep::done;
   }
   if (relayed) {
-    if (status < 500) view_.tallyVersion(exchange.worker(), plan.route->name, outcomeTally(true, retries.paceMs));
+    if (status < 500) view_.tallyVersion(exchange.worker(), *plan.route, outcomeTally(true, retries.paceMs));
     if (client.keepAlive && status < 500) {
       balancer_.markHealthy(worker);
       view_.tally(worker, true);
--- a/lots/execution/item_execution.cpp
+++ b/lots/execution/item_execution.cpp
@@ -203,12 +203,12 @@
   Exchange exchange(pool_, *worker, true);
   exchange.setSendDeadline(admission.sendDeadline);
   balancer_.requestStarted(workerId, prefillTokens);
-  view_.tallyVersion(exchange.worker(), route->name, sentTally());
+  view_.tallyVersion(exchange.worker(), *route, sentTally());
   SendResult const result = co_await exchange.send(request, item.id, startedAt + 2 * settings_.bounds.inTouch);
   balancer_.prefillFinished(workerId, prefillTokens);
   bool over = false;
   if (result == SendResult::answered)
-    over = co_await readAnswer(run, index, exchange, events, route->tries, startedAt);
+    over = co_await readAnswer(run, index, exchange, events, *route, startedAt);
   else
     noteFailedSend(result, exchange, workerId);
   balancer_.requestEnded(workerId);
@@ -228,9 +228,8 @@
   if (notSent || exchange.onNewConnection()) view_.tally(worker, false);
 }
 
-/// Reads a response to its end; true once the item has its result.
 Task<bool> LotRunner::readAnswer(RunPtr run, std::size_t index, Exchange& exchange, EventStreamReader& events,
-                                 std::uint64_t tries, TimePoint startedAt) {
+                                 Route const& route, TimePoint startedAt) {
   string const worker = exchange.worker().id;
   if (std::optional<WorkerLoad> const load = exchange.workerLoad()) balancer_.reportLoad(exchange.worker(), *load);
   int const status = exchange.status();
@@ -255,7 +254,7 @@
   exchange.release();
   balancer_.markHealthy(worker);
   view_.tally(worker, status < 500);
-  view_.tallyVersion(exchange.worker(), run->lot.route, outcomeTally(status < 500, std::nullopt));
+  view_.tallyVersion(exchange.worker(), route, outcomeTally(status < 500, std::nullopt));
   if (status == 200) {
     double const tookMs = static_cast<double>(std::chrono::duration_cast<Ms>(Clock::now() - startedAt).count());
     meanItemMs_ += (tookMs - meanItemMs_) / 16;
@@ -263,7 +262,7 @@
     co_return true;
   }
   bool const givenUp =
-      status == 422 || (status == 500 && ++run->items[index].failures >= std::max<std::uint64_t>(1, tries));
+      status == 422 || (status == 500 && ++run->items[index].failures >= std::max<std::uint64_t>(1, route.tries));
   if (givenUp) finishItem(*run, index, false, "");
   co_return givenUp;
 }
--- a/lots/execution/lot_runner.hpp
+++ b/lots/execution/lot_runner.hpp
@@ -83,8 +83,10 @@
   /// Picks a worker for an item: a warm one with free capacity or, if the service has no warm healthy worker, one that
   /// is warming up.
   std::optional<Worker> pickWorker(PickRequest const& pick);
+  /// Reads a response to its end; true once the item has its result. The route is the one that the item was sent under;
+  /// the caller keeps its configuration.
   Task<bool> readAnswer(RunPtr run, std::size_t index, Exchange& exchange, EventStreamReader& events,
-                        std::uint64_t tries, TimePoint startedAt);
+                        Route const& route, TimePoint startedAt);
   void noteFailedSend(SendResult result, Exchange const& exchange, string const& worker);
   void finishItem(LotRun& run, std::size_t index, bool finished, string text);
   bool isActive(LotRun const& run) const { return !run.abandoned && !run.ended() && !stopping_; }
--- a/rollouts/version_evidence.hpp
+++ b/rollouts/version_evidence.hpp
@@ -18,7 +18,8 @@
 /// Counts for one route and one version of a service since a rollout began.
 struct VersionTally {
   std::uint64_t order = 0;  ///< id of the rollout, see RolloutRecord
-  string service, route;
+  string service;
+  string route;  ///< Route::id()
   bool isTarget = false;
   std::uint64_t sent = 0;       ///< requests sent to a worker
   std::uint64_t succeeded = 0;  ///< complete responses that report no failure
--- a/tests/lots/lot_routes_test.cpp
+++ b/tests/lots/lot_routes_test.cpp
@@ -71,7 +71,10 @@
     configure(routes);
     addWorker("i-own", ownService, firstPort + 9);
     addWorker("i-foreign", foreignService, firstPort - 1);
-    control.on<UpdateRequest>([this](UpdateRequest request) { return publisher.serve(std::move(request)); });
+    control.on<UpdateRequest>([this](UpdateRequest request) {
+      evidence.add(request.versionTallies);
+      return publisher.serve(std::move(request));
+    });
     control.on<StoreHeartbeat>([this](StoreHeartbeat heartbeat) -> Task<StoreHeartbeatReply> {
       StoreHeartbeatReply reply;
       reply.granted = true;
@@ -114,6 +117,15 @@
     publisher.setConfiguration(version, configurationText(version, routes));
     publisher.notifyAfter(Ms(1));
   }
+  /// Begins a rollout of the lot's service.
+  void beginRollout() {
+    RolloutRecord rollout;
+    rollout.service = ownService;
+    rollout.target = "v2";
+    rollout.order = rollout.revision = 1;
+    publisher.common.put(string(rolloutRowPrefix) + ownService, serialize(rollout));
+    publisher.notifyAfter(Ms(1));
+  }
   /// Runs until a condition holds; false if it doesn't in time.
   bool runUntil(std::function<bool()> const& condition, Ms limit = Ms(8000)) {
     TimePoint const end = Clock::now() + limit;
@@ -183,6 +195,7 @@
   std::unique_ptr<StoreNode> store;
   std::optional<StoreRef> holder;
   std::optional<LotRecord> record;  ///< sent to the store in heartbeat replies
+  VersionEvidence evidence;         ///< that the store reported during a rollout
   std::uint64_t revision = 0, version = 0;
 };
 
@@ -241,6 +254,24 @@
   RouteText const sameName{ownRoute.name, lotHost, "/day/", foreignService};
   expectFinishedAfterChange({sameName, ownRoute}, {sameName, ownRoute}, removeIdentity);
 }
+// Guards against items sent under one name of their route and answered under another counted for two routes.
+TEST(lotRoutes, outcomesAfterARenameCountForTheSameRoute) {
+  OneStoreCluster cluster({ownRoute});
+  cluster.beginRollout();
+  cluster.runFor(Ms(100));
+  cluster.submit();
+  CHECK(cluster.runUntil([&] { return cluster.own.started > 0; }));
+  cluster.configure({{"renamed", lotHost, lotPrefix, ownService}});
+  cluster.runFor(Ms(200));
+  cluster.release();
+  cluster.runToEnd();
+  CHECK(cluster.runUntil([&] {
+    vector<VersionTally> const all = cluster.evidence.all();
+    return std::any_of(all.begin(), all.end(), [](VersionTally const& tally) { return tally.succeeded >= itemCount; });
+  }));
+  LONGS_EQUAL(1, cluster.evidence.all().size());
+  LONGS_EQUAL(itemCount, cluster.evidence.all().front().sent);
+}
 // Guards against items that wait for a route that is gone, or run as another route has its name.
 TEST(lotRoutes, itemsOfARemovedRouteAreGivenUp) {
   for (char const* const otherHost : {"other.example", "shop.example"}) {
--- a/updates/fleet_view.cpp
+++ b/updates/fleet_view.cpp
@@ -194,12 +194,12 @@
   return rollout == rollouts_.end() || !rollout->second.isServing() ? nullptr : &rollout->second;
 }
 
-void FleetView::tallyVersion(Worker const& worker, string const& route, VersionTally outcome) {
+void FleetView::tallyVersion(Worker const& worker, Route const& route, VersionTally outcome) {
   RolloutRecord const* const rollout = activeRollout(worker.service);
   if (!rollout) return;
   outcome.order = rollout->order;
   outcome.service = worker.service;
-  outcome.route = route;
+  outcome.route = route.id();
   outcome.isTarget = worker.version == rollout->target;
   publisher_.addVersionTallies({outcome});
 }
--- a/updates/fleet_view.hpp
+++ b/updates/fleet_view.hpp
@@ -58,7 +58,7 @@
   /// The active rollout of a service, or null.
   RolloutRecord const* activeRollout(string const& service) const;
   /// Counts the outcome of a request at a worker of a service with an active rollout.
-  void tallyVersion(Worker const& worker, string const& route, VersionTally outcome);
+  void tallyVersion(Worker const& worker, Route const& route, VersionTally outcome);
   /// The number of requests of this node in flight at a worker.
   std::function<std::int64_t(string const& worker)> runningAt;
 
