lots: items wait for the configuration under which their lot was taken

Seen by callers: a store that still had an older configuration gave up the items of a lot whose route it didn't know yet (MIXED: given_up though the route is there), once applyWithin had passed; for example if it was stopped for longer than that right after it had begun with the lot. Cause: a route missing from whatever configuration the store had was taken for removed after a time. Change: a missing route counts as removed only under a configuration at least as new as the one in the lot's record, and then at once. For records of older releases, which tell no version, the delay stays.

--- a/lots/execution/item_execution.cpp
+++ b/lots/execution/item_execution.cpp
@@ -58,10 +58,10 @@
 
 bool LotRunner::mayGiveUp(LotRun const& run, LotRoute const& found, TimePoint now) const {
   Ms const age = ages_.atLeast(run.lot.key(), now);
-  // The edge that received the lot may have a newer configuration than this store, so a route that is missing counts as
-  // removed only after a delay.
-  bool const routeRemoved = found.isRemoved && age > settings_.bounds.applyWithin;
-  return routeRemoved || age > Ms(run.lot.keepForMs);
+  // Records of older releases don't tell the version of the configuration that had the route, so this store's may be
+  // older; a route that is missing counts as removed only after a delay.
+  bool const isCertain = run.lot.configurationVersion || age > settings_.bounds.applyWithin;
+  return (found.isRemoved && isCertain) || age > Ms(run.lot.keepForMs);
 }
 
 std::uint64_t LotRunner::slotsOf(Route const& route) const {
--- a/lots/execution/lot_route.cpp
+++ b/lots/execution/lot_route.cpp
@@ -22,7 +22,7 @@
 LotRoute findLotRoute(LotRecord const& lot, string_view firstItemPath, Configuration const& configuration) {
   if (lot.routePrefix.empty()) return findRouteOfOlderRecord(lot, firstItemPath, configuration);
   Route const* const route = configuration.findByPrefix(lot.host, lot.routePrefix);
-  return {route, !route};
+  return {route, !route && configuration.version >= lot.configurationVersion};
 }
 
 }  // namespace tealshelf
--- a/lots/execution/lot_route.hpp
+++ b/lots/execution/lot_route.hpp
@@ -14,6 +14,9 @@
 
 /// Finds the route that a lot was submitted to, by host and prefix; its name may change, or be that of other routes.
 ///
+/// A node may have an older configuration than the edge node that took the lot: that of a version below the record's
+/// doesn't tell whether the route was removed.
+///
 /// Records of older releases tell a host and a name only. For these the route is the bulk route of that host and name;
 /// of several such routes it is the one whose prefix is the longest that begins the path of the lot's first item. If
 /// there is none, the route counts as removed only if the host has no bulk route at all.
--- a/tests/lots/lot_routes_test.cpp
+++ b/tests/lots/lot_routes_test.cpp
@@ -288,3 +288,15 @@
     LONGS_EQUAL(0, cluster.foreign.started);
   }
 }
+// Guards against items given up by a store whose configuration is older than the one under which their lot was taken.
+TEST(lotRoutes, itemsWaitForTheConfigurationUnderWhichTheirLotWasTaken) {
+  OneStoreCluster cluster({{"day", lotHost, "/day/", foreignService}});
+  cluster.release();
+  cluster.submit([&](LotRecord& lot) { lot.configurationVersion = cluster.version + 1; });
+  cluster.runFor(3 * cluster.settings.bounds.applyWithin);
+  LONGS_EQUAL(0, cluster.results().size());
+  cluster.configure({ownRoute});
+  cluster.runToEnd();
+  LONGS_EQUAL(itemCount, cluster.count(true));
+  LONGS_EQUAL(0, cluster.foreign.started);
+}
