duties: queued items of lots count for the services of their route

Seen by operators: in /duties and `tealshelf-control-plane capacity` the backlog of each service was 0 however many items of lots were queued, and no workers were ordered for them. Cause: LotRunner::loads added the backlog under LotRecord::service, which nothing has ever filled in: a lot's service was taken from its record rather than from its route, and a route may move to another service or be split. Change: the backlog is that of the services of the lot's route in the present configuration, by their weights. Evidence: lotRoutes.queuedItemsCountForTheServiceOfTheirRoute: with the former lines no backlog is reported for the service of the route in 8 s; now it is, and it moves with the route.

--- a/lots/execution/item_execution.cpp
+++ b/lots/execution/item_execution.cpp
@@ -116,14 +116,19 @@
   std::map<string, ServiceLoad> loads;
   for (ServiceLoad& load : serviceLoads(view_.workers(), [this](string const& worker) { return runningAt(worker); }))
     loads[load.service] = std::move(load);
+  std::shared_ptr<Configuration const> const configuration = view_.configuration();
   for (auto const& [key, run] : runs_) {
-    if (!isActive(*run)) continue;
+    Route const* const route = configuration ? routeOf(*run, *configuration).route : nullptr;
+    if (!isActive(*run) || !route) continue;
     auto const queued = std::count_if(run->items.begin(), run->items.end(),
                                       [](LotRun::Item const& item) { return item.state == ItemState::queued; });
     double const left = static_cast<double>(remainingTimeMs(run->lot, now));
-    ServiceLoad& load = loads[run->lot.service];
-    load.service = run->lot.service;
-    load.backlog += static_cast<double>(queued) * meanItemMs_ / std::max(left, meanItemMs_);
+    double const slots = static_cast<double>(queued) * meanItemMs_ / std::max(left, meanItemMs_);
+    for (TrafficShare const& share : route->shares) {
+      ServiceLoad& load = loads[share.service];
+      load.service = share.service;
+      load.backlog += slots * static_cast<double>(share.weight) / static_cast<double>(route->totalWeight);
+    }
   }
   vector<ServiceLoad> list;
   for (auto& [service, load] : loads) list.push_back(std::move(load));
--- a/tests/lots/lot_routes_test.cpp
+++ b/tests/lots/lot_routes_test.cpp
@@ -75,6 +75,10 @@
       evidence.add(request.versionTallies);
       return publisher.serve(std::move(request));
     });
+    control.on<ReportUsage>([this](ReportUsage report) -> Task<UsageReceipt> {
+      loads = std::move(report.loads);
+      co_return UsageReceipt{1, WindowNumber(0), wallClockMs()};
+    });
     control.on<StoreHeartbeat>([this](StoreHeartbeat heartbeat) -> Task<StoreHeartbeatReply> {
       StoreHeartbeatReply reply;
       reply.granted = true;
@@ -101,6 +105,8 @@
     made.bounds.step = Ms(40);
     made.bounds.applyWithin = Ms(400);
     made.surviveMachines = 0;
+    made.provider.address = {made.ip, firstPort - 2};
+    made.bounds.reportWindow = Ms(200);
     return made;
   }
   void addWorker(string const& id, string const& service, int port) {
@@ -164,6 +170,12 @@
     record = lot;
   }
   void release() { own.isReleased = foreign.isReleased = true; }
+  /// The last reported backlog of a service, in slots.
+  double backlogOf(string const& service) const {
+    for (ServiceLoad const& load : loads)
+      if (load.service == service) return load.backlog;
+    return 0;
+  }
   /// The listed results.
   vector<ResultRecord> results() {
     std::optional<ReadResultsReply> reply;
@@ -196,6 +208,7 @@
   std::optional<StoreRef> holder;
   std::optional<LotRecord> record;  ///< sent to the store in heartbeat replies
   VersionEvidence evidence;         ///< that the store reported during a rollout
+  vector<ServiceLoad> loads;        ///< that the store reported last
   std::uint64_t revision = 0, version = 0;
 };
 
@@ -300,3 +313,12 @@
   LONGS_EQUAL(itemCount, cluster.count(true));
   LONGS_EQUAL(0, cluster.foreign.started);
 }
+// Guards against queued items that no service's demand holds, so that no workers are ordered for them.
+TEST(lotRoutes, queuedItemsCountForTheServiceOfTheirRoute) {
+  OneStoreCluster cluster({ownRoute});
+  cluster.submit();
+  CHECK(cluster.runUntil([&] { return cluster.backlogOf(ownService) > 0; }));
+  cluster.configure({{ownRoute.name, lotHost, lotPrefix, foreignService}});
+  CHECK(cluster.runUntil([&] { return cluster.backlogOf(foreignService) > 0; }));
+  DOUBLES_EQUAL(0, cluster.backlogOf(ownService), 0);
+}
