test: a lot being opened on another host doesn't use up a route's quota

Change: routeQuota.aLotBeingOpenedOnAnotherHostDoesNotCount opens two lots together at one real control node. StoreFleet::startCall sends a call without waiting for its reply.

--- a/tests/lots/store_fleet.hpp
+++ b/tests/lots/store_fleet.hpp
@@ -117,6 +117,13 @@
   /// Error code and reply of a call; the code is 0 on success.
   template <class Request>
   std::pair<int, typename Request::Reply> ask(Address const& to, Request const& request) {
+    std::shared_ptr<std::pair<int, typename Request::Reply>> const answer = startCall(to, request);
+    runUntil([answer] { return answer->first >= 0; }, 4 * controlSettings_.bounds.inTouch);
+    return *answer;
+  }
+  /// The same without waiting; the code is negative until the reply is there.
+  template <class Request>
+  std::shared_ptr<std::pair<int, typename Request::Reply>> startCall(Address const& to, Request const& request) {
     using Answer = std::pair<int, typename Request::Reply>;
     std::shared_ptr<Answer> const answer = std::make_shared<Answer>(-1, typename Request::Reply());
     asio::co_spawn(io_, rpc_.call(to, request, controlSettings_.bounds.inTouch / 2),
@@ -129,8 +136,7 @@
                        answer->first = static_cast<int>(error.code());
                      }
                    });
-    runUntil([answer] { return answer->first >= 0; }, 4 * controlSettings_.bounds.inTouch);
-    return *answer;
+    return answer;
   }
 
  private:
--- a/tests/lots/tenant_quota_test.cpp
+++ b/tests/lots/tenant_quota_test.cpp
@@ -51,3 +51,32 @@
   fill(fleet, {"night", ""});
   LONGS_EQUAL(overQuota, fleet.submitTo({"renamed", "/night/"}, "", "lot-3", 100, threeLotsTokens));
 }
+// Guards against lots refused for the tokens of a lot that is being opened on another host.
+TEST(routeQuota, aLotBeingOpenedOnAnotherHostDoesNotCount) {
+  StoreFleet fleet("/tmp/tealshelf-route-quota", 3, 1, 17620);
+  auto const openOn = [](string const& host, string const& id) {
+    OpenLot open;
+    open.lot.host = host;
+    open.lot.id = id;
+    open.lot.route = "night";
+    open.lot.routePrefix = "/night/";
+    open.lot.itemCount = 1;
+    open.lot.tokens = threeLotsTokens;
+    open.lot.keepForMs = 60000;
+    open.maxQueuedTokens = threeLotsTokens;
+    return open;
+  };
+  // Both keyspaces have an owner before the lots are opened together.
+  for (char const* const host : {"one.example", "two.example"})
+    CHECK(fleet.runUntil(
+        [&] {
+          return fleet.ask(fleet.controlAddress(), FindLot{host, "none", 0}).first == 0;
+        },
+        Ms(20000)));
+  CHECK(fleet.runUntil([&] { return fleet.submit("ready", 100) == 0; }, Ms(20000)));
+  auto const one = fleet.startCall(fleet.controlAddress(), openOn("one.example", "lot"));
+  auto const two = fleet.startCall(fleet.controlAddress(), openOn("two.example", "lot"));
+  CHECK(fleet.runUntil([&] { return one->first >= 0 && two->first >= 0; }, Ms(10000)));
+  LONGS_EQUAL(0, one->first);
+  LONGS_EQUAL(0, two->first);
+}
