soak: configurations rename the routes of lots, and workers check that a request is for their service

Cause: every configuration of the soak named a lot's route alike, so nothing showed that names were taken for routes. Change: each change draws one of four namings of the lots' routes (own, one name for all, swapped, new); the route without workers is listed first. Workers report ROUTE for a request under a path that belongs to another service.

--- a/tools/soak/configurations.cpp
+++ b/tools/soak/configurations.cpp
@@ -13,6 +13,23 @@
   string name, host, pathStart, kind, service, more;
 };
 
+/// How a configuration names the routes of lots. Only host and prefix identify a route.
+enum class LotRouteNames {
+  own,      ///< one for each route
+  shared,   ///< the same for all routes of all hosts
+  swapped,  ///< each route has the name that another route of its host has under `own`
+  renamed   ///< new ones with each version
+};
+constexpr std::uint64_t lotRouteNamings = 4;
+
+string nameOfLotRoute(string const& host, string const& pathStart, LotRouteNames names, std::uint64_t version) {
+  if (names == LotRouteNames::shared) return "lots";
+  bool const isSwapped = names == LotRouteNames::swapped;
+  bool const isServed = pathStart == lotPathStart;
+  string const name = (isServed != isSwapped ? "night-" : "shelf-") + host;
+  return names == LotRouteNames::renamed ? name + "-" + std::to_string(version) : name;
+}
+
 void writeRoute(std::ostream& text, RouteText const& route, std::uint64_t variant) {
   text << "{\"name\":\"" << route.name << "\",\"host\":\"" << route.host << "\",\"pathStart\":\"" << route.pathStart
        << "\",\"kind\":\"" << route.kind << "\",\"timeLimitMs\":" << 4000 + variant % 7 << ",\"targetMs\":" << 300
@@ -47,6 +64,13 @@
   return "";
 }
 
+string serviceOf(string_view path) {
+  if (path.starts_with(unservedPathStart)) return absentService;
+  for (RequestKind const kind : {RequestKind::resumableStream, RequestKind::singleStream, RequestKind::lotItem})
+    if (path.starts_with(pathStartOf(kind))) return modelService;
+  return appService;
+}
+
 string markerPathStart(std::uint64_t version) {
   return "/v" + std::to_string(version) + "/";
 }
@@ -60,10 +84,12 @@
       {"stream", requestHost, pathStartOf(RequestKind::resumableStream), "streaming", modelService, forEvents},
       {"single", requestHost, pathStartOf(RequestKind::singleStream), "streaming", modelService, forEvents},
       {"marker", requestHost, markerPathStart(version), "repeatable", appService, ""}};
-  for (string const& host : lotHosts) {
-    routes.push_back({"night-" + host, host, lotPathStart, "bulk", modelService, forLots});
-    routes.push_back({"shelf-" + host, host, unservedPathStart, "bulk", absentService, forLots});
-  }
+  LotRouteNames const names = static_cast<LotRouteNames>(variant % lotRouteNamings);
+  for (string const& host : lotHosts)
+    for (string const& pathStart : {unservedPathStart, lotPathStart}) {
+      string const name = nameOfLotRoute(host, pathStart, names, version);
+      routes.push_back({name, host, pathStart, "bulk", serviceOf(pathStart), forLots});
+    }
   std::ostringstream text;
   text << "{\"version\":" << version << ",\"routes\":[";
   for (std::size_t i = 0; i < routes.size(); ++i) {
--- a/tools/soak/configurations.hpp
+++ b/tools/soak/configurations.hpp
@@ -14,10 +14,13 @@
 
 /// Path prefix of the route for requests of a kind.
 string pathStartOf(RequestKind kind);
+/// The service that runs the requests under a path, whatever the version of the configuration.
+string serviceOf(string_view path);
 /// Path prefix of the marker route that only this version of the configuration has.
 string markerPathStart(std::uint64_t version);
 
-/// JSON text of a configuration, with the version's marker route; `variant` varies a few values.
+/// JSON text of a configuration, with the version's marker route; `variant` varies a few values and the names of the
+/// lots' routes.
 string configurationText(std::uint64_t version, std::uint64_t variant);
 
 }  // namespace tealshelf::soak
--- a/tools/soak/stand_in_worker.cpp
+++ b/tools/soak/stand_in_worker.cpp
@@ -1,5 +1,7 @@
 #include "tools/soak/stand_in_worker.hpp"
 
+#include "tools/soak/configurations.hpp"
+
 namespace tealshelf::soak {
 
 namespace {
@@ -135,6 +137,8 @@
   int const from = static_cast<int>(parseNumber(lastEventId).value_or(0));
   TrackedRequest* const tracked = ledger_.beginRun(id, targetOf(request), request.body(), from);
   if (!tracked) co_return false;
+  if (serviceOf(tracked->path) != plan_.service)
+    verdict_.fail("ROUTE", id + " under " + tracked->path + " reached a worker of the service " + plan_.service);
   verdict_.count(tracked->kind == RequestKind::lotItem ? "items run" : "requests run");
   string const seal = id_ + "." + std::to_string(tracked->runs);
   tracked->seals.insert(seal);
