--- a/duties/scaling_policy.cpp
+++ b/duties/scaling_policy.cpp
@@ -58,7 +58,7 @@
   for (auto const& [zone, workers] : inputs.zones)
     if (workers.present && !workers.isEvacuated) zones.push_back(zone);
   if (!inputs.scaling.isUsable() || !inputs.slotsPerWorker || zones.empty()) {
-    decision.reason = "no usable range of workers, no slots per worker, or no worker in any zone that takes traffic";
+    decision.reason = "no range, no slots or no worker";
     return decision;
   }
   double const slots = static_cast<double>(inputs.slotsPerWorker * zones.size());
@@ -68,12 +68,12 @@
   decision.maxWorkers =
       std::max(decision.minWorkers, workersFor(demandWithReserve, slots * minUtilization, inputs.scaling));
   // Before the first demand the registry of workers may still be incomplete.
-  if (!firstDemandAt_) decision.reason = "no demand has been observed yet";
-  if (inputs.isRollingOut) decision.reason = "no orders during a rollout";
+  if (!firstDemandAt_) decision.reason = "no demand was seen yet";
+  if (inputs.isRollingOut) decision.reason = "a rollout is under way";
   if (!firstDemandAt_ || inputs.isRollingOut) return decision;
   bool const cooldownHasPassed = !reducedAt_ || now - *reducedAt_ >= startTime / reductionsPerStartTime;
   bool const mayReduce = filled >= minFilledFraction && cooldownHasPassed;
-  decision.reason = mayReduce ? "by demand" : "by demand; reductions are not allowed yet";
+  decision.reason = mayReduce ? "by demand" : "by demand, no reduction yet";
   for (string const& zone : zones) {
     std::optional<ScalingOrder> order = orderFor(zone, inputs.zones.at(zone), decision);
     if (order && (mayReduce || !order->isReduction)) decision.orders.push_back(std::move(*order));
