--- a/tests/lots/lot_routes_test.cpp
+++ b/tests/lots/lot_routes_test.cpp
@@ -7,9 +7,9 @@
 using namespace tealshelf;
 
 namespace {
-constexpr std::size_t itemCount = 40;
-constexpr int firstPort = 17410, controlPort = firstPort + 8;
-string const lotHost = "shop.example", lotId = "lot", lotPrefix = "/night/";
+constexpr std::size_t routedItemCount = 40;
+constexpr int routedFirstPort = 17410, routedControlPort = routedFirstPort + 8;
+string const routedHost = "shop.example", routedLotId = "lot", routedPrefix = "/night/";
 /// Services, each with one worker.
 string const ownService = "app", foreignService = "other";
 
@@ -17,9 +17,9 @@
   string name, host, prefix, service;
   string kind = "bulk";
 };
-RouteText const ownRoute{"night", lotHost, lotPrefix, ownService};
+RouteText const ownRoute{"night", routedHost, routedPrefix, ownService};
 
-string configurationText(std::uint64_t version, vector<RouteText> const& routes) {
+string routesConfiguration(std::uint64_t version, vector<RouteText> const& routes) {
   string list;
   for (RouteText const& route : routes)
     list += string(list.empty() ? "" : ",") + "{\"name\":\"" + route.name + "\",\"host\":\"" + route.host +
@@ -36,8 +36,8 @@
 }
 
 /// A worker that holds each request until it is released.
-struct HeldWorker {
-  HeldWorker(asio::io_context& io, string const& ip, int port)
+struct HeldItemsWorker {
+  HeldItemsWorker(asio::io_context& io, string const& ip, int port)
       : server(
             io, {ip, port}, [this](HttpCall call) { return run(std::move(call)); }, 1u << 20, Ms(5000)) {
     server.start();
@@ -61,16 +61,16 @@
   explicit OneStoreCluster(vector<RouteText> const& routes)
       : control(io, settings.controlAddress(settings.ip), Ms(1000)),
         publisher(io, settings, 0),
-        own(io, settings.ip, firstPort + 9),
-        foreign(io, settings.ip, firstPort - 1),
+        own(io, settings.ip, routedFirstPort + 9),
+        foreign(io, settings.ip, routedFirstPort - 1),
         rpc(io, Ms(1000)) {
     std::filesystem::remove_all(settings.dataFolder);
     std::filesystem::create_directories(settings.dataFolder);
     store = std::make_unique<StoreNode>(io, settings);
     publisher.proof = [] { return UpdatePublisher::Proof{true, 0, Clock::now()}; };
     configure(routes);
-    addWorker("i-own", ownService, firstPort + 9);
-    addWorker("i-foreign", foreignService, firstPort - 1);
+    addWorker("i-own", ownService, routedFirstPort + 9);
+    addWorker("i-foreign", foreignService, routedFirstPort - 1);
     control.on<UpdateRequest>([this](UpdateRequest request) {
       evidence.add(request.versionTallies);
       return publisher.serve(std::move(request));
@@ -98,14 +98,14 @@
     Settings made;
     made.nodeName = "store-1";
     made.ip = loopbackOfThisProcess();
-    made.firstInternalPort = firstPort;
-    made.seeds = {{made.ip, controlPort}};
+    made.firstInternalPort = routedFirstPort;
+    made.seeds = {{made.ip, routedControlPort}};
     made.dataFolder = "/tmp/tealshelf-lot-routes-" + made.ip;
     made.bounds.inTouch = Ms(1200);
     made.bounds.step = Ms(40);
     made.bounds.applyWithin = Ms(400);
     made.surviveMachines = 0;
-    made.provider.address = {made.ip, firstPort - 2};
+    made.provider.address = {made.ip, routedFirstPort - 2};
     made.bounds.reportWindow = Ms(200);
     return made;
   }
@@ -120,7 +120,7 @@
   /// Publishes the next configuration.
   void configure(vector<RouteText> const& routes) {
     ++version;
-    publisher.setConfiguration(version, configurationText(version, routes));
+    publisher.setConfiguration(version, routesConfiguration(version, routes));
     publisher.notifyAfter(Ms(1));
   }
   /// Begins a rollout of the lot's service.
@@ -147,12 +147,12 @@
   /// Creates the lot, as an edge node does with the lot's own route; `change` alters the record.
   void submit(std::function<void(LotRecord&)> const& change = {}) {
     LotRecord lot;
-    lot.id = lotId;
-    lot.host = lotHost;
+    lot.id = routedLotId;
+    lot.host = routedHost;
     lot.route = ownRoute.name;
-    lot.routePrefix = lotPrefix;
+    lot.routePrefix = routedPrefix;
     lot.configurationVersion = version;
-    lot.itemCount = itemCount;
+    lot.itemCount = routedItemCount;
     lot.submittedAtMs = wallClockMs();
     lot.dueInMs = 300;
     lot.keepForMs = 60000;
@@ -161,8 +161,8 @@
     lot.holders = {*holder};
     if (change) change(lot);
     vector<ItemRecord> items;
-    for (std::size_t number = 0; number < itemCount; ++number)
-      items.push_back({"item-" + std::to_string(number), lotPrefix + "x", "b", {}, 10});
+    for (std::size_t number = 0; number < routedItemCount; ++number)
+      items.push_back({"item-" + std::to_string(number), routedPrefix + "x", "b", {}, 10});
     bool created = false;
     asio::co_spawn(io, rpc.call(holder->address, CreateReplica{lot, serialize(items), {}, false}, Ms(1000)),
                    [&created](std::exception_ptr failure, Acknowledgement) { created = !failure; });
@@ -180,11 +180,12 @@
   vector<ResultRecord> results() {
     std::optional<ReadResultsReply> reply;
     bool done = false;
-    asio::co_spawn(io, rpc.call(holder->address, ReadResults{lotHost, lotId, record->stamp, 0, 1u << 20, 0}, Ms(1000)),
-                   [&reply, &done](std::exception_ptr failure, ReadResultsReply received) {
-                     if (!failure) reply = std::move(received);
-                     done = true;
-                   });
+    asio::co_spawn(
+        io, rpc.call(holder->address, ReadResults{routedHost, routedLotId, record->stamp, 0, 1u << 20, 0}, Ms(1000)),
+        [&reply, &done](std::exception_ptr failure, ReadResultsReply received) {
+          if (!failure) reply = std::move(received);
+          done = true;
+        });
     CHECK(runUntil([&done] { return done; }));
     return reply ? reply->results : vector<ResultRecord>();
   }
@@ -195,14 +196,14 @@
   }
   /// Runs until all items have ended.
   void runToEnd() {
-    CHECK(runUntil([this] { return results().size() == itemCount; }));
+    CHECK(runUntil([this] { return results().size() == routedItemCount; }));
   }
 
   asio::io_context io{1};
   Settings settings = makeSettings();
   RpcServer control;
   UpdatePublisher publisher;
-  HeldWorker own, foreign;
+  HeldItemsWorker own, foreign;
   RpcClient rpc;
   std::unique_ptr<StoreNode> store;
   std::optional<StoreRef> holder;
@@ -220,10 +221,10 @@
   CHECK(cluster.runUntil([&] { return cluster.own.started > 0; }));
   cluster.configure(after);
   cluster.runFor(Ms(200));
-  CHECK(cluster.own.started < itemCount);
+  CHECK(cluster.own.started < routedItemCount);
   cluster.release();
   cluster.runToEnd();
-  LONGS_EQUAL(itemCount, cluster.count(true));
+  LONGS_EQUAL(routedItemCount, cluster.count(true));
   LONGS_EQUAL(0, cluster.foreign.started);
 }
 
@@ -248,23 +249,23 @@
 }
 // Guards against items given up when their route gets another name.
 TEST(lotRoutes, itemsAreFinishedThoughTheirRouteIsRenamed) {
-  expectFinishedAfterChange({ownRoute}, {{"renamed", lotHost, lotPrefix, ownService}});
+  expectFinishedAfterChange({ownRoute}, {{"renamed", routedHost, routedPrefix, ownService}});
 }
 // Guards against items run by the service of another route that takes the name of their route.
 TEST(lotRoutes, itemsRunAtTheirOwnServiceBesideARouteOfTheSameNameAndHost) {
-  expectFinishedAfterChange({ownRoute}, {{ownRoute.name, lotHost, "/day/", foreignService}, ownRoute});
+  expectFinishedAfterChange({ownRoute}, {{ownRoute.name, routedHost, "/day/", foreignService}, ownRoute});
 }
 // Guards against items given up when two routes swap their names.
 TEST(lotRoutes, itemsRunAtTheirOwnServiceThoughTwoRoutesSwapTheirNames) {
-  RouteText const day{"day", lotHost, "/day/", foreignService};
-  expectFinishedAfterChange({ownRoute, day},
-                            {{"day", lotHost, lotPrefix, ownService}, {"night", lotHost, "/day/", foreignService}});
+  RouteText const day{"day", routedHost, "/day/", foreignService};
+  expectFinishedAfterChange(
+      {ownRoute, day}, {{"day", routedHost, routedPrefix, ownService}, {"night", routedHost, "/day/", foreignService}});
 }
 // Guards against records of older releases, which tell no prefix, losing their route.
 TEST(lotRoutes, itemsOfOlderRecordsAreFinishedThoughTheirRouteIsRenamed) {
   expectFinishedAfterChange({ownRoute}, {ownRoute}, removeIdentity);
-  expectFinishedAfterChange({ownRoute}, {{"renamed", lotHost, lotPrefix, ownService}}, removeIdentity);
-  RouteText const sameName{ownRoute.name, lotHost, "/day/", foreignService};
+  expectFinishedAfterChange({ownRoute}, {{"renamed", routedHost, routedPrefix, ownService}}, removeIdentity);
+  RouteText const sameName{ownRoute.name, routedHost, "/day/", foreignService};
   expectFinishedAfterChange({sameName, ownRoute}, {sameName, ownRoute}, removeIdentity);
 }
 // Guards against items sent under one name of their route and answered under another counted for two routes.
@@ -274,16 +275,17 @@
   cluster.runFor(Ms(100));
   cluster.submit();
   CHECK(cluster.runUntil([&] { return cluster.own.started > 0; }));
-  cluster.configure({{"renamed", lotHost, lotPrefix, ownService}});
+  cluster.configure({{"renamed", routedHost, routedPrefix, ownService}});
   cluster.runFor(Ms(200));
   cluster.release();
   cluster.runToEnd();
   CHECK(cluster.runUntil([&] {
     vector<VersionTally> const all = cluster.evidence.all();
-    return std::any_of(all.begin(), all.end(), [](VersionTally const& tally) { return tally.succeeded >= itemCount; });
+    return std::any_of(all.begin(), all.end(),
+                       [](VersionTally const& tally) { return tally.succeeded >= routedItemCount; });
   }));
   LONGS_EQUAL(1, cluster.evidence.all().size());
-  LONGS_EQUAL(itemCount, cluster.evidence.all().front().sent);
+  LONGS_EQUAL(routedItemCount, cluster.evidence.all().front().sent);
 }
 // Guards against items that wait for a route that is gone, or run as another route has its name.
 TEST(lotRoutes, itemsOfARemovedRouteAreGivenUp) {
@@ -296,21 +298,21 @@
     cluster.runFor(cluster.settings.bounds.applyWithin);
     cluster.release();
     cluster.runToEnd();
-    LONGS_EQUAL(itemCount - started, cluster.count(false));
+    LONGS_EQUAL(routedItemCount - started, cluster.count(false));
     LONGS_EQUAL(started, cluster.own.started);
     LONGS_EQUAL(0, cluster.foreign.started);
   }
 }
 // Guards against items given up by a store whose configuration is older than the one under which their lot was taken.
 TEST(lotRoutes, itemsWaitForTheConfigurationUnderWhichTheirLotWasTaken) {
-  OneStoreCluster cluster({{"day", lotHost, "/day/", foreignService}});
+  OneStoreCluster cluster({{"day", routedHost, "/day/", foreignService}});
   cluster.release();
   cluster.submit([&](LotRecord& lot) { lot.configurationVersion = cluster.version + 1; });
   cluster.runFor(3 * cluster.settings.bounds.applyWithin);
   LONGS_EQUAL(0, cluster.results().size());
   cluster.configure({ownRoute});
   cluster.runToEnd();
-  LONGS_EQUAL(itemCount, cluster.count(true));
+  LONGS_EQUAL(routedItemCount, cluster.count(true));
   LONGS_EQUAL(0, cluster.foreign.started);
 }
 // Guards against queued items that no service's demand holds, so that no workers are ordered for them.
@@ -318,7 +320,7 @@
   OneStoreCluster cluster({ownRoute});
   cluster.submit();
   CHECK(cluster.runUntil([&] { return cluster.backlogOf(ownService) > 0; }));
-  cluster.configure({{ownRoute.name, lotHost, lotPrefix, foreignService}});
+  cluster.configure({{ownRoute.name, routedHost, routedPrefix, foreignService}});
   CHECK(cluster.runUntil([&] { return cluster.backlogOf(foreignService) > 0; }));
   DOUBLES_EQUAL(0, cluster.backlogOf(ownService), 0);
 }
--- a/tests/updates/version_tallies_test.cpp
+++ b/tests/updates/version_tallies_test.cpp
@@ -6,7 +6,7 @@
 using namespace tealshelf;
 
 namespace {
-constexpr int controlPort = 17438;
+constexpr int viewControlPort = 17438;
 
 /// The view of a data-plane node during a rollout, and a control node that collects the tallies that it reports.
 struct ReportingView {
@@ -37,7 +37,7 @@
     made.ip = loopbackOfThisProcess();
     made.zone = "z";
     made.firstInternalPort = 17430;
-    made.seeds = {{made.ip, controlPort}};
+    made.seeds = {{made.ip, viewControlPort}};
     made.bounds.inTouch = Ms(400);
     return made;
   }
