lots: a question about lots under an unknown host creates no keyspace

Cause: LotCoordinator::forward created the keyspace `lots/HOST` for any request, before anything was checked. A keyspace is owned, voted on, synced by all members, sent in each heartbeat and visited in each tick, and read back after a restart. Each host that anybody asked for thus made heartbeats and ticks dearer for good, until no ownership was confirmed in time. The same by DELETE and by `GET /items/ID`; a confirmation or a proposal for a keyspace that isn't there created it too.

Change: only a new lot, whose route an edge has found in its configuration, creates a keyspace. Any other request for a keyspace that this node doesn't have asks the members which of the keyspaces in question they store entries of (KeyspaceSurvey). Each committed record is stored by a majority, so when a majority stores none, no lot was accepted and the answer is "unknown"; when one does, the keyspace is added and the request goes to its owner as before. Lots of a newer edge and lots whose route was removed are found as before. Questions share the calls of a round, and a bounded number of them waits.

--- a/consensus/consensus.cpp
+++ b/consensus/consensus.cpp
@@ -170,6 +170,11 @@
   return found != keyspaces_.end() && found->second.phase == OwnershipPhase::owner;
 }
 
+bool Consensus::storesEntriesOf(string const& keyspace) const {
+  auto const found = keyspaces_.find(keyspace);
+  return found != keyspaces_.end() && !found->second.replica.entries().empty();
+}
+
 Epoch Consensus::epochOf(string const& keyspace) const {
   auto const found = keyspaces_.find(keyspace);
   return found == keyspaces_.end() ? Epoch() : found->second.epoch;
--- a/consensus/consensus.hpp
+++ b/consensus/consensus.hpp
@@ -140,6 +140,10 @@
   // Queries.
 
   bool owns(string const& keyspace) const;
+  /// True if this node has the keyspace, so that it has or will have an owner.
+  bool hasKeyspace(string const& keyspace) const { return keyspaces_.contains(keyspace); }
+  /// True if this node stores entries of a keyspace, committed or not.
+  bool storesEntriesOf(string const& keyspace) const;
   /// The epoch of this node's current or last ownership.
   Epoch epochOf(string const& keyspace) const;
   /// The committed values of a keyspace that this node knows; on the owner these are all of them.
--- a/consensus/consensus_driver.cpp
+++ b/consensus/consensus_driver.cpp
@@ -27,7 +27,8 @@
       self_(ownNodeId(settings)),
       consensus_(Member{self_, settings.nodeName, settings.ip, settings.zone, false, !settings.dataFolder.empty()},
                  timeoutsFor(settings.bounds), randomId()),
-      membership_(io, settings, rpc, *this) {
+      membership_(io, settings, rpc, *this),
+      survey_(io, settings, rpc, consensus_) {
   if (!settings.dataFolder.empty()) replayLog();
   consensus_.addKeyspace(configurationKeyspace);
   consensus_.addKeyspace(membersKeyspace);
@@ -58,6 +59,7 @@
   spawnTask(io_, "consensus tick", tickLoop());
   spawnTask(io_, "consensus heartbeat", heartbeatLoop());
   membership_.start(server);
+  survey_.start(server);
 }
 
 HeartbeatReply ConsensusDriver::receiveHeartbeat(HeartbeatMessage const& message) {
--- a/consensus/consensus_driver.hpp
+++ b/consensus/consensus_driver.hpp
@@ -1,6 +1,7 @@
 #pragma once
 #include "base/durable_log.hpp"
 #include "consensus/control_messages.hpp"
+#include "consensus/keyspace_survey.hpp"
 #include "consensus/membership_manager.hpp"
 
 namespace tealshelf {
@@ -21,6 +22,8 @@
                                 std::optional<Epoch> expectedEpoch = std::nullopt);
   /// True if a majority confirms within the limit that this node still owns the keyspace.
   Task<bool> confirmOwnership(string keyspace, Ms limit);
+  /// See KeyspaceSurvey::isHeld.
+  Task<bool> isKeyspaceHeld(string keyspace) { return survey_.isHeld(std::move(keyspace)); }
   /// Waits until everything recorded so far is synced; throws ErrorCode::diskUnavailable if the disk fails.
   Task<void> waitSynced();
 
@@ -93,6 +96,7 @@
   std::map<string, HeartbeatLink> links_;  ///< by address
   std::set<string> announcedOwnerships_;
   MembershipManager membership_;
+  KeyspaceSurvey survey_;
 };
 
 }  // namespace tealshelf
--- a/consensus/control_messages.hpp
+++ b/consensus/control_messages.hpp
@@ -76,6 +76,21 @@
   MSGPACK_DEFINE(membership, digests)
 };
 
+struct HeldKeyspacesReply {
+  NodeId from;
+  vector<string> held;  ///< those of the request of which the replying node stores entries
+  MSGPACK_DEFINE(from, held)
+};
+
+/// Asks a voting member of which keyspaces it stores entries. It rejects the call under another membership.
+struct FindHeldKeyspaces {
+  using Reply = HeldKeyspacesReply;
+  static constexpr RpcMethod method = RpcMethod::findHeldKeyspaces;
+  MembershipNumber membership;
+  vector<string> keyspaces;
+  MSGPACK_DEFINE(membership, keyspaces)
+};
+
 /// Asks for a change of the membership; forwarded to the owner of the members keyspace.
 struct MembershipChangeRequest {
   using Reply = Acknowledgement;
--- a/consensus/ownership.cpp
+++ b/consensus/ownership.cpp
@@ -133,7 +133,8 @@
 }
 
 void Consensus::relinquish(string const& keyspace) {
-  stepDown(keyspaces_[keyspace]);
+  auto const found = keyspaces_.find(keyspace);
+  if (found != keyspaces_.end()) stepDown(found->second);
 }
 
 bool Consensus::setIneligibleAsOwner(bool ineligible) {
--- a/consensus/replication.cpp
+++ b/consensus/replication.cpp
@@ -11,13 +11,14 @@
 
 OperationId Consensus::propose(string const& name, vector<KeyChange> changes, TimePoint now,
                                std::optional<Epoch> expectedEpoch) {
-  KeyspaceState& keyspace = keyspaces_[name];
   OperationId const operation = ++lastOperation_;
-  bool const epochChanged = expectedEpoch && *expectedEpoch != keyspace.epoch;
-  if (keyspace.phase != OwnershipPhase::owner || !mayVote() || epochChanged) {
+  auto const found = keyspaces_.find(name);
+  bool const epochChanged = expectedEpoch && *expectedEpoch != epochOf(name);
+  if (found == keyspaces_.end() || found->second.phase != OwnershipPhase::owner || !mayVote() || epochChanged) {
     finish(operation, OperationResult::notOwner);
     return operation;
   }
+  KeyspaceState& keyspace = found->second;
   PendingWrite write;
   write.operation = operation;
   write.first = keyspace.nextSequence;
@@ -31,12 +32,13 @@
 }
 
 OperationId Consensus::confirmOwnership(string const& name, TimePoint now) {
-  KeyspaceState& keyspace = keyspaces_[name];
   OperationId const operation = ++lastOperation_;
-  if (keyspace.phase != OwnershipPhase::owner || !mayVote()) {
+  auto const found = keyspaces_.find(name);
+  if (found == keyspaces_.end() || found->second.phase != OwnershipPhase::owner || !mayVote()) {
     finish(operation, OperationResult::notOwner);
     return operation;
   }
+  KeyspaceState& keyspace = found->second;
   PendingRead read;
   read.round = ++lastRound_;
   read.operation = operation;
--- a/lots/coordination/lot_coordinator.cpp
+++ b/lots/coordination/lot_coordinator.cpp
@@ -29,6 +29,8 @@
   server.on<StoreHeartbeat>([this](StoreHeartbeat heartbeat) { return receiveHeartbeat(std::move(heartbeat)); });
   server.on<FenceStore>([this](FenceStore request) { return fence(std::move(request)); });
   server.on<CountRelyingLots>([this](CountRelyingLots request) -> Task<CountRelyingLotsReply> {
+    bool const mayHave = co_await mayHaveLots(request.host);
+    if (!mayHave) co_return CountRelyingLotsReply{};
     std::optional<CountRelyingLotsReply> const forwarded = co_await forward(request.host, request);
     if (forwarded) co_return *forwarded;
     std::uint64_t const lots = co_await countRelyingInKeyspace(request.host, request.store);
@@ -48,9 +50,16 @@
   return owned;
 }
 
+Task<bool> LotCoordinator::mayHaveLots(string host) {
+  string const keyspace = keyspaceOf(host);
+  if (driver_.consensus().hasKeyspace(keyspace)) co_return true;
+  bool const isHeld = co_await driver_.isKeyspaceHeld(keyspace);
+  if (isHeld) driver_.consensus().addKeyspace(keyspace);
+  co_return isHeld;
+}
+
 template <class Request>
 Task<std::optional<typename Request::Reply>> LotCoordinator::forward(string const& host, Request request) {
-  driver_.consensus().addKeyspace(keyspaceOf(host));
   Ms const half = settings_.bounds.inTouch / 2;
   return forwardToOwner(driver_, rpc_, settings_.ip, keyspaceOf(host), std::move(request),
                         ForwardLimits{half, half, 2 * half});
@@ -138,6 +147,8 @@
 }
 
 Task<OpenLotReply> LotCoordinator::open(OpenLot request) {
+  // The edge node found the lot's route in its configuration, which may be newer than the one known here.
+  driver_.consensus().addKeyspace(keyspaceOf(request.lot.host));
   std::optional<OpenLotReply> const forwarded = co_await forward(request.lot.host, request);
   if (forwarded) co_return *forwarded;
   LotKey const key = request.lot.key();
@@ -195,6 +206,8 @@
 }
 
 Task<Acknowledgement> LotCoordinator::accept(AcceptLot request) {
+  bool const mayHave = co_await mayHaveLots(request.host);
+  if (!mayHave) throw Error(ErrorCode::lotUnknown);
   std::optional<Acknowledgement> const forwarded = co_await forward(request.host, request);
   if (forwarded) co_return *forwarded;
   LotKey const key = request.key();
@@ -212,6 +225,8 @@
 }
 
 Task<FindLotReply> LotCoordinator::find(FindLot request) {
+  bool const mayHave = co_await mayHaveLots(request.host);
+  if (!mayHave) co_return FindLotReply{};
   std::optional<FindLotReply> const forwarded = co_await forward(request.host, request);
   if (forwarded) co_return *forwarded;
   co_await confirmOwnership(request.host);
@@ -221,6 +236,8 @@
 }
 
 Task<FindLotReply> LotCoordinator::end(EndLot request) {
+  bool const mayHave = co_await mayHaveLots(request.host);
+  if (!mayHave) co_return FindLotReply{};
   std::optional<FindLotReply> const forwarded = co_await forward(request.host, request);
   if (forwarded) co_return *forwarded;
   LotKey const key = request.key();
--- a/lots/coordination/lot_coordinator.hpp
+++ b/lots/coordination/lot_coordinator.hpp
@@ -85,6 +85,9 @@
   bool mayBeAccepted(LotKey const& key, Ms within) const;
 
   // Records.
+  /// False if no lot was accepted under a host. Unlike a new lot, a request about one doesn't create the keyspace of
+  /// its host: clients choose the hosts they ask for. Throws ErrorCode::noQuorum or ErrorCode::busy if that is unknown.
+  Task<bool> mayHaveLots(string host);
   /// Forwards a request to the owner of the host's keyspace; no reply if that is this node.
   template <class Request>
   Task<std::optional<typename Request::Reply>> forward(string const& host, Request request);
--- a/wire/rpc.hpp
+++ b/wire/rpc.hpp
@@ -13,6 +13,7 @@
   copyAll = 4,
   join = 5,
   updates = 6,
+  findHeldKeyspaces = 7,
   forwardCall = 10,
   compareRegistry = 12,
   storeHeartbeat = 20,
