lots: a control node forgets lots that have no record

Seen before: under the flood by `DELETE /lots/ID` control nodes grew to 113 to 124 MB, more than under the same flood of reads (the users' table). Seen by a caller: nothing at once; memory that an outsider's calls fill for good, until the process ends.

Cause: LotCoordinator keeps a status for each lot it is asked to lock: `end` and `accept` before they know that there is such a lot, `open` before the lot is refused. A status was dropped only by the owner, when it deleted the record. So those of lots that never had a record stayed, and at the other control nodes those of all lots whose progress stores report.

Every inTouch / 4 the statuses (and ages) of lots without a record are dropped, unless one is being changed, or was opened so recently that it may still be accepted. Two gauges tell: `tealshelf_control_tracked_lots` and `tealshelf_control_keyspaces`.

--- a/control/control_metrics.cpp
+++ b/control/control_metrics.cpp
@@ -13,6 +13,9 @@
       hasMajority_(metrics().gauge("tealshelf_control_has_majority", "1 while a majority is heard.")),
       keyspacesOwned_(metrics().gauge("tealshelf_control_keyspaces_owned", "Keyspaces that this node owns.")),
       recoveries_(metrics().gauge("tealshelf_control_recoveries", "Recoveries of lots that are under way.")),
+      trackedLots_(metrics().gauge("tealshelf_control_tracked_lots",
+                                   "Lots that this node keeps state of in memory beside their records.")),
+      keyspaces_(metrics().gauge("tealshelf_control_keyspaces", "Keyspaces that this node has, idle ones included.")),
       lotsOpening_(lotsIn("opening")),
       lotsAccepted_(lotsIn("accepted")),
       lotsEnded_(lotsIn("ended")),
@@ -43,6 +46,8 @@
   hasMajority_.setCount(driver.inContactWithMajority());
   keyspacesOwned_.setCount(owned);
   recoveries_.setCount(lots.activeRecoveries());
+  trackedLots_.setCount(lots.trackedLots());
+  keyspaces_.setCount(consensus.keyspaces().size());
   show(counts);
 }
 
--- a/control/control_metrics.hpp
+++ b/control/control_metrics.hpp
@@ -20,7 +20,7 @@
   };
   void show(LotCounts const& counts);
 
-  Gauge members_, hasMajority_, keyspacesOwned_, recoveries_;
+  Gauge members_, hasMajority_, keyspacesOwned_, recoveries_, trackedLots_, keyspaces_;
   Gauge lotsOpening_, lotsAccepted_, lotsEnded_, lotsBelowCopies_;
 };
 
--- a/lots/coordination/lot_coordinator.cpp
+++ b/lots/coordination/lot_coordinator.cpp
@@ -77,6 +77,10 @@
   return deserialize<LotRecord>(record->second);
 }
 
+bool LotCoordinator::hasRecord(LotKey const& key) const {
+  return driver_.consensus().committedValues(keyspaceOf(key.host)).contains(key.id);
+}
+
 /// Checks the invariants between the last committed record of a lot and its successor.
 void LotCoordinator::checkRecordChange(LotRecord const& next) const {
   std::set<NodeId> holders;
@@ -211,6 +215,7 @@
   std::optional<Acknowledgement> const forwarded = co_await forward(request.host, request);
   if (forwarded) co_return *forwarded;
   LotKey const key = request.key();
+  if (!hasRecord(key)) throw Error(ErrorCode::lotUnknown);
   AsyncMutex::Lock const held = co_await lock(key);
   Epoch const epoch = driver_.consensus().epochOf(keyspaceOf(key.host));
   std::optional<LotRecord> lot = load(key);
@@ -241,6 +246,9 @@
   std::optional<FindLotReply> const forwarded = co_await forward(request.host, request);
   if (forwarded) co_return *forwarded;
   LotKey const key = request.key();
+  // The lock of a lot is part of its state here, which a lot that doesn't exist must not get.
+  if (!hasRecord(key)) co_await confirmOwnership(key.host);
+  if (!hasRecord(key)) co_return FindLotReply{};
   AsyncMutex::Lock const held = co_await lock(key);
   // The records of a node that lost its ownership may be outdated, so ownership is confirmed before the record is read.
   co_await confirmOwnership(key.host);
--- a/lots/coordination/lot_coordinator.hpp
+++ b/lots/coordination/lot_coordinator.hpp
@@ -34,6 +34,8 @@
   static string keyspaceOf(string const& host);
   static bool isLotKeyspace(string const& keyspace) { return keyspace.starts_with(keyspaceOf("")); }
   std::size_t activeRecoveries() const { return recoveries_; }
+  /// Lots that this node keeps state of in memory beside their records.
+  std::size_t trackedLots() const { return lots_.size(); }
   /// JSON report of the lots in owned keyspaces whose recovery keeps failing, with the reason and the time since.
   string waitingLotsJson() const;
 
@@ -94,6 +96,7 @@
   /// Throws ErrorCode::noQuorum unless a majority confirms that this node owns the keyspace of a host.
   Task<void> confirmOwnership(string host);
   std::optional<LotRecord> load(LotKey const& key) const;
+  bool hasRecord(LotKey const& key) const;
   void checkRecordChange(LotRecord const& next) const;
   /// Commits a record under the epoch in which the previous one was read, so that no change in between is overwritten.
   /// Returns false if the record isn't known to be committed.
@@ -151,8 +154,10 @@
   };
   /// Deletes expired records of lots, starts recoveries, and adds to the count of copies.
   Task<void> maintainKeyspace(string keyspace, CopyCount& copies);
-  /// Drops the in-memory state of lots whose records were deleted.
-  void forget(string const& host, vector<KeyChange> const& deletions);
+  /// Drops the in-memory state of lots without a record: those that were refused or not accepted, and those whose
+  /// record the owner, here or elsewhere, has deleted.
+  void forgetLotsWithoutRecord(TimePoint now);
+  static bool isChanging(LotStatus const& status);
   bool isDeletable(LotRecord const& lot, LotStatus const& status, TimePoint now) const;
   RecoveryNeed recoveryNeedOf(LotRecord const& lot, LotStatus const& status, TimePoint now) const;
   RecoveryNeed recoveryNeedOfSealed(LotRecord const& lot, LotStatus const& status, TimePoint now) const;
@@ -218,6 +223,7 @@
   Counter refusedForRoom_ =
       metrics().counter("tealshelf_lots_refused_for_room_total", "Lots refused as the stores are full.");
   TimePoint lastRepeatedWarningAt_;  ///< of any lot
+  TimePoint lastForgottenAt_;        ///< when forgetLotsWithoutRecord() last ran
   bool roomForSpares_ = true, mustTrimSpares_ = false;
   double neededCopyShare_ = 1;  ///< fraction of the copies named by records that aren't spare
   LotAges ages_;
--- a/lots/coordination/lot_upkeep.cpp
+++ b/lots/coordination/lot_upkeep.cpp
@@ -11,6 +11,8 @@
 constexpr std::size_t maxPauseDoublings = 4;
 /// Limit of lots in a report of waiting lots.
 constexpr std::size_t maxReportedLots = 200;
+/// The in-memory state of lots without a record is dropped after each of these parts of inTouch.
+constexpr int forgettingDivisor = 4;
 }  // namespace
 
 Task<void> LotCoordinator::upkeepLoop() {
@@ -23,6 +25,7 @@
     for (string const& keyspace : keyspaces)
       if (driver_.consensus().owns(keyspace)) co_await maintainKeyspace(keyspace, copies);
     recoveryMetrics_.endCount();
+    forgetLotsWithoutRecord(Clock::now());
     // The spare copies of lots that other nodes own aren't known here, so none are assumed.
     bool const ownsAll = keyspaces.size() == countLotKeyspaces();
     neededCopyShare_ =
@@ -57,19 +60,22 @@
   startRecoveries(std::move(pending));
   if (deletions.empty()) co_return;
   co_await driver_.propose(keyspace, deletions);
-  forget(keyspace.substr(keyspaceOf("").size()), deletions);
 }
 
-void LotCoordinator::forget(string const& host, vector<KeyChange> const& deletions) {
-  for (KeyChange const& deletion : deletions) {
-    LotKey const key{host, deletion.key};
-    auto const status = lots_.find(key);
-    bool const inUse = status != lots_.end() &&
-                       (status->second.recovering || (status->second.mutex && status->second.mutex->locked()));
-    if (inUse || load(key)) continue;
-    if (status != lots_.end()) lots_.erase(status);
+bool LotCoordinator::isChanging(LotStatus const& status) {
+  return status.recovering || (status.mutex && status.mutex->locked());
+}
+
+void LotCoordinator::forgetLotsWithoutRecord(TimePoint now) {
+  if (now - lastForgottenAt_ < settings_.bounds.inTouch / forgettingDivisor) return;
+  lastForgottenAt_ = now;
+  std::erase_if(lots_, [this, now](auto const& item) {
+    auto const& [key, status] = item;
+    bool const mayBeOpened = now - status.openedAt <= settings_.bounds.inTouch;
+    if (mayBeOpened || isChanging(status) || hasRecord(key)) return false;
     ages_.forget(key);
-  }
+    return true;
+  });
 }
 
 std::size_t LotCoordinator::countLotKeyspaces() const {
@@ -78,8 +84,7 @@
 }
 
 bool LotCoordinator::isDeletable(LotRecord const& lot, LotStatus const& status, TimePoint now) const {
-  bool const changing = status.recovering || (status.mutex && status.mutex->locked());
-  if (changing) return false;
+  if (isChanging(status)) return false;
   Ms const age = ages_.atLeast(lot.key(), now);
   if (lot.state == LotState::opening)
     return age > 4 * settings_.bounds.confirmWithin && !mayBeAccepted(lot.key(), settings_.bounds.inTouch);
