rollouts: a question creates no keyspace where there are no rollouts

Found by following what else a question makes the control nodes keep: `GET /rollouts/SERVICE` added the keyspace `rollouts` for good in a deployment that doesn't roll out, and so did an order that is refused as its service is unknown. Callers saw 404 either way; all control nodes own, sync and send heartbeats about one more keyspace, also after a restart.

Cause: the handler added it for each call, before anything was checked.

Change: a question looks for the keyspace as one about lots does (ConsensusDriver::findKeyspace, which the lots use now too), and is answered with 404 if a majority has none. An order uses it; it stays once it has an entry.

--- a/consensus/consensus_driver.cpp
+++ b/consensus/consensus_driver.cpp
@@ -172,6 +172,13 @@
   co_return result == OperationResult::committed;
 }
 
+Task<bool> ConsensusDriver::findKeyspace(string keyspace) {
+  if (consensus_.isActive(keyspace, Clock::now())) co_return true;
+  bool const isHeld = co_await survey_.isHeld(keyspace);
+  if (isHeld) consensus_.useKeyspace(keyspace, Clock::now());
+  co_return isHeld;
+}
+
 Task<void> ConsensusDriver::waitSynced() {
   if (log_) co_await log_->waitSynced();
 }
--- a/consensus/consensus_driver.hpp
+++ b/consensus/consensus_driver.hpp
@@ -22,8 +22,9 @@
                                 std::optional<Epoch> expectedEpoch = std::nullopt);
   /// True if a majority confirms within the limit that this node still owns the keyspace.
   Task<bool> confirmOwnership(string keyspace, Ms limit);
-  /// See KeyspaceSurvey::isHeld.
-  Task<bool> isKeyspaceHeld(string keyspace) { return survey_.isHeld(std::move(keyspace)); }
+  /// Has a keyspace on this node if it is active here or other members store entries of it; false if it has none. Never
+  /// creates one that has no entries. Throws as KeyspaceSurvey::isHeld does.
+  Task<bool> findKeyspace(string keyspace);
   /// Waits until everything recorded so far is synced; throws ErrorCode::diskUnavailable if the disk fails.
   Task<void> waitSynced();
 
--- a/control/rollout_handler.cpp
+++ b/control/rollout_handler.cpp
@@ -44,7 +44,8 @@
     order = parseRolloutOrder(call.body);
   else
     service = idInPath(call.path, collectionPath + "/");
-  driver_.consensus().addKeyspace(rolloutsKeyspace);
+  bool const hasRollouts = co_await findRollouts(isOrder);
+  if (!hasRollouts) throw Error(ErrorCode::unknownRollout, service);
   TimePoint const end = Clock::now() + Ms(call.budgetMs);
   std::optional<CallReply> const forwarded = co_await keyspace_.forward(call);
   if (forwarded) co_return *forwarded;
@@ -56,6 +57,13 @@
   co_return CallReply{200, rolloutAsJson(record->second)};
 }
 
+/// A question creates no keyspace; neither does an order keep one that it adds nothing to.
+Task<bool> RolloutHandler::findRollouts(bool isOrder) {
+  if (!isOrder) co_return co_await driver_.findKeyspace(rolloutsKeyspace);
+  driver_.consensus().useKeyspace(rolloutsKeyspace, Clock::now());
+  co_return true;
+}
+
 Task<CallReply> RolloutHandler::acceptOrder(RolloutOrder order, TimePoint end) {
   std::optional<std::set<string>> const known = services();
   if (!known) throw Error(ErrorCode::notReady, "there is no configuration yet");
--- a/control/rollout_handler.hpp
+++ b/control/rollout_handler.hpp
@@ -35,6 +35,8 @@
     Ms elapsed{0};  ///< time since the order, at that moment
     TimePoint at;
   };
+  /// False for a question if there are no rollouts.
+  Task<bool> findRollouts(bool isOrder);
   Task<CallReply> acceptOrder(RolloutOrder order, TimePoint end);
   Task<void> decideLoop();
   Task<void> decide();
--- a/lots/coordination/lot_coordinator.cpp
+++ b/lots/coordination/lot_coordinator.cpp
@@ -51,11 +51,7 @@
 }
 
 Task<bool> LotCoordinator::mayHaveLots(string host) {
-  string const keyspace = keyspaceOf(host);
-  if (driver_.consensus().isActive(keyspace, Clock::now())) co_return true;
-  bool const isHeld = co_await driver_.isKeyspaceHeld(keyspace);
-  if (isHeld) driver_.consensus().useKeyspace(keyspace, Clock::now());
-  co_return isHeld;
+  return driver_.findKeyspace(keyspaceOf(host));
 }
 
 template <class Request>
--- a/tests/lots/tracked_lots_test.cpp
+++ b/tests/lots/tracked_lots_test.cpp
@@ -1,3 +1,4 @@
+#include "tests/gauge_value.hpp"
 #include "tests/lots/store_fleet.hpp"
 
 using namespace tealshelf;
@@ -7,13 +8,6 @@
 /// Tokens of a lot of StoreFleet, so that a second one is refused.
 constexpr std::uint64_t oneLotsTokens = 10;
 
-/// The value of a gauge without labels; -1 if there is none.
-double gaugeValue(string const& name) {
-  for (string const& line : split(metrics().text(), '\n'))
-    if (line.starts_with(name + " ")) return std::stod(line.substr(name.size() + 1));
-  return -1;
-}
-
 double trackedLots() {
   return gaugeValue("tealshelf_control_tracked_lots");
 }
