lots: a tenant's lots are limited by its rate

Seen: a tenant with `ratePerS` 20 whose peers submit 2,000 lots of one item a second gets none refused for it (users' table: 22 times 202, 23,600 times 503, no 429).

Cause: nothing counted submissions. Each took a majority write, a replica on each holder and a second write, and left a record for minutes.

Change: the owner of the host's keyspace counts a new lot against its tenant's `ratePerS` and `burst`, apart from the tenant's other requests, of which none is refused for it. It does so where a refusal is known to be true: a lot that was accepted is acknowledged again, one that may still be accepted isn't refused.

--- a/control/control_node.cpp
+++ b/control/control_node.cpp
@@ -61,6 +61,12 @@
   capacity_.configuration = [this] { return configuration_.published(); };
   capacity_.loads = [this] { return usage_.loads(); };
   capacity_.isRollingOut = [this](string const& service) { return rollouts_.isUnderWay(service); };
+  lots_.findTenant = [this](string const& name) -> std::optional<Tenant> {
+    std::shared_ptr<Configuration const> const configuration = configuration_.published();
+    Tenant const* const tenant = configuration ? configuration->findTenant(name) : nullptr;
+    if (!tenant) return std::nullopt;
+    return *tenant;
+  };
   lots_.retiringStores = [this] { return RetirementHandler::retiringStores(driver_.consensus()); };
   std::size_t const neededCopies = static_cast<std::size_t>(settings.surviveMachines) + 1;
   sampler_ = metrics().sample([this, neededCopies] { metrics_.sample(driver_, lots_, neededCopies); });
--- a/lots/api/lot_api.cpp
+++ b/lots/api/lot_api.cpp
@@ -44,6 +44,12 @@
          error.code() == ErrorCode::lotUnreadable;
 }
 
+/// True for an error by which the coordinator promises that no item of a submitted lot runs.
+bool isRefusal(Error const& error) {
+  return error.code() == ErrorCode::lotOverQuota || error.code() == ErrorCode::rateExceeded ||
+         error.code() == ErrorCode::storesFull;
+}
+
 void writeText(rapidjson::Writer<rapidjson::StringBuffer>& writer, char const* name, string const& value) {
   writer.Key(name);
   writer.String(value.data(), static_cast<rapidjson::SizeType>(value.size()));
@@ -157,7 +163,7 @@
     co_await place(std::move(request), std::move(serializedItems));
   } catch (Error const& error) {
     // These errors are raised before anything is recorded, so the client may safely submit the lot again.
-    if (error.code() == ErrorCode::lotOverQuota || error.code() == ErrorCode::storesFull) {
+    if (isRefusal(error)) {
       HttpReply answer = errorReply(error);
       answer.headers.emplace_back("Retry-After", "0.5");
       co_return answer;
--- a/lots/coordination/lot_coordinator.cpp
+++ b/lots/coordination/lot_coordinator.cpp
@@ -131,6 +131,12 @@
   return !opening_.contains(lot.key());
 }
 
+void LotCoordinator::checkRate(LotRecord const& lot) {
+  if (lot.tenant.empty() || !findTenant) return;
+  std::optional<Tenant> const tenant = findTenant(lot.tenant);
+  if (tenant && !rates_.take(*tenant, Clock::now())) throw Error(ErrorCode::rateExceeded, lot.tenant);
+}
+
 void LotCoordinator::checkQuota(LotRecord const& lot, std::uint64_t maxQueuedTokens) const {
   if (!maxQueuedTokens) return;
   std::uint64_t queuedTokens = 0;
@@ -164,6 +170,8 @@
   std::set<NodeId> const excluded(request.excluded.begin(), request.excluded.end());
   std::optional<Error> refusal;
   try {
+    // A further attempt at a lot that is being opened was counted before.
+    if (!known) checkRate(lot);
     checkQuota(lot, request.maxQueuedTokens);
     lot.holders = chooseForNewLot(lot, excluded, static_cast<double>(request.itemBytes));
   } catch (Error const& error) {
--- a/lots/coordination/lot_coordinator.hpp
+++ b/lots/coordination/lot_coordinator.hpp
@@ -9,6 +9,7 @@
 #include "lots/coordination/recovery_metrics.hpp"
 #include "lots/coordination/replica_rules.hpp"
 #include "lots/coordination/store_placement.hpp"
+#include "lots/coordination/submission_rates.hpp"
 #include "lots/coordination/waiting_lots.hpp"
 #include "lots/execution/lot_ages.hpp"
 #include "lots/messages.hpp"
@@ -26,6 +27,8 @@
 
   /// Returns the names of the stores that are being drained.
   std::function<std::set<string>()> retiringStores;
+  /// Returns a tenant of the configuration in force; nothing if there is none of that name.
+  std::function<std::optional<Tenant>(string const& name)> findTenant;
   /// Stores with a recent heartbeat that accept new replicas.
   vector<StoreRef> liveStores(TimePoint now) const;
   bool isKnownStore(string const& name) const;
@@ -78,6 +81,8 @@
   Task<Acknowledgement> accept(AcceptLot request);
   Task<FindLotReply> find(FindLot request);
   Task<FindLotReply> end(EndLot request);
+  /// Counts a new lot against its tenant's rate limit; throws ErrorCode::rateExceeded if it is over that.
+  void checkRate(LotRecord const& lot);
   /// Throws ErrorCode::lotOverQuota if a lot would exceed the limit of tokens queued on its route.
   void checkQuota(LotRecord const& lot, std::uint64_t maxQueuedTokens) const;
   /// Chooses the holders of a new lot; throws ErrorCode::storesFull or ErrorCode::noStores.
@@ -218,6 +223,7 @@
   std::map<LotKey, LotStatus> lots_;
   std::map<LotKey, OpeningLot> opening_;
   std::map<string, Epoch> knownEpochs_;  ///< by owned keyspace, as of the last heartbeat
+  SubmissionRates rates_;
   std::size_t recoveries_ = 0;
   RecoveryMetrics recoveryMetrics_;
   Counter refusedForRoom_ =
--- /dev/null
+++ b/lots/coordination/submission_rates.hpp
@@ -0,0 +1,34 @@
+#pragma once
+#include "configuration/configuration.hpp"
+
+namespace tealshelf {
+
+/// Counts the lots that tenants submit against their rate limits, apart from their other requests.
+///
+/// A tenant may submit as many lots as one second of its rate and its burst allow at once. The owner of a host's
+/// keyspace counts; another owner begins anew. Does no I/O.
+class SubmissionRates {
+ public:
+  /// Counts a lot; false if it is over the tenant's limit, and then it isn't counted.
+  bool take(Tenant const& tenant, TimePoint now) {
+    if (!tenant.isLimited()) return true;
+    double const depth = tenant.ratePerSecond + tenant.burst;
+    auto const [found, isNew] = buckets_.try_emplace(tenant.name, Bucket{depth, now});
+    Bucket& bucket = found->second;
+    double const elapsedSeconds = std::chrono::duration<double>(now - bucket.refilledAt).count();
+    bucket.left = std::min(depth, bucket.left + elapsedSeconds * tenant.ratePerSecond);
+    bucket.refilledAt = now;
+    if (bucket.left < 1) return false;
+    --bucket.left;
+    return true;
+  }
+
+ private:
+  struct Bucket {
+    double left = 0;  ///< lots that may be submitted now
+    TimePoint refilledAt;
+  };
+  std::map<string, Bucket> buckets_;  ///< by tenant
+};
+
+}  // namespace tealshelf
