--- a/tests/lots/store_fleet.hpp
+++ b/tests/lots/store_fleet.hpp
@@ -1,6 +1,7 @@
 #pragma once
 #include "control/control_node.hpp"
 #include "lots/store_node.hpp"
+#include "tests/wire/loopback.hpp"
 
 #include <CppUTest/TestHarness.h>
 #include <filesystem>
@@ -147,14 +148,19 @@
     bool halted = false;
   };
 
+  /// Differs by process, as test groups run in parallel.
+  static string ipOf(std::size_t number) {
+    string const own = loopbackOfThisProcess();
+    return "127." + std::to_string(40 + number) + own.substr(own.find('.', own.find('.') + 1));
+  }
   Settings settingsOf(string const& name, std::size_t number) const {
     Settings settings;
     settings.nodeName = name;
-    settings.ip = "127.0.0." + std::to_string(60 + number);
+    settings.ip = ipOf(number);
     settings.zone = "zone-" + std::to_string(number % 3);
     settings.firstInternalPort = firstPort_;
     settings.control = {settings.ip, firstPort_ + 8};
-    settings.seeds = {{"127.0.0.60", firstPort_ + 8}};
+    settings.seeds = {{ipOf(0), firstPort_ + 8}};
     settings.firstBoot = true;
     settings.reportEvery = Ms(20000);
     settings.bounds.inTouch = Ms(2400);
