lots: a tenant with a low rate may submit lots

Found by reading once more, before it landed: its bucket held `ratePerS` + `burst` lots, so that a tenant with less than one of both together could never submit a lot, and one that keeps lots waiting for room used its bucket up by their retries. Nobody saw it.

Change: the bucket holds what the rule on requests allows in a window, its margin included, and at least one; it is refilled at the rate as before.

--- a/lots/coordination/lot_coordinator.hpp
+++ b/lots/coordination/lot_coordinator.hpp
@@ -223,7 +223,7 @@
   std::map<LotKey, LotStatus> lots_;
   std::map<LotKey, OpeningLot> opening_;
   std::map<string, Epoch> knownEpochs_;  ///< by owned keyspace, as of the last heartbeat
-  SubmissionRates rates_;
+  SubmissionRates rates_{settings_.bounds};
   std::size_t recoveries_ = 0;
   RecoveryMetrics recoveryMetrics_;
   Counter refusedForRoom_ =
