lots: an item that goes back into the queue starts again

Cause: a lot's run kept a position beside the items' states ("all items before it are running or done"). An item that went back to `queued` stayed behind it and was never looked at again; only a new record of the lot put the position back.

Change: ItemQueue owns the states of a lot's items. One function changes them, and with them the order of the queue, the numbers of items and the tokens done; there is no position any more, and finishedTokens, counted beside the states, is gone as well.

--- a/lots/execution/item_execution.cpp
+++ b/lots/execution/item_execution.cpp
@@ -41,7 +41,7 @@
 }
 
 LotRoute LotRunner::routeOf(LotRun const& run, Configuration const& configuration) {
-  return findLotRoute(run.lot, run.items.empty() ? string_view() : run.items.front().record.path, configuration);
+  return findLotRoute(run.lot, run.items.size() ? string_view(run.items.record(0).path) : string_view(), configuration);
 }
 
 /// Records of older releases don't tell the prefix of their route, so it is noted under the first configuration that
@@ -82,9 +82,8 @@
   std::int64_t least = 0;
   for (auto const& [key, run] : runs_) {
     if (!isActive(*run) || run->stalled) continue;
-    while (run->nextItem < run->items.size() && run->items[run->nextItem].state != ItemState::queued) ++run->nextItem;
     // A lot without workers must not block other lots.
-    if (run->nextItem >= run->items.size() || !canRunItems(*run, now)) continue;
+    if (run->items.queued().empty() || !canRunItems(*run, now)) continue;
     std::int64_t const remaining = remainingTimeMs(run->lot, now);
     if (best && remaining >= least) continue;
     best = run;
@@ -101,8 +100,7 @@
   double wanted = 1;
   for (auto const& [key, run] : runs_) {
     if (run->abandoned || run->ended()) continue;
-    auto const unfinished = std::count_if(run->items.begin(), run->items.end(),
-                                          [](LotRun::Item const& item) { return item.state != ItemState::done; });
+    std::size_t const unfinished = run->items.unfinished();
     // Concurrency is chosen so that each lot finishes within two fifths of its time.
     std::int64_t const reserve = run->lot.dueInMs * 3 / 5;
     double const timeLeft = static_cast<double>(remainingTimeMs(run->lot, now) - reserve);
@@ -120,8 +118,7 @@
   for (auto const& [key, run] : runs_) {
     Route const* const route = configuration ? routeOf(*run, *configuration).route : nullptr;
     if (!isActive(*run) || !route) continue;
-    auto const queued = std::count_if(run->items.begin(), run->items.end(),
-                                      [](LotRun::Item const& item) { return item.state == ItemState::queued; });
+    std::size_t const queued = run->items.queued().size();
     double const left = static_cast<double>(remainingTimeMs(run->lot, now));
     double const slots = static_cast<double>(queued) * meanItemMs_ / std::max(left, meanItemMs_);
     for (TrafficShare const& share : route->shares) {
@@ -140,23 +137,23 @@
   TimePoint const now = Clock::now();
   RunPtr const run = mostUrgentRun(now);
   if (!run || !mayStartItem(*run, now)) return false;
-  std::size_t const index = run->nextItem++;
-  run->items[index].state = ItemState::running;
+  std::uint32_t const item = *run->items.queued().begin();
+  run->items.start(item);
   ++runningItems_;
-  spawnTask(io_, "item", runItem(run, index));
+  spawnTask(io_, "item", runItem(run, item));
   return true;
 }
 
-Task<void> LotRunner::runItem(RunPtr run, std::size_t index) {
+Task<void> LotRunner::runItem(RunPtr run, std::uint32_t item) {
   EventStreamReader events;
   events.data = "";
   bool over = false;
   Ms retryPause = firstRetryPause;
-  while (!over && isActive(*run) && run->items[index].state == ItemState::running) {
+  while (!over && isActive(*run) && run->items.isRunning(item)) {
     try {
-      over = co_await tryItem(run, index, events);
+      over = co_await tryItem(run, item, events);
     } catch (std::exception const& error) {
-      logWarning("lots", "lot " + run->lot.id + ": sending item " + run->items[index].record.id +
+      logWarning("lots", "lot " + run->lot.id + ": sending item " + run->items.record(item).id +
                              " to a worker failed: " + error.what());
     }
     if (over || !canRunItems(*run, Clock::now())) break;
@@ -164,7 +161,7 @@
     retryPause = std::min(retryPause * 2, settings_.bounds.step);
   }
   --runningItems_;
-  if (!over && run->items[index].state == ItemState::running) run->items[index].state = ItemState::queued;
+  if (!over) run->items.release(item);
   startItemsTimer_.cancel();
 }
 
@@ -176,8 +173,8 @@
   return *worker;
 }
 
-Task<bool> LotRunner::tryItem(RunPtr run, std::size_t index, EventStreamReader& events) {
-  ItemRecord const& item = run->items[index].record;
+Task<bool> LotRunner::tryItem(RunPtr run, std::uint32_t index, EventStreamReader& events) {
+  ItemRecord const& item = run->items.record(index);
   LotRecord const& lot = run->lot;
   std::shared_ptr<Configuration const> const configuration = view_.configuration();
   LotRoute const found = routeOf(*run, *configuration);
@@ -233,7 +230,7 @@
   if (notSent || exchange.onNewConnection()) view_.tally(worker, false);
 }
 
-Task<bool> LotRunner::readAnswer(RunPtr run, std::size_t index, Exchange& exchange, EventStreamReader& events,
+Task<bool> LotRunner::readAnswer(RunPtr run, std::uint32_t item, Exchange& exchange, EventStreamReader& events,
                                  Route const& route, TimePoint startedAt) {
   string const worker = exchange.worker().id;
   if (std::optional<WorkerLoad> const load = exchange.workerLoad()) balancer_.reportLoad(exchange.worker(), *load);
@@ -263,22 +260,18 @@
   if (status == 200) {
     double const tookMs = static_cast<double>(std::chrono::duration_cast<Ms>(Clock::now() - startedAt).count());
     meanItemMs_ += (tookMs - meanItemMs_) / 16;
-    finishItem(*run, index, true, *events.data);
+    finishItem(*run, item, true, *events.data);
     co_return true;
   }
   bool const givenUp =
-      status == 422 || (status == 500 && ++run->items[index].failures >= std::max<std::uint64_t>(1, route.tries));
-  if (givenUp) finishItem(*run, index, false, "");
+      status == 422 || (status == 500 && run->items.addFailure(item) >= std::max<std::uint64_t>(1, route.tries));
+  if (givenUp) finishItem(*run, item, false, "");
   co_return givenUp;
 }
 
-void LotRunner::finishItem(LotRun& run, std::size_t index, bool finished, string text) {
-  LotRun::Item& item = run.items[index];
-  if (item.state != ItemState::running) return;
-  item.state = ItemState::done;
-  string().swap(item.record.body);
-  run.finishedTokens += item.record.tokens;
-  run.unlistedResults.push_back({static_cast<std::uint32_t>(index), finished, std::move(text)});
+void LotRunner::finishItem(LotRun& run, std::uint32_t item, bool finished, string text) {
+  if (!run.items.finish(item)) return;
+  run.unlistedResults.push_back({item, finished, std::move(text)});
   listResultsTimer_.cancel();
 }
 
--- /dev/null
+++ b/lots/execution/item_queue.cpp
@@ -0,0 +1,60 @@
+#include "lots/execution/item_queue.hpp"
+
+namespace tealshelf {
+
+ItemQueue::ItemQueue(vector<ItemRecord> records) : items_(records.size()) {
+  for (std::uint32_t item = 0; item < items_.size(); ++item) {
+    items_[item].record = std::move(records[item]);
+    queued_.insert(item);
+  }
+}
+
+void ItemQueue::setState(std::uint32_t item, ItemState next) {
+  Item& changed = items_.at(item);
+  if (changed.state == ItemState::queued) queued_.erase(item);
+  if (changed.state == ItemState::done) {
+    --done_;
+    doneTokens_ -= changed.record.tokens;
+  }
+  changed.state = next;
+  if (next == ItemState::queued) queued_.insert(item);
+  if (next == ItemState::done) {
+    ++done_;
+    doneTokens_ += changed.record.tokens;
+  }
+}
+
+void ItemQueue::start(std::uint32_t item) {
+  if (!queued_.contains(item)) throw std::logic_error("started an item that isn't queued");
+  setState(item, ItemState::running);
+}
+
+void ItemQueue::release(std::uint32_t item) {
+  if (isRunning(item)) setState(item, ItemState::queued);
+}
+
+bool ItemQueue::finish(std::uint32_t item) {
+  if (!isRunning(item)) return false;
+  setState(item, ItemState::done);
+  string().swap(items_[item].record.body);
+  return true;
+}
+
+void ItemQueue::restore(std::set<std::uint32_t> const& withResult, std::function<vector<ItemRecord>()> const& load) {
+  bool lostResults = false;
+  for (std::uint32_t item = 0; item < items_.size(); ++item) {
+    bool const wasDone = items_[item].state == ItemState::done;
+    if (withResult.contains(item) == wasDone) continue;
+    if (!wasDone) {
+      setState(item, ItemState::done);
+      continue;
+    }
+    setState(item, ItemState::queued);
+    lostResults = true;
+  }
+  if (!lostResults) return;
+  vector<ItemRecord> records = load();
+  for (std::uint32_t item = 0; item < items_.size(); ++item) items_[item].record = std::move(records.at(item));
+}
+
+}  // namespace tealshelf
--- /dev/null
+++ b/lots/execution/item_queue.hpp
@@ -0,0 +1,56 @@
+#pragma once
+#include "segments/messages.hpp"
+
+namespace tealshelf {
+
+enum class ItemState : char { queued, running, done };
+
+/// The items of a lot at its primary: the only owner of their states.
+///
+/// What follows from the states, as the order in which items start, is kept here and changes with them. Performs no
+/// I/O.
+class ItemQueue {
+ public:
+  ItemQueue() = default;
+  /// All items are queued.
+  explicit ItemQueue(vector<ItemRecord> records);
+
+  std::size_t size() const { return items_.size(); }
+  /// The body is dropped once the item is done.
+  ItemRecord const& record(std::uint32_t item) const { return items_.at(item).record; }
+  bool isRunning(std::uint32_t item) const { return items_.at(item).state == ItemState::running; }
+  /// The queued items, in the order in which they start.
+  std::set<std::uint32_t> const& queued() const { return queued_; }
+  std::size_t running() const { return items_.size() - queued_.size() - done_; }
+  std::size_t unfinished() const { return items_.size() - done_; }
+  /// Tokens of the items that are done.
+  std::uint64_t doneTokens() const { return doneTokens_; }
+
+  /// Starts a queued item; throws std::logic_error if it isn't queued.
+  void start(std::uint32_t item);
+  /// Puts a running item back into the queue; no effect if it isn't running.
+  void release(std::uint32_t item);
+  /// Marks a running item as done; false, without effect, if it isn't running.
+  bool finish(std::uint32_t item);
+  /// Counts an answer with status 500; returns the number of them.
+  std::uint64_t addFailure(std::uint32_t item) { return ++items_.at(item).failures; }
+  /// Marks exactly the items that have a result as done, after a recovery. Items that were done and lost their result
+  /// are queued again, with the records that `load` returns; running items without a result keep running.
+  void restore(std::set<std::uint32_t> const& withResult, std::function<vector<ItemRecord>()> const& load);
+
+ private:
+  struct Item {
+    ItemRecord record;
+    ItemState state = ItemState::queued;
+    std::uint64_t failures = 0;  ///< answers with status 500
+  };
+  /// The only place at which an item changes its state.
+  void setState(std::uint32_t item, ItemState next);
+
+  vector<Item> items_;
+  std::set<std::uint32_t> queued_;
+  std::size_t done_ = 0;
+  std::uint64_t doneTokens_ = 0;
+};
+
+}  // namespace tealshelf
--- a/lots/execution/lot_run.hpp
+++ b/lots/execution/lot_run.hpp
@@ -1,23 +1,13 @@
 #pragma once
-#include "segments/messages.hpp"
+#include "lots/execution/item_queue.hpp"
 
 namespace tealshelf {
 
-enum class ItemState : char { queued, running, done };
-
 /// State of a lot that this store runs as its primary.
 struct LotRun {
-  struct Item {
-    ItemRecord record;  ///< its body is dropped once the item is done
-    ItemState state = ItemState::queued;
-    std::uint64_t failures = 0;  ///< answers with status 500
-  };
-
   LotRecord lot;
-  vector<Item> items;
-  std::size_t nextItem = 0;  ///< all items before it are running or done
+  ItemQueue items;
   std::uint64_t listedResults = 0;
-  std::uint64_t finishedTokens = 0;
   std::deque<ResultRecord> unlistedResults;  ///< results that not all holders have synced yet
   /// No item is started and no result is listed until the coordinator sends a new record.
   bool stalled = false;
@@ -33,9 +23,7 @@
   /// items or results is in progress.
   bool isFinal() const {
     if (listedResults >= items.size()) return true;
-    bool const inProgress = !unlistedResults.empty() || std::any_of(items.begin(), items.end(), [](Item const& item) {
-      return item.state == ItemState::running;
-    });
+    bool const inProgress = !unlistedResults.empty() || items.running() != 0;
     return ended() && !inProgress;
   }
   void wakeReaders() const {
--- a/lots/execution/lot_runner.cpp
+++ b/lots/execution/lot_runner.cpp
@@ -3,14 +3,6 @@
 
 namespace tealshelf {
 
-namespace {
-void loadItems(LotRun& run, Replica const& replica) {
-  vector<ItemRecord> records = deserialize<vector<ItemRecord>>(replica.items);
-  run.items.resize(records.size());
-  for (std::size_t index = 0; index < records.size(); ++index) run.items[index].record = std::move(records[index]);
-}
-}  // namespace
-
 LotRunner::LotRunner(asio::io_context& io, Settings const& settings, RpcClient& rpc, FleetView& view,
                      ReplicaStore& replicas)
     : io_(io),
@@ -41,30 +33,17 @@
 void LotRunner::run(LotRecord const& lot) {
   Replica const& replica = replicas_.table().read(lot.key(), lot.stamp);
   RunPtr& run = runs_[lot.key()];
+  auto const loadItems = [&replica] { return deserialize<vector<ItemRecord>>(replica.items); };
   if (!run) {
     run = std::make_shared<LotRun>();
-    loadItems(*run, replica);
+    run->items = ItemQueue(loadItems());
   }
   std::set<std::uint32_t> finished;
   for (string const& result : replica.results) finished.insert(deserialize<ResultRecord>(result).item);
   std::erase_if(run->unlistedResults,
                 [&finished](ResultRecord const& result) { return finished.contains(result.item); });
   for (ResultRecord const& result : run->unlistedResults) finished.insert(result.item);
-  run->finishedTokens = 0;
-  bool resultsTruncated = false;
-  for (std::uint32_t index = 0; index < run->items.size(); ++index) {
-    LotRun::Item& item = run->items[index];
-    if (finished.contains(index)) {
-      item.state = ItemState::done;
-      run->finishedTokens += item.record.tokens;
-    } else if (item.state == ItemState::done) {
-      item.state = ItemState::queued;
-      resultsTruncated = true;
-    }
-  }
-  // An item whose result the recovery truncated runs again; its body was dropped and is loaded from the replica.
-  if (resultsTruncated) loadItems(*run, replica);
-  run->nextItem = 0;
+  run->items.restore(finished, loadItems);
   string const knownPrefix = run->lot.routePrefix;
   run->lot = lot;
   if (lot.routePrefix.empty()) run->lot.routePrefix = knownPrefix;
@@ -110,7 +89,7 @@
     LotRecord const& lot = run->lot;
     if (!run->abandoned)
       heartbeat.progress.push_back(
-          {key.host, key.id, lot.stamp, run->finishedTokens, run->listedResults, run->isFinal()});
+          {key.host, key.id, lot.stamp, run->items.doneTokens(), run->listedResults, run->isFinal()});
     for (NodeId const holder : run->failedHolders) heartbeat.failures.push_back({key.host, key.id, lot.stamp, holder});
     if (run->needsSettlement) heartbeat.failures.push_back({key.host, key.id, lot.stamp, replicas_.id()});
   }
@@ -129,7 +108,7 @@
 void LotRunner::logState() const {
   std::size_t queued = 0, unlistedResults = 0, stalled = 0, incomplete = 0;
   for (auto const& [key, run] : runs_) {
-    for (LotRun::Item const& item : run->items) queued += item.state == ItemState::queued;
+    queued += run->items.queued().size();
     unlistedResults += run->unlistedResults.size();
     stalled += run->stalled;
     incomplete += run->listedResults < run->items.size();
--- a/lots/execution/result_listing.cpp
+++ b/lots/execution/result_listing.cpp
@@ -171,7 +171,7 @@
 
 ReadResultsReply LotRunner::resultsFrom(LotRun const& run, Replica const& replica, ReadResults const& request) const {
   return makeResultsPage(replica, request, {run.lot.itemCount, run.listedResults},
-                         [&run](std::uint32_t item) { return run.items.at(item).record.id; });
+                         [&run](std::uint32_t item) { return run.items.record(item).id; });
 }
 
 Task<ReadItemReply> LotRunner::readItem(ReadItem request) {
--- /dev/null
+++ b/tests/lots/lot_queue_test.cpp
@@ -0,0 +1,51 @@
+// Items that go back into the queue of their lot, or wait there, at a real store.
+#include "tests/lots/one_store_cluster.hpp"
+
+using namespace tealshelf;
+
+namespace {
+/// Removes a service's only worker while items run there.
+void loseOwnWorker(OneStoreCluster& cluster) {
+  CHECK(cluster.runUntil([&] { return cluster.own.started > 0; }));
+  cluster.own.isAway = true;
+  cluster.removeWorker("i-own");
+  cluster.runFor(Ms(400));
+  CHECK(cluster.own.started < routedItemCount);
+}
+
+/// Adds a successor of the lost worker.
+void replaceOwnWorker(OneStoreCluster& cluster) {
+  cluster.own.isAway = false;
+  cluster.release();
+  cluster.addWorker("i-successor", ownService, routedFirstPort + 9);
+  cluster.publisher.notifyAfter(Ms(1));
+}
+}  // namespace
+
+TEST_GROUP(lotQueue){};
+
+// Guards against items left behind in the queue that were under way when the last worker of their service was lost.
+TEST(lotQueue, itemsUnderWayAtALostWorkerRunAtItsSuccessor) {
+  OneStoreCluster cluster({ownRoute});
+  cluster.submit();
+  loseOwnWorker(cluster);
+  replaceOwnWorker(cluster);
+  cluster.runToEnd();
+  LONGS_EQUAL(routedItemCount, cluster.count(true));
+}
+// Guards against the same for items whose route moves to a service without workers and back.
+TEST(lotQueue, itemsRunOnceTheirRouteComesBackFromAServiceWithoutWorkers) {
+  OneStoreCluster cluster({ownRoute});
+  cluster.removeWorker("i-foreign");
+  cluster.submit();
+  CHECK(cluster.runUntil([&] { return cluster.own.started > 0; }));
+  cluster.configure({{ownRoute.name, routedHost, routedPrefix, foreignService}});
+  cluster.runFor(Ms(200));
+  cluster.own.isAway = true;
+  cluster.runFor(Ms(300));
+  cluster.own.isAway = false;
+  cluster.release();
+  cluster.configure({ownRoute});
+  cluster.runToEnd();
+  LONGS_EQUAL(routedItemCount, cluster.count(true));
+}
