lots: items without workers are given up once their time is over

Seen by a caller: with no worker for its service, a lot's items are never given up, though keepForS is over (the users' table: 6 of 60 listed after 36 s with keepForS 20); the lot stays open and its tokens stay counted against maxQueuedTokens.

Cause: only the task that sends an item gave it up, and that task needs a worker with room.

Change: queued items are given up where they lie, by a rule that doesn't know workers (give_up_rule.hpp). A log line tells how many and why, once a lot; until now nothing told the reason. A task whose item may be given up puts it back into the queue.

--- a/lots/execution/item_execution.cpp
+++ b/lots/execution/item_execution.cpp
@@ -32,8 +32,7 @@
 
 Task<void> LotRunner::startItemsLoop() {
   for (;;) {
-    while (startNextItem()) {
-    }
+    startItems();
     startItemsTimer_.expires_after(settings_.bounds.step / 8);
     error_code ignored;
     co_await startItemsTimer_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
@@ -56,12 +55,22 @@
   }
 }
 
-bool LotRunner::mayGiveUp(LotRun const& run, LotRoute const& found, TimePoint now) const {
-  Ms const age = ages_.atLeast(run.lot.key(), now);
-  // Records of older releases don't tell the version of the configuration that had the route, so this store's may be
-  // older; a route that is missing counts as removed only after a delay.
-  bool const isCertain = run.lot.configurationVersion || age > settings_.bounds.applyWithin;
-  return (found.isRemoved && isCertain) || age > Ms(run.lot.keepForMs);
+GiveUpReason LotRunner::giveUpReasonOf(LotRun const& run, TimePoint now) const {
+  return giveUpReason(run.lot, routeOf(run, *view_.configuration()), ages_.atLeast(run.lot.key(), now),
+                      settings_.bounds.applyWithin);
+}
+
+void LotRunner::giveUpItems(TimePoint now) {
+  for (auto const& [key, run] : runs_) {
+    if (!isActive(*run) || run->stalled || run->items.queued().empty()) continue;
+    GiveUpReason const reason = giveUpReasonOf(*run, now);
+    if (reason == GiveUpReason::none) continue;
+    vector<std::uint32_t> const givenUp = run->items.finishQueued();
+    for (std::uint32_t const item : givenUp) run->unlistedResults.push_back({item, false, ""});
+    listResultsTimer_.cancel();
+    logInfo("lots",
+            "lot " + run->lot.id + ": gave up " + std::to_string(givenUp.size()) + " items: " + string(textOf(reason)));
+  }
 }
 
 std::uint64_t LotRunner::slotsOf(Route const& route) const {
@@ -71,10 +80,9 @@
   return slots;
 }
 
-bool LotRunner::canRunItems(LotRun const& run, TimePoint now) const {
+bool LotRunner::canRunItems(LotRun const& run) const {
   LotRoute const found = routeOf(run, *view_.configuration());
-  if (found.isUnknown()) return mayGiveUp(run, found, now);
-  return found.isRemoved || slotsOf(*found.route) > 0;
+  return found.route && slotsOf(*found.route) > 0;
 }
 
 LotRunner::RunPtr LotRunner::mostUrgentRun(TimePoint now) const {
@@ -83,7 +91,7 @@
   for (auto const& [key, run] : runs_) {
     if (!isActive(*run) || run->stalled) continue;
     // A lot without workers must not block other lots.
-    if (run->items.queued().empty() || !canRunItems(*run, now)) continue;
+    if (run->items.queued().empty() || !canRunItems(*run)) continue;
     std::int64_t const remaining = remainingTimeMs(run->lot, now);
     if (best && remaining >= least) continue;
     best = run;
@@ -93,10 +101,7 @@
 }
 
 bool LotRunner::mayStartItem(LotRun const& next, TimePoint now) const {
-  Route const* const route = routeOf(next, *view_.configuration()).route;
-  // Items of a lot without a route are given up, which needs no worker.
-  if (!route) return true;
-  std::uint64_t const slots = slotsOf(*route);
+  std::uint64_t const slots = slotsOf(*routeOf(next, *view_.configuration()).route);
   double wanted = 1;
   for (auto const& [key, run] : runs_) {
     if (run->abandoned || run->ended()) continue;
@@ -132,9 +137,14 @@
   return list;
 }
 
-bool LotRunner::startNextItem() {
-  if (!view_.isFresh() || stopping_ || !hasLease()) return false;
-  TimePoint const now = Clock::now();
+void LotRunner::startItems() {
+  if (!view_.isFresh() || stopping_ || !hasLease()) return;
+  giveUpItems(Clock::now());
+  while (startNextItem(Clock::now())) {
+  }
+}
+
+bool LotRunner::startNextItem(TimePoint now) {
   RunPtr const run = mostUrgentRun(now);
   if (!run || !mayStartItem(*run, now)) return false;
   std::uint32_t const item = *run->items.queued().begin();
@@ -144,19 +154,25 @@
   return true;
 }
 
+bool LotRunner::mayTry(LotRun const& run, std::uint32_t item) const {
+  if (!isActive(run) || !run.items.isRunning(item)) return false;
+  return canRunItems(run) && giveUpReasonOf(run, Clock::now()) == GiveUpReason::none;
+}
+
 Task<void> LotRunner::runItem(RunPtr run, std::uint32_t item) {
   EventStreamReader events;
   events.data = "";
   bool over = false;
   Ms retryPause = firstRetryPause;
-  while (!over && isActive(*run) && run->items.isRunning(item)) {
+  while (!over && mayTry(*run, item)) {
     try {
       over = co_await tryItem(run, item, events);
     } catch (std::exception const& error) {
       logWarning("lots", "lot " + run->lot.id + ": sending item " + run->items.record(item).id +
                              " to a worker failed: " + error.what());
     }
-    if (over || !canRunItems(*run, Clock::now())) break;
+    // An item that can't be tried again goes back into the queue at once, where it waits or is given up.
+    if (over || !mayTry(*run, item)) break;
     co_await sleepFor(retryPause);
     retryPause = std::min(retryPause * 2, settings_.bounds.step);
   }
@@ -177,12 +193,7 @@
   ItemRecord const& item = run->items.record(index);
   LotRecord const& lot = run->lot;
   std::shared_ptr<Configuration const> const configuration = view_.configuration();
-  LotRoute const found = routeOf(*run, *configuration);
-  if (mayGiveUp(*run, found, Clock::now())) {
-    finishItem(*run, index, false, "");
-    co_return true;
-  }
-  Route const* const route = found.route;
+  Route const* const route = routeOf(*run, *configuration).route;
   if (!route) co_return false;
   PickRequest pick;
   pick.service = route->serviceFor(hash64(item.id));
--- a/lots/execution/item_queue.cpp
+++ b/lots/execution/item_queue.cpp
@@ -35,9 +35,19 @@
 
 bool ItemQueue::finish(std::uint32_t item) {
   if (!isRunning(item)) return false;
+  markDone(item);
+  return true;
+}
+
+vector<std::uint32_t> ItemQueue::finishQueued() {
+  vector<std::uint32_t> const finished(queued_.begin(), queued_.end());
+  for (std::uint32_t const item : finished) markDone(item);
+  return finished;
+}
+
+void ItemQueue::markDone(std::uint32_t item) {
   setState(item, ItemState::done);
   string().swap(items_[item].record.body);
-  return true;
 }
 
 void ItemQueue::restore(std::set<std::uint32_t> const& withResult, std::function<vector<ItemRecord>()> const& load) {
--- a/lots/execution/item_queue.hpp
+++ b/lots/execution/item_queue.hpp
@@ -32,6 +32,8 @@
   void release(std::uint32_t item);
   /// Marks a running item as done; false, without effect, if it isn't running.
   bool finish(std::uint32_t item);
+  /// Marks all queued items as done; returns them.
+  vector<std::uint32_t> finishQueued();
   /// Counts an answer with status 500; returns the number of them.
   std::uint64_t addFailure(std::uint32_t item) { return ++items_.at(item).failures; }
   /// Marks exactly the items that have a result as done, after a recovery. Items that were done and lost their result
@@ -46,6 +48,7 @@
   };
   /// The only place at which an item changes its state.
   void setState(std::uint32_t item, ItemState next);
+  void markDone(std::uint32_t item);
 
   vector<Item> items_;
   std::set<std::uint32_t> queued_;
--- a/lots/execution/lot_runner.hpp
+++ b/lots/execution/lot_runner.hpp
@@ -1,5 +1,6 @@
 #pragma once
 #include "duties/service_loads.hpp"
+#include "lots/execution/give_up_rule.hpp"
 #include "lots/execution/lot_ages.hpp"
 #include "lots/execution/lot_route.hpp"
 #include "lots/execution/lot_run.hpp"
@@ -63,20 +64,25 @@
 
   // Execution of items: item_execution.cpp.
   Task<void> startItemsLoop();
+  /// Gives up the queued items that may be given up, and starts as many others as may run.
+  void startItems();
   /// Starts the next queued item of the most urgent lot, if few enough are running; false if none was started.
-  bool startNextItem();
+  bool startNextItem(TimePoint now);
   /// The route that a lot was submitted to.
   static LotRoute routeOf(LotRun const& run, Configuration const& configuration);
   /// Adds the prefix of the route to records of older releases.
   void identifyRoutes();
-  /// True if unfinished items of a lot may be given up: its route was removed, or its time is over.
-  bool mayGiveUp(LotRun const& run, LotRoute const& found, TimePoint now) const;
+  GiveUpReason giveUpReasonOf(LotRun const& run, TimePoint now) const;
+  /// Gives up queued items where they lie, as this needs no worker.
+  void giveUpItems(TimePoint now);
   /// Capacity of all workers that may run items of a route, in concurrent requests.
   std::uint64_t slotsOf(Route const& route) const;
-  /// True if a lot has workers, or its items are to be given up, which needs no worker.
-  bool canRunItems(LotRun const& run, TimePoint now) const;
+  /// True if a lot has a route, and its route workers.
+  bool canRunItems(LotRun const& run) const;
   RunPtr mostUrgentRun(TimePoint now) const;
   bool mayStartItem(LotRun const& next, TimePoint now) const;
+  /// True if a running item may be sent to a worker, or sent again.
+  bool mayTry(LotRun const& run, std::uint32_t item) const;
   Task<void> runItem(RunPtr run, std::uint32_t item);
   /// Sends an item to one worker; true once the item has its result.
   Task<bool> tryItem(RunPtr run, std::uint32_t index, EventStreamReader& events);
--- a/tests/lots/lot_queue_test.cpp
+++ b/tests/lots/lot_queue_test.cpp
@@ -49,3 +49,12 @@
   cluster.runToEnd();
   LONGS_EQUAL(routedItemCount, cluster.count(true));
 }
+// Guards against items that are never given up, as their service has no worker at which they could fail.
+TEST(lotQueue, itemsWithoutWorkersAreGivenUpOnceTheirTimeIsOver) {
+  OneStoreCluster cluster({ownRoute});
+  cluster.submit([](LotRecord& lot) { lot.keepForMs = 1500; });
+  loseOwnWorker(cluster);
+  LONGS_EQUAL(0, cluster.results().size());
+  cluster.runToEnd();
+  LONGS_EQUAL(routedItemCount, cluster.count(false));
+}
