lots: lots of other services run while a worker doesn't answer

Seen by a caller: while the worker of one service is away, lots of another service with an idle worker hardly go on (the users' table: 12 to 22 of 60 items after 5 s; 57 where nothing happens).

Cause: items that run, or wait to be tried again, were counted for the whole store, and that count was held against half of the slots of one service; and only the most urgent lot was asked whether it may start an item, so one that couldn't held up all others.

Change: nextItem() counts running items and wanted concurrency by service, and takes the most urgent lot with an item whose service has room. Items of a split route whose service has no room are passed over. The number of running items follows from the queues; there is no counter beside them.

--- a/lots/execution/item_execution.cpp
+++ b/lots/execution/item_execution.cpp
@@ -73,47 +73,12 @@
   }
 }
 
-std::uint64_t LotRunner::slotsOf(Route const& route) const {
+std::uint64_t LotRunner::slotsOf(string const& service) const {
   std::uint64_t slots = 0;
-  for (TrafficShare const& share : route.shares)
-    for (Worker const* const worker : view_.workersOf(share.service)) slots += worker->capacity;
+  for (Worker const* const worker : view_.workersOf(service)) slots += worker->capacity;
   return slots;
 }
 
-bool LotRunner::canRunItems(LotRun const& run) const {
-  LotRoute const found = routeOf(run, *view_.configuration());
-  return found.route && slotsOf(*found.route) > 0;
-}
-
-LotRunner::RunPtr LotRunner::mostUrgentRun(TimePoint now) const {
-  RunPtr best;
-  std::int64_t least = 0;
-  for (auto const& [key, run] : runs_) {
-    if (!isActive(*run) || run->stalled) continue;
-    // A lot without workers must not block other lots.
-    if (run->items.queued().empty() || !canRunItems(*run)) continue;
-    std::int64_t const remaining = remainingTimeMs(run->lot, now);
-    if (best && remaining >= least) continue;
-    best = run;
-    least = remaining;
-  }
-  return best;
-}
-
-bool LotRunner::mayStartItem(LotRun const& next, TimePoint now) const {
-  std::uint64_t const slots = slotsOf(*routeOf(next, *view_.configuration()).route);
-  double wanted = 1;
-  for (auto const& [key, run] : runs_) {
-    if (run->abandoned || run->ended()) continue;
-    std::size_t const unfinished = run->items.unfinished();
-    // Concurrency is chosen so that each lot finishes within two fifths of its time.
-    std::int64_t const reserve = run->lot.dueInMs * 3 / 5;
-    double const timeLeft = static_cast<double>(remainingTimeMs(run->lot, now) - reserve);
-    wanted += static_cast<double>(unfinished) * meanItemMs_ / std::max(timeLeft, meanItemMs_ / 2);
-  }
-  return static_cast<double>(runningItems_) < std::min(wanted, static_cast<double>(slots) / 2);
-}
-
 vector<ServiceLoad> LotRunner::loads() const {
   TimePoint const now = Clock::now();
   std::map<string, ServiceLoad> loads;
@@ -145,18 +110,29 @@
 }
 
 bool LotRunner::startNextItem(TimePoint now) {
-  RunPtr const run = mostUrgentRun(now);
-  if (!run || !mayStartItem(*run, now)) return false;
-  std::uint32_t const item = *run->items.queued().begin();
-  run->items.start(item);
-  ++runningItems_;
-  spawnTask(io_, "item", runItem(run, item));
+  std::shared_ptr<Configuration const> const configuration = view_.configuration();
+  vector<RunPtr> runs;
+  vector<ScheduledLot> lots;
+  for (auto const& [key, run] : runs_) {
+    if (!isActive(*run) || !run->items.unfinished()) continue;
+    runs.push_back(run);
+    lots.push_back({&run->items, routeOf(*run, *configuration).route, run->lot.dueInMs, remainingTimeMs(run->lot, now),
+                    !run->stalled});
+  }
+  std::optional<NextItem> const next = nextItem(
+      lots, [this](string const& service) { return slotsOf(service); }, meanItemMs_);
+  if (!next) return false;
+  RunPtr const& run = runs[next->lot];
+  run->items.start(next->item, next->service);
+  spawnTask(io_, "item", runItem(run, next->item));
   return true;
 }
 
 bool LotRunner::mayTry(LotRun const& run, std::uint32_t item) const {
   if (!isActive(run) || !run.items.isRunning(item)) return false;
-  return canRunItems(run) && giveUpReasonOf(run, Clock::now()) == GiveUpReason::none;
+  Route const* const route = routeOf(run, *view_.configuration()).route;
+  if (!route || giveUpReasonOf(run, Clock::now()) != GiveUpReason::none) return false;
+  return slotsOf(serviceOf(run.items.record(item), *route)) > 0;
 }
 
 Task<void> LotRunner::runItem(RunPtr run, std::uint32_t item) {
@@ -176,7 +152,6 @@
     co_await sleepFor(retryPause);
     retryPause = std::min(retryPause * 2, settings_.bounds.step);
   }
-  --runningItems_;
   if (!over) run->items.release(item);
   startItemsTimer_.cancel();
 }
@@ -196,7 +171,7 @@
   Route const* const route = routeOf(*run, *configuration).route;
   if (!route) co_return false;
   PickRequest pick;
-  pick.service = route->serviceFor(hash64(item.id));
+  pick.service = serviceOf(item, *route);
   pick.background = true;
   pick.draw = randomId();
   bool const relaxed = remainingTimeMs(lot, Clock::now()) > lot.dueInMs / 2;
--- a/lots/execution/item_queue.cpp
+++ b/lots/execution/item_queue.cpp
@@ -12,20 +12,24 @@
 void ItemQueue::setState(std::uint32_t item, ItemState next) {
   Item& changed = items_.at(item);
   if (changed.state == ItemState::queued) queued_.erase(item);
+  if (changed.state == ItemState::running && !--runningByService_[changed.service])
+    runningByService_.erase(changed.service);
   if (changed.state == ItemState::done) {
     --done_;
     doneTokens_ -= changed.record.tokens;
   }
   changed.state = next;
   if (next == ItemState::queued) queued_.insert(item);
+  if (next == ItemState::running) ++runningByService_[changed.service];
   if (next == ItemState::done) {
     ++done_;
     doneTokens_ += changed.record.tokens;
   }
 }
 
-void ItemQueue::start(std::uint32_t item) {
+void ItemQueue::start(std::uint32_t item, string service) {
   if (!queued_.contains(item)) throw std::logic_error("started an item that isn't queued");
+  items_[item].service = std::move(service);
   setState(item, ItemState::running);
 }
 
--- a/lots/execution/item_queue.hpp
+++ b/lots/execution/item_queue.hpp
@@ -22,12 +22,14 @@
   /// The queued items, in the order in which they start.
   std::set<std::uint32_t> const& queued() const { return queued_; }
   std::size_t running() const { return items_.size() - queued_.size() - done_; }
+  /// Running items of each service that has any.
+  std::map<string, std::size_t> const& runningByService() const { return runningByService_; }
   std::size_t unfinished() const { return items_.size() - done_; }
   /// Tokens of the items that are done.
   std::uint64_t doneTokens() const { return doneTokens_; }
 
-  /// Starts a queued item; throws std::logic_error if it isn't queued.
-  void start(std::uint32_t item);
+  /// Starts a queued item for a service; throws std::logic_error if it isn't queued.
+  void start(std::uint32_t item, string service);
   /// Puts a running item back into the queue; no effect if it isn't running.
   void release(std::uint32_t item);
   /// Marks a running item as done; false, without effect, if it isn't running.
@@ -44,6 +46,7 @@
   struct Item {
     ItemRecord record;
     ItemState state = ItemState::queued;
+    string service;              ///< that runs it
     std::uint64_t failures = 0;  ///< answers with status 500
   };
   /// The only place at which an item changes its state.
@@ -52,6 +55,7 @@
 
   vector<Item> items_;
   std::set<std::uint32_t> queued_;
+  std::map<string, std::size_t> runningByService_;
   std::size_t done_ = 0;
   std::uint64_t doneTokens_ = 0;
 };
--- a/lots/execution/lot_runner.cpp
+++ b/lots/execution/lot_runner.cpp
@@ -106,19 +106,19 @@
 }
 
 void LotRunner::logState() const {
-  std::size_t queued = 0, unlistedResults = 0, stalled = 0, incomplete = 0;
+  std::size_t queued = 0, running = 0, unlistedResults = 0, stalled = 0, incomplete = 0;
   for (auto const& [key, run] : runs_) {
     queued += run->items.queued().size();
+    running += run->items.running();
     unlistedResults += run->unlistedResults.size();
     stalled += run->stalled;
     incomplete += run->listedResults < run->items.size();
   }
   if (!incomplete) return;
   logDebug("lots", std::to_string(incomplete) + " incomplete lots, " + std::to_string(stalled) +
-                       " stalled; items: queued " + std::to_string(queued) + ", running " +
-                       std::to_string(runningItems_) + ", unlisted " + std::to_string(unlistedResults) +
-                       ", mean run time " + std::to_string(static_cast<int>(meanItemMs_)) +
-                       " ms; has lease: " + std::to_string(hasLease()));
+                       " stalled; items: queued " + std::to_string(queued) + ", running " + std::to_string(running) +
+                       ", unlisted " + std::to_string(unlistedResults) + ", mean run time " +
+                       std::to_string(static_cast<int>(meanItemMs_)) + " ms; has lease: " + std::to_string(hasLease()));
 }
 
 }  // namespace tealshelf
--- a/lots/execution/lot_runner.hpp
+++ b/lots/execution/lot_runner.hpp
@@ -1,6 +1,7 @@
 #pragma once
 #include "duties/service_loads.hpp"
 #include "lots/execution/give_up_rule.hpp"
+#include "lots/execution/item_schedule.hpp"
 #include "lots/execution/lot_ages.hpp"
 #include "lots/execution/lot_route.hpp"
 #include "lots/execution/lot_run.hpp"
@@ -66,7 +67,7 @@
   Task<void> startItemsLoop();
   /// Gives up the queued items that may be given up, and starts as many others as may run.
   void startItems();
-  /// Starts the next queued item of the most urgent lot, if few enough are running; false if none was started.
+  /// Starts the item that nextItem() chooses; false if there is none.
   bool startNextItem(TimePoint now);
   /// The route that a lot was submitted to.
   static LotRoute routeOf(LotRun const& run, Configuration const& configuration);
@@ -75,12 +76,7 @@
   GiveUpReason giveUpReasonOf(LotRun const& run, TimePoint now) const;
   /// Gives up queued items where they lie, as this needs no worker.
   void giveUpItems(TimePoint now);
-  /// Capacity of all workers that may run items of a route, in concurrent requests.
-  std::uint64_t slotsOf(Route const& route) const;
-  /// True if a lot has a route, and its route workers.
-  bool canRunItems(LotRun const& run) const;
-  RunPtr mostUrgentRun(TimePoint now) const;
-  bool mayStartItem(LotRun const& next, TimePoint now) const;
+  std::uint64_t slotsOf(string const& service) const;
   /// True if a running item may be sent to a worker, or sent again.
   bool mayTry(LotRun const& run, std::uint32_t item) const;
   Task<void> runItem(RunPtr run, std::uint32_t item);
@@ -128,7 +124,6 @@
   LoadBalancer balancer_;
   LotAges ages_;
   std::map<LotKey, RunPtr> runs_;
-  std::size_t runningItems_ = 0;
   double meanItemMs_;  ///< moving average of the run time of an item
   bool stopping_ = false;
   asio::steady_timer startItemsTimer_, listResultsTimer_;
--- a/tests/lots/lot_queue_test.cpp
+++ b/tests/lots/lot_queue_test.cpp
@@ -4,6 +4,17 @@
 using namespace tealshelf;
 
 namespace {
+RouteText const foreignRoute{"day", routedHost, "/day/", foreignService};
+string const secondLotId = "second";
+
+/// Submits a lot to the route of the foreign service.
+void submitForeignLot(OneStoreCluster& cluster) {
+  cluster.submit([](LotRecord& lot) {
+    lot.id = secondLotId;
+    lot.routePrefix = foreignRoute.prefix;
+  });
+}
+
 /// Removes a service's only worker while items run there.
 void loseOwnWorker(OneStoreCluster& cluster) {
   CHECK(cluster.runUntil([&] { return cluster.own.started > 0; }));
@@ -58,3 +69,28 @@
   cluster.runToEnd();
   LONGS_EQUAL(routedItemCount, cluster.count(false));
 }
+// Guards against a lot whose workers don't answer holding back the lots of other services.
+TEST(lotQueue, lotsOfOtherServicesRunWhileAWorkerDoesNotAnswer) {
+  OneStoreCluster cluster({ownRoute, foreignRoute});
+  cluster.foreign.isReleased = true;
+  cluster.submit();
+  CHECK(cluster.runUntil([&] { return cluster.own.started > 0; }));
+  cluster.runFor(Ms(300));
+  submitForeignLot(cluster);
+  CHECK(cluster.runUntil([&] { return cluster.results(1).size() == routedItemCount; }, Ms(3000)));
+  LONGS_EQUAL(routedItemCount, cluster.count(true, 1));
+  LONGS_EQUAL(0, cluster.results().size());
+  cluster.release();
+  cluster.runToEnd();
+}
+// Guards against a lot whose worker refuses everything holding back the lots of other services.
+TEST(lotQueue, lotsOfOtherServicesRunWhileAWorkerRefuses) {
+  OneStoreCluster cluster({ownRoute, foreignRoute});
+  cluster.foreign.isReleased = true;
+  cluster.own.isAway = true;
+  cluster.submit();
+  CHECK(cluster.runUntil([&] { return cluster.own.started >= 4; }));
+  submitForeignLot(cluster);
+  CHECK(cluster.runUntil([&] { return cluster.results(1).size() == routedItemCount; }, Ms(3000)));
+  LONGS_EQUAL(routedItemCount, cluster.count(true, 1));
+}
