lots: an item whose route moves to another service runs there from the start

What a caller would see (MIXED): a result whose text begins with events of one service and ends with those of another, if an item's stream breaks off and its route moves before the next try. Found by reading; shown by a test only.

Cause: each try chose the service anew and kept the events of the tries before.

Change: the queue notes for which service an item was started; the task goes on at that one only. An item whose service has changed goes back into the queue and starts anew.

Result as measured: lotQueue, anItemWhoseRouteMovesToAnotherServiceRunsThereFromTheStart fails on the sources of (a request with Last-Event-Id reaches the other service) and passes now.

--- a/lots/execution/item_execution.cpp
+++ b/lots/execution/item_execution.cpp
@@ -132,7 +132,9 @@
   if (!isActive(run) || !run.items.isRunning(item)) return false;
   Route const* const route = routeOf(run, *view_.configuration()).route;
   if (!route || giveUpReasonOf(run, Clock::now()) != GiveUpReason::none) return false;
-  return slotsOf(serviceOf(run.items.record(item), *route)) > 0;
+  // Another service runs the item from its start: what the former one sent is no part of its output.
+  string const& service = serviceOf(run.items.record(item), *route);
+  return service == run.items.service(item) && slotsOf(service) > 0;
 }
 
 Task<void> LotRunner::runItem(RunPtr run, std::uint32_t item) {
@@ -171,7 +173,7 @@
   Route const* const route = routeOf(*run, *configuration).route;
   if (!route) co_return false;
   PickRequest pick;
-  pick.service = serviceOf(item, *route);
+  pick.service = run->items.service(index);
   pick.background = true;
   pick.draw = randomId();
   bool const relaxed = remainingTimeMs(lot, Clock::now()) > lot.dueInMs / 2;
--- a/lots/execution/item_queue.hpp
+++ b/lots/execution/item_queue.hpp
@@ -19,6 +19,8 @@
   /// The body is dropped once the item is done.
   ItemRecord const& record(std::uint32_t item) const { return items_.at(item).record; }
   bool isRunning(std::uint32_t item) const { return items_.at(item).state == ItemState::running; }
+  /// The service for which an item was started last.
+  string const& service(std::uint32_t item) const { return items_.at(item).service; }
   /// The queued items, in the order in which they start.
   std::set<std::uint32_t> const& queued() const { return queued_; }
   std::size_t running() const { return items_.size() - queued_.size() - done_; }
--- a/tests/lots/lot_queue_test.cpp
+++ b/tests/lots/lot_queue_test.cpp
@@ -1,5 +1,6 @@
 // Items that go back into the queue of their lot, or wait there, at a real store.
 #include "tests/lots/one_store_cluster.hpp"
+#include "tests/traffic/worker_stand_in.hpp"
 
 using namespace tealshelf;
 
@@ -94,3 +95,25 @@
   CHECK(cluster.runUntil([&] { return cluster.results(1).size() == routedItemCount; }, Ms(3000)));
   LONGS_EQUAL(routedItemCount, cluster.count(true, 1));
 }
+// Guards against the text of an item made of runs at two services.
+TEST(lotQueue, anItemWhoseRouteMovesToAnotherServiceRunsThereFromTheStart) {
+  Script script;
+  script.answer =
+      "HTTP/1.1 200 x\r\nAttempt-Id: $ID\r\nServer-Seal: s\r\nContent-Type: text/event-stream\r\n"
+      "Content-Length: 400\r\n\r\nid: 1\ndata: first\n\n";
+  script.end = Script::End::close;
+  OneStoreCluster cluster({ownRoute});
+  cluster.removeWorker("i-own");
+  StandIn breaking(cluster.io, {cluster.settings.ip, routedFirstPort - 3}, script);
+  breaking.onResume = script;
+  cluster.addWorker("i-breaking", ownService, routedFirstPort - 3);
+  cluster.publisher.notifyAfter(Ms(1));
+  cluster.submit();
+  CHECK(cluster.runUntil([&] { return breaking.lastEventIds.size() > 1; }));
+  cluster.release();
+  cluster.configure({{ownRoute.name, routedHost, routedPrefix, foreignService}});
+  cluster.runToEnd();
+  LONGS_EQUAL(routedItemCount, cluster.count(true));
+  LONGS_EQUAL(1, cluster.foreign.lastEventIds.size());
+  STRCMP_EQUAL("", cluster.foreign.lastEventIds.begin()->c_str());
+}
