lots: an earlier start of an item doesn't change its state any more

What a caller would see: nothing; an item may run more than once. It costs a second run, and the first task to fail queued the item while the second still ran it. Found by reading; shown by tests.

Cause: a task asked whether its item was running, not whether it was still its own to run. A recovery that brings a result for a running item, and a later one that drops it, have the item started anew while the earlier task still sleeps or waits for its worker.

Change: each start has a number (ItemClaim); a task whose claim has ended changes nothing and ends its request. The claim is checked again after the wait for a worker that warms up.

--- a/lots/execution/item_execution.cpp
+++ b/lots/execution/item_execution.cpp
@@ -123,38 +123,38 @@
       lots, [this](string const& service) { return slotsOf(service); }, meanItemMs_);
   if (!next) return false;
   RunPtr const& run = runs[next->lot];
-  run->items.start(next->item, next->service);
-  spawnTask(io_, "item", runItem(run, next->item));
+  ItemClaim const claim = run->items.start(next->item, next->service);
+  spawnTask(io_, "item", runItem(run, claim));
   return true;
 }
 
-bool LotRunner::mayTry(LotRun const& run, std::uint32_t item) const {
-  if (!isActive(run) || !run.items.isRunning(item)) return false;
+bool LotRunner::mayTry(LotRun const& run, ItemClaim claim) const {
+  if (!isActive(run) || !run.items.isHeld(claim)) return false;
   Route const* const route = routeOf(run, *view_.configuration()).route;
   if (!route || giveUpReasonOf(run, Clock::now()) != GiveUpReason::none) return false;
   // Another service runs the item from its start: what the former one sent is no part of its output.
-  string const& service = serviceOf(run.items.record(item), *route);
-  return service == run.items.service(item) && slotsOf(service) > 0;
+  string const& service = serviceOf(run.items.record(claim.item), *route);
+  return service == run.items.service(claim.item) && slotsOf(service) > 0;
 }
 
-Task<void> LotRunner::runItem(RunPtr run, std::uint32_t item) {
+Task<void> LotRunner::runItem(RunPtr run, ItemClaim claim) {
   EventStreamReader events;
   events.data = "";
   bool over = false;
   Ms retryPause = firstRetryPause;
-  while (!over && mayTry(*run, item)) {
+  while (!over && mayTry(*run, claim)) {
     try {
-      over = co_await tryItem(run, item, events);
+      over = co_await tryItem(run, claim, events);
     } catch (std::exception const& error) {
-      logWarning("lots", "lot " + run->lot.id + ": sending item " + run->items.record(item).id +
+      logWarning("lots", "lot " + run->lot.id + ": sending item " + run->items.record(claim.item).id +
                              " to a worker failed: " + error.what());
     }
     // An item that can't be tried again goes back into the queue at once, where it waits or is given up.
-    if (over || !mayTry(*run, item)) break;
+    if (over || !mayTry(*run, claim)) break;
     co_await sleepFor(retryPause);
     retryPause = std::min(retryPause * 2, settings_.bounds.step);
   }
-  if (!over) run->items.release(item);
+  if (!over) run->items.release(claim);
   startItemsTimer_.cancel();
 }
 
@@ -166,14 +166,14 @@
   return *worker;
 }
 
-Task<bool> LotRunner::tryItem(RunPtr run, std::uint32_t index, EventStreamReader& events) {
-  ItemRecord const& item = run->items.record(index);
+Task<bool> LotRunner::tryItem(RunPtr run, ItemClaim claim, EventStreamReader& events) {
+  ItemRecord const& item = run->items.record(claim.item);
   LotRecord const& lot = run->lot;
   std::shared_ptr<Configuration const> const configuration = view_.configuration();
   Route const* const route = routeOf(*run, *configuration).route;
   if (!route) co_return false;
   PickRequest pick;
-  pick.service = run->items.service(index);
+  pick.service = run->items.service(claim.item);
   pick.background = true;
   pick.draw = randomId();
   bool const relaxed = remainingTimeMs(lot, Clock::now()) > lot.dueInMs / 2;
@@ -184,7 +184,7 @@
   if (!warmUps_.isOpen(*worker)) {
     admission = co_await warmUps_.ask(*worker, Clock::now() + settings_.bounds.step);
     if (admission.isUnanswered) balancer_.markFailed(worker->id, true);
-    if (!admission.isGranted || !isActive(*run)) co_return false;
+    if (!admission.isGranted || !mayTry(*run, claim)) co_return false;
   }
   string const workerId = worker->id;
   HttpRequest const request = requestFor(item, lot, *route, *worker, *configuration, events);
@@ -198,7 +198,7 @@
   balancer_.prefillFinished(workerId, prefillTokens);
   bool over = false;
   if (result == SendResult::answered)
-    over = co_await readAnswer(run, index, exchange, events, *route, startedAt);
+    over = co_await readAnswer(run, claim, exchange, events, *route, startedAt);
   else
     noteFailedSend(result, exchange, workerId);
   balancer_.requestEnded(workerId);
@@ -218,7 +218,7 @@
   if (notSent || exchange.onNewConnection()) view_.tally(worker, false);
 }
 
-Task<bool> LotRunner::readAnswer(RunPtr run, std::uint32_t item, Exchange& exchange, EventStreamReader& events,
+Task<bool> LotRunner::readAnswer(RunPtr run, ItemClaim claim, Exchange& exchange, EventStreamReader& events,
                                  Route const& route, TimePoint startedAt) {
   string const worker = exchange.worker().id;
   if (std::optional<WorkerLoad> const load = exchange.workerLoad()) balancer_.reportLoad(exchange.worker(), *load);
@@ -248,18 +248,18 @@
   if (status == 200) {
     double const tookMs = static_cast<double>(std::chrono::duration_cast<Ms>(Clock::now() - startedAt).count());
     meanItemMs_ += (tookMs - meanItemMs_) / 16;
-    finishItem(*run, item, true, *events.data);
+    finishItem(*run, claim, true, *events.data);
     co_return true;
   }
   bool const givenUp =
-      status == 422 || (status == 500 && run->items.addFailure(item) >= std::max<std::uint64_t>(1, route.tries));
-  if (givenUp) finishItem(*run, item, false, "");
+      status == 422 || (status == 500 && run->items.addFailure(claim.item) >= std::max<std::uint64_t>(1, route.tries));
+  if (givenUp) finishItem(*run, claim, false, "");
   co_return givenUp;
 }
 
-void LotRunner::finishItem(LotRun& run, std::uint32_t item, bool finished, string text) {
-  if (!run.items.finish(item)) return;
-  run.unlistedResults.push_back({item, finished, std::move(text)});
+void LotRunner::finishItem(LotRun& run, ItemClaim claim, bool finished, string text) {
+  if (!run.items.finish(claim)) return;
+  run.unlistedResults.push_back({claim.item, finished, std::move(text)});
   listResultsTimer_.cancel();
 }
 
--- a/lots/execution/item_queue.cpp
+++ b/lots/execution/item_queue.cpp
@@ -27,19 +27,26 @@
   }
 }
 
-void ItemQueue::start(std::uint32_t item, string service) {
+ItemClaim ItemQueue::start(std::uint32_t item, string service) {
   if (!queued_.contains(item)) throw std::logic_error("started an item that isn't queued");
   items_[item].service = std::move(service);
+  items_[item].claim = ++lastClaim_;
   setState(item, ItemState::running);
+  return {item, lastClaim_};
 }
 
-void ItemQueue::release(std::uint32_t item) {
-  if (isRunning(item)) setState(item, ItemState::queued);
+bool ItemQueue::isHeld(ItemClaim claim) const {
+  Item const& item = items_.at(claim.item);
+  return item.state == ItemState::running && item.claim == claim.number;
 }
 
-bool ItemQueue::finish(std::uint32_t item) {
-  if (!isRunning(item)) return false;
-  markDone(item);
+void ItemQueue::release(ItemClaim claim) {
+  if (isHeld(claim)) setState(claim.item, ItemState::queued);
+}
+
+bool ItemQueue::finish(ItemClaim claim) {
+  if (!isHeld(claim)) return false;
+  markDone(claim.item);
   return true;
 }
 
--- a/lots/execution/lot_runner.hpp
+++ b/lots/execution/lot_runner.hpp
@@ -78,19 +78,19 @@
   void giveUpItems(TimePoint now);
   std::uint64_t slotsOf(string const& service) const;
   /// True if a running item may be sent to a worker, or sent again.
-  bool mayTry(LotRun const& run, std::uint32_t item) const;
-  Task<void> runItem(RunPtr run, std::uint32_t item);
+  bool mayTry(LotRun const& run, ItemClaim claim) const;
+  Task<void> runItem(RunPtr run, ItemClaim claim);
   /// Sends an item to one worker; true once the item has its result.
-  Task<bool> tryItem(RunPtr run, std::uint32_t index, EventStreamReader& events);
+  Task<bool> tryItem(RunPtr run, ItemClaim claim, EventStreamReader& events);
   /// Picks a worker for an item: a warm one with free capacity or, if the service has no warm healthy worker, one that
   /// is warming up.
   std::optional<Worker> pickWorker(PickRequest const& pick);
   /// Reads a response to its end; true once the item has its result. The route is the one that the item was sent under;
   /// the caller keeps its configuration.
-  Task<bool> readAnswer(RunPtr run, std::uint32_t item, Exchange& exchange, EventStreamReader& events,
-                        Route const& route, TimePoint startedAt);
+  Task<bool> readAnswer(RunPtr run, ItemClaim claim, Exchange& exchange, EventStreamReader& events, Route const& route,
+                        TimePoint startedAt);
   void noteFailedSend(SendResult result, Exchange const& exchange, string const& worker);
-  void finishItem(LotRun& run, std::uint32_t item, bool finished, string text);
+  void finishItem(LotRun& run, ItemClaim claim, bool finished, string text);
   bool isActive(LotRun const& run) const { return !run.abandoned && !run.ended() && !stopping_; }
   /// Estimated milliseconds until a lot is due; for scheduling by urgency only.
   std::int64_t remainingTimeMs(LotRecord const& lot, TimePoint now) const;
--- /dev/null
+++ b/tests/lots/item_queue_test.cpp
@@ -0,0 +1,79 @@
+#include "lots/execution/item_queue.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace tealshelf;
+
+namespace {
+string const queueService = "app";
+
+vector<ItemRecord> queueRecords(std::size_t count) {
+  vector<ItemRecord> records;
+  for (std::size_t number = 0; number < count; ++number)
+    records.push_back({"item-" + std::to_string(number), "/x", "body", {}, 10});
+  return records;
+}
+
+vector<ItemRecord> noRecords() {
+  return {};
+}
+}  // namespace
+
+TEST_GROUP(itemQueue){};
+
+TEST(itemQueue, aReleasedItemIsTheNextAgain) {
+  ItemQueue queue(queueRecords(3));
+  ItemClaim const first = queue.start(0, queueService);
+  queue.start(1, queueService);
+  queue.release(first);
+  LONGS_EQUAL(0, *queue.queued().begin());
+  LONGS_EQUAL(2, queue.queued().size());
+  LONGS_EQUAL(1, queue.running());
+  LONGS_EQUAL(1, queue.runningByService().at(queueService));
+}
+TEST(itemQueue, countsFollowTheStates) {
+  ItemQueue queue(queueRecords(4));
+  CHECK(queue.finish(queue.start(0, queueService)));
+  queue.start(1, queueService);
+  LONGS_EQUAL(10, queue.doneTokens());
+  LONGS_EQUAL(3, queue.unfinished());
+  LONGS_EQUAL(2, queue.finishQueued().size());
+  LONGS_EQUAL(30, queue.doneTokens());
+  LONGS_EQUAL(1, queue.unfinished());
+  LONGS_EQUAL(1, queue.running());
+  CHECK(queue.queued().empty());
+  STRCMP_EQUAL("", queue.record(0).body.c_str());
+}
+TEST(itemQueue, anItemThatIsNotQueuedCannotBeStarted) {
+  ItemQueue queue(queueRecords(1));
+  queue.start(0, queueService);
+  CHECK_THROWS(std::logic_error, queue.start(0, queueService));
+}
+// Guards against a task that changes its item's state after a recovery had the item started again by another task.
+TEST(itemQueue, anEarlierStartOfAnItemHasNoEffect) {
+  ItemQueue queue(queueRecords(2));
+  ItemClaim const earlier = queue.start(0, queueService);
+  queue.restore({0}, noRecords);
+  queue.restore({}, [] { return queueRecords(2); });
+  ItemClaim const later = queue.start(0, queueService);
+  CHECK(!queue.isHeld(earlier));
+  queue.release(earlier);
+  CHECK(queue.isHeld(later));
+  CHECK(!queue.finish(earlier));
+  CHECK(queue.finish(later));
+}
+TEST(itemQueue, itemsThatLoseTheirResultAreQueuedWithTheirBodies) {
+  ItemQueue queue(queueRecords(3));
+  queue.finish(queue.start(0, queueService));
+  queue.finish(queue.start(1, queueService));
+  queue.restore({1}, [] { return queueRecords(3); });
+  LONGS_EQUAL(2, queue.queued().size());
+  LONGS_EQUAL(10, queue.doneTokens());
+  STRCMP_EQUAL("body", queue.record(0).body.c_str());
+}
+TEST(itemQueue, runningItemsGoOnOverARecovery) {
+  ItemQueue queue(queueRecords(2));
+  ItemClaim const claim = queue.start(0, queueService);
+  queue.restore({}, noRecords);
+  CHECK(queue.isHeld(claim));
+}
