--- a/lots/execution/item_execution.cpp
+++ b/lots/execution/item_execution.cpp
@@ -129,12 +129,9 @@
 }
 
 bool LotRunner::mayTry(LotRun const& run, ItemClaim claim) const {
-  if (!isActive(run) || !run.items.isHeld(claim)) return false;
-  Route const* const route = routeOf(run, *view_.configuration()).route;
-  if (!route || giveUpReasonOf(run, Clock::now()) != GiveUpReason::none) return false;
-  // Another service runs the item from its start: what the former one sent is no part of its output.
-  string const& service = serviceOf(run.items.record(claim.item), *route);
-  return service == run.items.service(claim.item) && slotsOf(service) > 0;
+  if (!isActive(run) || giveUpReasonOf(run, Clock::now()) != GiveUpReason::none) return false;
+  return tealshelf::mayTry(run.items, claim, routeOf(run, *view_.configuration()).route,
+                           [this](string const& service) { return slotsOf(service); });
 }
 
 Task<void> LotRunner::runItem(RunPtr run, ItemClaim claim) {
@@ -227,7 +224,7 @@
   string body;
   BodyState state = BodyState::partial;
   while (state == BodyState::partial) {
-    if (!isActive(*run)) {
+    if (!isActive(*run) || !run->items.isHeld(claim)) {
       exchange.abort();
       co_return false;
     }
--- a/lots/execution/item_schedule.cpp
+++ b/lots/execution/item_schedule.cpp
@@ -65,4 +65,10 @@
   return next;
 }
 
+bool mayTry(ItemQueue const& items, ItemClaim claim, Route const* route, SlotsOf const& slotsOf) {
+  if (!items.isHeld(claim) || !route) return false;
+  string const& service = serviceOf(items.record(claim.item), *route);
+  return service == items.service(claim.item) && slotsOf(service) > 0;
+}
+
 }  // namespace tealshelf
--- a/lots/execution/item_schedule.hpp
+++ b/lots/execution/item_schedule.hpp
@@ -34,4 +34,9 @@
 /// slow or full holds back no lot of another service.
 std::optional<NextItem> nextItem(vector<ScheduledLot> const& lots, SlotsOf const& slotsOf, double meanItemMs);
 
+/// True if a running item may be sent to a worker, or sent again: its route still leads to the service for which it was
+/// started, and that has workers. Another service must run the item from its start, as what the former one sent is no
+/// part of its output.
+bool mayTry(ItemQueue const& items, ItemClaim claim, Route const* route, SlotsOf const& slotsOf);
+
 }  // namespace tealshelf
