--- a/lots/execution/lot_runner.cpp
+++ b/lots/execution/lot_runner.cpp
@@ -95,6 +95,19 @@
   }
 }
 
+void LotRunner::sampleMetrics() {
+  TimePoint const now = Clock::now();
+  std::shared_ptr<Configuration const> const configuration = view_.configuration();
+  itemWaits_.beginSample();
+  for (auto const& [key, run] : runs_) {
+    if (run->ended()) continue;
+    Route const* const route = configuration ? routeOf(*run, *configuration).route : nullptr;
+    std::set<ItemWait> const waits = waitsOf(*run, route, [this](string const& service) { return slotsOf(service); });
+    itemWaits_.count(waits, ages_.atLeast(key, now));
+  }
+  itemWaits_.endSample();
+}
+
 Task<void> LotRunner::sweepLoop() {
   for (;;) {
     co_await sleepFor(settings_.bounds.inTouch / 2);
--- a/lots/execution/lot_runner.hpp
+++ b/lots/execution/lot_runner.hpp
@@ -1,7 +1,7 @@
 #pragma once
 #include "duties/service_loads.hpp"
 #include "lots/execution/give_up_rule.hpp"
-#include "lots/execution/item_schedule.hpp"
+#include "lots/execution/item_waits.hpp"
 #include "lots/execution/lot_ages.hpp"
 #include "lots/execution/lot_route.hpp"
 #include "lots/execution/lot_run.hpp"
@@ -35,6 +35,8 @@
   void stall(LotKey const& key);
   void stallAll();
   LotRun const* find(LotKey const& key) const;
+  /// Updates the metrics of items that haven't ended.
+  void sampleMetrics();
   /// Adds progress and failed holders of all runs to a heartbeat.
   void report(StoreHeartbeat& heartbeat) const;
   LotAges& ages() { return ages_; }
@@ -123,6 +125,7 @@
   WarmUpGate warmUps_;
   LoadBalancer balancer_;
   LotAges ages_;
+  ItemWaitMetrics itemWaits_;
   std::map<LotKey, RunPtr> runs_;
   double meanItemMs_;  ///< moving average of the run time of an item
   bool stopping_ = false;
--- a/lots/store_node.cpp
+++ b/lots/store_node.cpp
@@ -20,7 +20,10 @@
       lease_(static_cast<std::uint64_t>(wallClockMs())) {
   runner_.hasLease = [this] { return hasLease(); };
   replicas_.onRecovery = [this](LotKey const& key) { runner_.stall(key); };
-  sampler_ = metrics().sample([this] { metrics_.sample(replicas_.table(), unusable_.size(), hasLease()); });
+  sampler_ = metrics().sample([this] {
+    metrics_.sample(replicas_.table(), unusable_.size(), hasLease());
+    runner_.sampleMetrics();
+  });
 }
 
 void StoreNode::start() {
--- a/tests/lots/item_queue_test.cpp
+++ b/tests/lots/item_queue_test.cpp
@@ -1,5 +1,7 @@
 #include "lots/execution/item_queue.hpp"
 
+#include "lots/execution/item_waits.hpp"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace tealshelf;
@@ -17,6 +19,13 @@
 vector<ItemRecord> noRecords() {
   return {};
 }
+
+Route routeTo(string const& service) {
+  Route route;
+  route.shares = {{service, 1}};
+  route.totalWeight = 1;
+  return route;
+}
 }  // namespace
 
 TEST_GROUP(itemQueue){};
@@ -77,3 +86,26 @@
   queue.restore({}, noRecords);
   CHECK(queue.isHeld(claim));
 }
+
+TEST_GROUP(itemWaits){};
+
+TEST(itemWaits, tellWhatTheItemsOfALotWaitFor) {
+  LotRun run;
+  run.items = ItemQueue(queueRecords(2));
+  Route const route = routeTo(queueService);
+  auto const slots = [](string const&) { return std::uint64_t(4); };
+  auto const noSlots = [](string const&) { return std::uint64_t(0); };
+  CHECK(waitsOf(run, &route, slots) == std::set<ItemWait>{ItemWait::turn});
+  CHECK(waitsOf(run, &route, noSlots) == std::set<ItemWait>{ItemWait::workers});
+  CHECK(waitsOf(run, nullptr, slots) == std::set<ItemWait>{ItemWait::route});
+  run.items.start(0, queueService);
+  CHECK((waitsOf(run, &route, slots) == std::set<ItemWait>{ItemWait::turn, ItemWait::answer}));
+  run.stalled = true;
+  CHECK(waitsOf(run, &route, slots) == std::set<ItemWait>{ItemWait::record});
+  run.stalled = false;
+  run.items.finishQueued();
+  run.unlistedResults.push_back({1, false, ""});
+  CHECK((waitsOf(run, &route, slots) == std::set<ItemWait>{ItemWait::answer, ItemWait::listing}));
+  run.listedResults = 2;
+  CHECK(waitsOf(run, &route, slots).empty());
+}
