lots: items that fail together at a worker count as one failure

Seen by a caller: a worker is stopped for 5 s and goes on; it stands idle for 6 s more, and the lot, due after 10 s, is complete after 15.3 s (real processes, the users' form).

Cause: the balancer doubles the time for which a worker is avoided with each failure in a row, and each of the items in flight at it counted as one more in a row: twelve made the longest time, 8 s.

Change: while a worker is avoided, further failures of items at it don't count, as these were sent before. The edges' counting is untouched: their requests have clients that wait, and few tries.

Result as measured: lotQueue, aWorkerWhoseItemsFailedTogetherIsUsedAgainSoon fails without the change (not done 1.5 s after the worker is well) and passes with it.

--- a/lots/execution/item_execution.cpp
+++ b/lots/execution/item_execution.cpp
@@ -180,7 +180,7 @@
   WarmUpGate::Admission admission;
   if (!warmUps_.isOpen(*worker)) {
     admission = co_await warmUps_.ask(*worker, Clock::now() + settings_.bounds.step);
-    if (admission.isUnanswered) balancer_.markFailed(worker->id, true);
+    if (admission.isUnanswered) noteFailure(*worker, true);
     if (!admission.isGranted || !mayTry(*run, claim)) co_return false;
   }
   string const workerId = worker->id;
@@ -202,16 +202,20 @@
   co_return over;
 }
 
+void LotRunner::noteFailure(Worker const& worker, bool unreachable) {
+  if (!balancer_.isLastResort(worker)) balancer_.markFailed(worker.id, unreachable);
+}
+
 void LotRunner::noteFailedSend(SendResult result, Exchange const& exchange, string const& worker) {
   if (result == SendResult::notRun) {
     if (exchange.status() == 503 || exchange.status() == 429)
       balancer_.markFull(worker);
     else
-      balancer_.markFailed(worker, true);
+      noteFailure(exchange.worker(), true);
     return;
   }
   bool const notSent = result == SendResult::notSent;
-  balancer_.markFailed(worker, notSent);
+  noteFailure(exchange.worker(), notSent);
   if (notSent || exchange.onNewConnection()) view_.tally(worker, false);
 }
 
@@ -233,7 +237,7 @@
     if (status == 200) events.feed(body);
   }
   if (state == BodyState::broken) {
-    balancer_.markFailed(worker, false);
+    noteFailure(exchange.worker(), false);
     view_.tally(worker, false);
     events.dropPartialEvent();
     co_return false;
--- a/lots/execution/lot_runner.hpp
+++ b/lots/execution/lot_runner.hpp
@@ -91,6 +91,9 @@
   /// the caller keeps its configuration.
   Task<bool> readAnswer(RunPtr run, ItemClaim claim, Exchange& exchange, EventStreamReader& events, Route const& route,
                         TimePoint startedAt);
+  /// Notes that a worker failed an item. Items in flight at a worker fail together: while it is avoided for the first
+  /// of them the others don't count, so that it isn't avoided for long once it works again.
+  void noteFailure(Worker const& worker, bool unreachable);
   void noteFailedSend(SendResult result, Exchange const& exchange, string const& worker);
   void finishItem(LotRun& run, ItemClaim claim, bool finished, string text);
   bool isActive(LotRun const& run) const { return !run.abandoned && !run.ended() && !stopping_; }
--- a/tests/lots/lot_queue_test.cpp
+++ b/tests/lots/lot_queue_test.cpp
@@ -117,3 +117,25 @@
   LONGS_EQUAL(1, cluster.foreign.lastEventIds.size());
   STRCMP_EQUAL("", cluster.foreign.lastEventIds.begin()->c_str());
 }
+// Guards against a worker that is left idle for long after its items have failed together.
+TEST(lotQueue, aWorkerWhoseItemsFailedTogetherIsUsedAgainSoon) {
+  string const head = "HTTP/1.1 200 x\r\nAttempt-Id: $ID\r\nServer-Seal: s\r\nContent-Type: text/event-stream\r\n";
+  Script breaksOff;
+  breaksOff.early = head + "Content-Length: 400\r\n\r\nid: 1\ndata: first\n\n";
+  breaksOff.pause = Ms(300);
+  breaksOff.end = Script::End::close;
+  Script script = breaksOff;
+  OneStoreCluster cluster({ownRoute});
+  cluster.removeWorker("i-own");
+  StandIn worker(cluster.io, {cluster.settings.ip, routedFirstPort - 3}, script);
+  worker.onResume = breaksOff;
+  cluster.addWorker("i-breaking", ownService, routedFirstPort - 3);
+  cluster.publisher.notifyAfter(Ms(1));
+  cluster.submit();
+  CHECK(cluster.runUntil([&] { return worker.sends >= 4; }));
+  cluster.runFor(Ms(450));
+  script = worker.onResume =
+      Script{"", true, head + "Content-Length: 17\r\n\r\nid: 2\ndata: end\n\n", Script::End::keep, ""};
+  CHECK(cluster.runUntil([&] { return cluster.results().size() == routedItemCount; }, Ms(1500)));
+  LONGS_EQUAL(routedItemCount, cluster.count(true));
+}
