wire: one owner of what a process holds for its peers

Change: OverloadManager counts connections and bytes by kind of peer (clients, readers of readiness and metrics, other nodes), within parts of the process's own limits, and decides who gives way: for a connection the one that was silent for longest, for bytes the one that held most for longest; never a request under way. E214 (503, nothing ran) and E215 (502).

--- a/apps/daemon.cpp
+++ b/apps/daemon.cpp
@@ -2,9 +2,12 @@
 
 #include "apps/exit_codes.hpp"
 #include "base/invariant_metrics.hpp"
+#include "wire/overload_manager.hpp"
 #include "wire/rpc_traffic.hpp"
 #include "wire/tasks.hpp"
 
+#include <malloc.h>
+
 #include <csignal>
 #include <iostream>
 
@@ -12,6 +15,9 @@
 
 namespace {
 constexpr int maxPort = 65535;
+/// Blocks from this size on go back to the system when they are freed; by default the size grows with use, and the
+/// freed blocks of large bodies stay in the process.
+constexpr int mappedBlockBytes = 256 << 10;
 
 /// Stops the daemon and waits for work in progress, for at most nine tenths of the grace period.
 Task<void> shutDown(asio::io_context& io, Settings const& settings, Daemon& daemon) {
@@ -89,6 +95,8 @@
     asio::signal_set terminationSignals(io, SIGTERM, SIGINT), hangUpSignals(io, SIGHUP);
     Daemon daemon;
     rpcTraffic().setOwnZone(settings.zone);
+    ::mallopt(M_MMAP_THRESHOLD, mappedBlockBytes);
+    overloadManager().setLimits(PeerLimits::from(settings));
     start(io, settings, daemon);
     InvariantMetrics const invariantMetrics;
     std::optional<MetricsServer> metricsServer;
--- a/base/errors.cpp
+++ b/base/errors.cpp
@@ -36,6 +36,8 @@
     {ErrorCode::unknownKey, ErrorKind::unauthorized, "the request carries no key that is known"},
     {ErrorCode::rateExceeded, ErrorKind::overQuota, "the tenant is over its rate"},
     {ErrorCode::quotaUnknown, ErrorKind::rejected, "no control node could count the request"},
+    {ErrorCode::overloaded, ErrorKind::rejected, "the node has no room for the request"},
+    {ErrorCode::answerNotHeld, ErrorKind::undetermined, "the node has no room for the worker's answer"},
     {ErrorCode::lotUnreadable, ErrorKind::badInput, "the lot can't be read"},
     {ErrorCode::lotTooManyItems, ErrorKind::tooLarge, "the lot has too many items"},
     {ErrorCode::duplicateItem, ErrorKind::badInput, "an item stands twice in the lot"},
--- a/base/errors.hpp
+++ b/base/errors.hpp
@@ -58,6 +58,8 @@
   unknownKey = 211,
   rateExceeded = 212,
   quotaUnknown = 213,
+  overloaded = 214,
+  answerNotHeld = 215,
   lotUnreadable = 300,
   lotTooManyItems = 301,
   duplicateItem = 302,
