wire: a frame between nodes takes only the memory of its bytes that arrived

Seen: 40 connections to a port between nodes that send the 15 bytes of a header which announces 64 MB take 2,567 MB at a relay, a control node and a store; 700 that send nothing stay, 710 to 714 descriptors of 600.

Cause: FrameReader made room for the length that a header announced, before the greeting too; the greeting had no deadline, and connections had no limit.

Change: the buffer grows with what arrives, at most 64 KB ahead; the greeting is at most 4 KB and comes within the silence timeout; frames that are read, calls under way and unsent replies count in the part of other nodes of the OverloadManager. A connection without room is closed: its caller opens another.

--- a/wire/frames.hpp
+++ b/wire/frames.hpp
@@ -55,13 +55,16 @@
 /// Reads frames from a socket through a buffer, with as few reads as possible.
 class FrameReader {
  public:
+  /// Asked with the number of bytes kept, when more of a frame arrive; if it returns false, reading ends. May be empty.
+  std::function<bool(std::size_t)> mayKeep;
+
   /// Reads the next frame; false if the connection ended or the frame is too large.
-  Task<bool> next(tcp::socket& socket, FrameHeader& header, string& body) {
+  Task<bool> next(tcp::socket& socket, FrameHeader& header, string& body, std::size_t maxBytes = maxFrameBytes) {
     bool available = co_await fill(socket, FrameHeader::bytes);
     if (!available) co_return false;
     header = decodeHeader(buffer_.data() + position_);
     position_ += FrameHeader::bytes;
-    if (header.bodySize > maxFrameBytes) co_return false;
+    if (header.bodySize > maxBytes) co_return false;
     available = co_await fill(socket, header.bodySize);
     if (!available) co_return false;
     body.assign(buffer_, position_, header.bodySize);
@@ -69,10 +72,13 @@
     if (position_ == buffer_.size()) releaseBuffer();
     co_return true;
   }
+  /// Bytes of frames that weren't returned yet.
+  std::size_t keptBytes() const { return buffer_.size() - position_; }
 
  private:
   static constexpr std::size_t minRead = 4096;
-  static constexpr std::size_t maxIdleBuffer = 1u << 16;
+  static constexpr std::size_t maxRead = 1u << 16;
+  static constexpr std::size_t maxIdleBuffer = 1u << 14;
 
   void releaseBuffer() {
     buffer_.clear();
@@ -85,13 +91,14 @@
       buffer_.erase(0, position_);
       position_ = 0;
       std::size_t const present = buffer_.size();
-      std::size_t const room = std::max(minRead, required - present);
+      std::size_t const room = std::clamp(required - present, minRead, maxRead);
       buffer_.resize(present + room);
       error_code error;
       std::size_t const received = co_await socket.async_read_some(asio::buffer(&buffer_[present], room),
                                                                    asio::redirect_error(asio::use_awaitable, error));
       buffer_.resize(present + received);
       if (error) co_return false;
+      if (mayKeep && !mayKeep(buffer_.size())) co_return false;
     }
     co_return true;
   }
--- a/wire/rpc_server.cpp
+++ b/wire/rpc_server.cpp
@@ -1,4 +1,5 @@
 #include "wire/frames.hpp"
+#include "wire/overload_manager.hpp"
 #include "wire/rpc_traffic.hpp"
 
 namespace tealshelf {
@@ -8,11 +9,26 @@
 namespace {
 constexpr std::size_t maxUnsentReplyBytes = 8u << 20;  ///< queued replies to a caller that doesn't read
 constexpr std::size_t maxActiveCalls = 1024;           ///< concurrent calls of one connection
+constexpr std::size_t maxHelloBytes = 4u << 10;        ///< of the first frame of a connection
+constexpr std::size_t callOverheadBytes = 4u << 10;    ///< of a call under way, besides its body
 constexpr int rpcBacklog = 256;
 }  // namespace
 
 struct RpcServer::Connection {
-  explicit Connection(tcp::socket connected) : socket(std::move(connected)) {}
+  Connection(tcp::socket connected, std::unique_ptr<PeerHold> held)
+      : socket(std::move(connected)), hold(std::move(held)) {
+    hold->onGiveWay = [this] { close(); };
+    reader.mayKeep = [this](std::size_t bytes) {
+      unparsedBytes = bytes;
+      return holdRequests();
+    };
+  }
+  ~Connection() { hold->onGiveWay = nullptr; }
+  /// Calls under way keep a connection from giving way to others.
+  void enterPhase() { hold->enter(activeCalls ? PeerPhase::working : PeerPhase::idle); }
+  /// Both return false if there is no room; the connection is to be closed then.
+  bool holdRequests() { return hold->hold(HeldPart::request, unparsedBytes + callBytes); }
+  bool holdReplies() { return hold->hold(HeldPart::answer, replyBytes); }
   void close() {
     error_code ignored;
     socket.close(ignored);
@@ -29,7 +45,9 @@
   string peerZone;
   std::deque<string> replies;
   std::size_t replyBytes = 0, activeCalls = 0;
+  std::size_t unparsedBytes = 0, callBytes = 0;  ///< of frames that are read, and of calls under way
   bool writing = false;
+  std::unique_ptr<PeerHold> const hold;
 };
 
 RpcServer::RpcServer(asio::io_context& io, Address address, Ms silenceTimeout)
@@ -38,7 +56,9 @@
 void RpcServer::start() {
   listener_.start("rpc listener", [this](tcp::socket socket) {
     setSocketOptions(socket, silenceTimeout_);
-    spawnTask(io_, "rpc connection", serve(std::make_shared<Connection>(std::move(socket))));
+    std::unique_ptr<PeerHold> hold = overloadManager().admit(PeerKind::node);
+    if (!hold || hold->mustLeave()) return;
+    spawnTask(io_, "rpc connection", serve(std::make_shared<Connection>(std::move(socket), std::move(hold))));
   });
 }
 
@@ -57,7 +77,10 @@
 Task<bool> RpcServer::performHandshake(ConnectionPtr connection) {
   FrameHeader header;
   string body;
-  bool const received = co_await connection->reader.next(connection->socket, header, body);
+  SocketDeadline deadline(io_, connection->socket);
+  deadline.expireAt(Clock::now() + silenceTimeout_);
+  bool const received = co_await connection->reader.next(connection->socket, header, body, maxHelloBytes);
+  deadline.cancel();
   if (!received) co_return false;
   ConnectionHello hello;
   hello.version = 0;
@@ -69,6 +92,7 @@
     refusal = Error(ErrorCode::wrongProcess,
                     "the caller expected " + hello.expected.text() + ", but this is " + address_.text());
   if (refusal) {
+    connection->hold->enter(PeerPhase::leaving);
     co_await refuse(connection, header.callId, *refusal);
     co_return false;
   }
@@ -82,14 +106,18 @@
   FrameHeader header;
   string body;
   for (;;) {
+    connection->enterPhase();
     bool const received = co_await connection->reader.next(connection->socket, header, body);
     bool const isCall = header.kind == FrameKind::call || header.kind == FrameKind::message;
     if (!received || !isCall) co_return;
+    connection->unparsedBytes = connection->reader.keptBytes();
     bool const wantsReply = header.kind == FrameKind::call;
     RpcMethod const method = static_cast<RpcMethod>(header.method);
     rpcTraffic().count(TrafficDirection::received, method, connection->peerZone, FrameHeader::bytes + body.size());
     if (connection->activeCalls < maxActiveCalls) {
       ++connection->activeCalls;
+      connection->callBytes += callOverheadBytes + body.size();
+      if (!connection->holdRequests()) co_return;
       spawnTask(io_, "rpc call", handle(connection, header.callId, method, wantsReply, std::move(body)));
     } else if (wantsReply) {
       connection->push(encodeError(header.callId, method, Error(ErrorCode::queueFull, address_.text())));
@@ -130,6 +158,7 @@
 Task<void> RpcServer::handle(ConnectionPtr connection, std::uint64_t id, RpcMethod method, bool wantsReply,
                              string body) {
   string frame;
+  std::size_t const bytes = callOverheadBytes + body.size();
   try {
     string const reply = co_await invoke(method, std::move(body));
     frame = encodeFrame(id, method, FrameKind::reply, reply);
@@ -137,6 +166,8 @@
     frame = encodeError(id, method, error);
   }
   --connection->activeCalls;
+  connection->callBytes -= bytes;
+  connection->enterPhase();
   if (!wantsReply || !connection->socket.is_open()) co_return;
   // A single reply always fits; a caller that keeps calling without reading is disconnected.
   bool const fits = connection->replies.empty() || connection->replyBytes + frame.size() <= maxUnsentReplyBytes;
@@ -146,6 +177,7 @@
   }
   rpcTraffic().count(TrafficDirection::sent, method, connection->peerZone, frame.size());
   connection->push(std::move(frame));
+  if (!connection->holdReplies()) co_return connection->close();
   co_await flush(connection);
 }
 
@@ -165,7 +197,7 @@
     error_code error;
     co_await asio::async_write(connection->socket, asio::buffer(batch),
                                asio::redirect_error(asio::use_awaitable, error));
-    if (error) connection->close();
+    if (error || !connection->holdReplies()) connection->close();
   }
   connection->writing = false;
 }
