traffic: connections to workers have a limit, and leave room for callers

Seen: 700 whole requests at a silent worker take 1,413 descriptors at an edge that may have 600: one for each client, one for each worker connection. Without descriptors a connection to a worker failed at once, and the worker was taken for broken.

Cause: the pool opened a connection whenever none was idle.

At the limit the connection that was idle for longest is closed for a new one; if none is idle the request is refused with 503 (E214), and the worker isn't blamed. What the kernel keeps unread of a worker's answer is bounded to 32 KB.

--- a/edge/request_forwarder.cpp
+++ b/edge/request_forwarder.cpp
@@ -165,6 +165,10 @@
     case SendResult::timedOut:
       next = noteTimeout(worker, plan, retries);
       break;
+    case SendResult::noRoom:
+      retries.lastFailure = ErrorCode::overloaded;
+      next = NextStep::stop;
+      break;
     case SendResult::answered:
       next = co_await relayAnswer(client, plan, exchange, retries);
       break;
--- a/lots/execution/item_execution.cpp
+++ b/lots/execution/item_execution.cpp
@@ -207,6 +207,8 @@
 }
 
 void LotRunner::noteFailedSend(SendResult result, Exchange const& exchange, string const& worker) {
+  // The worker has no part in it.
+  if (result == SendResult::noRoom) return;
   if (result == SendResult::notRun) {
     if (exchange.status() == 503 || exchange.status() == 429)
       balancer_.markFull(worker);
--- a/traffic/connection_pool.cpp
+++ b/traffic/connection_pool.cpp
@@ -32,6 +32,22 @@
   return create();
 }
 
+std::unique_ptr<WorkerConnection> ConnectionPool::create() {
+  if (!overloadManager().hasRoomForWorkerConnection()) closeLongestIdle();
+  if (!overloadManager().hasRoomForWorkerConnection()) return nullptr;
+  return std::make_unique<WorkerConnection>(io_);
+}
+
+void ConnectionPool::closeLongestIdle() {
+  vector<std::unique_ptr<WorkerConnection>>* longest = nullptr;
+  for (auto& [worker, idle] : idle_) {
+    if (idle.connections.empty()) continue;
+    bool const isOlder = !longest || idle.connections.front()->idleSince < longest->front()->idleSince;
+    if (isOlder) longest = &idle.connections;
+  }
+  if (longest) longest->erase(longest->begin());
+}
+
 void ConnectionPool::release(string const& worker, std::unique_ptr<WorkerConnection> connection) {
   connection->idleSince = Clock::now();
   IdleConnections& idle = idleOf(worker);
--- a/traffic/connection_pool.hpp
+++ b/traffic/connection_pool.hpp
@@ -1,12 +1,16 @@
 #pragma once
 #include "traffic/idle_limit.hpp"
 #include "updates/fleet_view.hpp"
+#include "wire/overload_manager.hpp"
 
 namespace tealshelf {
 
 /// A connection to a worker.
 struct WorkerConnection {
-  explicit WorkerConnection(asio::io_context& io) : socket(io) {}
+  explicit WorkerConnection(asio::io_context& io) : socket(io) { overloadManager().noteWorkerConnection(true); }
+  ~WorkerConnection() { overloadManager().noteWorkerConnection(false); }
+  WorkerConnection(WorkerConnection const&) = delete;
+  WorkerConnection& operator=(WorkerConnection const&) = delete;
   /// True if it is open and no unread bytes or end of stream are pending. Bytes that are pending before a request is
   /// written can't belong to its answer.
   bool isOpenWithoutInput();
@@ -43,10 +47,11 @@
       : io_(io), settings_(settings), safeIdleTime_(4 * settings.bounds.inTouch, settings.bounds.step / 8) {}
   /// An idle connection without pending input, or a new one not yet connected. A non-repeatable request gets none that
   /// was idle for longer than the safe idle time, and no attempt gets one on which it failed before: a second answer to
-  /// the failed one could arrive late and would have the same id.
+  /// the failed one could arrive late and would have the same id. Null at the process's limit, as create().
   std::unique_ptr<WorkerConnection> acquire(Worker const& worker, bool mayRepeat, string_view attempt);
-  /// A new connection, not yet connected.
-  std::unique_ptr<WorkerConnection> create() { return std::make_unique<WorkerConnection>(io_); }
+  /// A new connection, not yet connected. At the process's limit the one that was idle for the longest time is closed
+  /// for it; null if none is idle.
+  std::unique_ptr<WorkerConnection> create();
   /// A new connection to a worker was reset before its first answer: the worker may have too many connections.
   void noteReset(string const& worker);
   /// Returns a connection without pending input to the pool. Closes the oldest ones beyond the limit.
@@ -68,6 +73,8 @@
     return idle_.try_emplace(worker, settings_.bounds.inTouch).first->second;
   }
 
+  /// Closes the connection that was idle for the longest time.
+  void closeLongestIdle();
   /// Closes the oldest connections beyond the limit.
   static void trim(IdleConnections& idle);
 
--- a/traffic/exchange.cpp
+++ b/traffic/exchange.cpp
@@ -62,6 +62,7 @@
   attempt_ = std::move(attempt);
   // Without an id, only on an unused connection is it clear which request an answer belongs to.
   connection_ = attempt_.empty() ? pool_.create() : pool_.acquire(worker_, mayRepeat_, attempt_);
+  if (!connection_) co_return SendResult::noRoom;
   newConnection_ = !connection_->socket.is_open();
   if (!newConnection_) idleBefore_ = std::chrono::duration_cast<Ms>(Clock::now() - connection_->idleSince);
   deadline_ = std::make_unique<SocketDeadline>(pool_.io(), connection_->socket);
@@ -101,6 +102,9 @@
   Bounds const& bounds = pool_.settings().bounds;
   deadline_->expireAt(std::min(until, Clock::now() + bounds.inTouch / connectTimeoutDivisor));
   error_code error;
+  connection_->socket.open(tcp::v4(), error);
+  // The worker's answer isn't read while the client is slow to read.
+  connection_->socket.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes), error);
   co_await connection_->socket.async_connect(endpointOf(worker_.address),
                                              asio::redirect_error(asio::use_awaitable, error));
   connectionWasUnanswered_ = deadline_->expired() && Clock::now() < until;
--- a/traffic/exchange.hpp
+++ b/traffic/exchange.hpp
@@ -11,7 +11,8 @@
   notRun,    ///< the worker reported that it did not run the request
   maybeRun,  ///< the request may have run
   answered,  ///< the head of an answer arrived
-  timedOut   ///< the deadline passed; the request may have run
+  timedOut,  ///< the deadline passed; the request may have run
+  noRoom     ///< this process may not open another connection; no byte reached the worker
 };
 
 /// State of a body after a read.
--- a/wire/tasks.hpp
+++ b/wire/tasks.hpp
@@ -4,6 +4,9 @@
 /// Helpers for coroutines and sockets on the io thread.
 namespace tealshelf {
 
+/// Bytes that the kernel keeps of a connection that isn't read, where that is limited.
+constexpr int receiveBufferBytes = 32 << 10;
+
 /// Suspends the coroutine for a duration.
 Task<void> sleepFor(Ms duration);
 /// Starts a concurrent task; an exception that ends it is logged with the task's name.
