wire, edge: requests and answers of clients stay within the process's limits

With real limits the machine ends the process.

Cause: Beast's async_read gathers a line or the trailers in the connection's buffer, which had no limit, and makes room for an announced length; no limit held for all connections together, and nothing counted what the kernel keeps.

Change: RequestReader reads requests for all HTTP servers (the edge's own reader and HttpServer's are one now): what isn't parsed may be as long as a head, else 431; memory only for bytes that arrived, counted with the OverloadManager; lines are looked at once. Accepted connections keep 32 KB unread and 16 KB unsent at most. Who gives way gets 503 (E214). A refusal is sent, then input is discarded for a while, so that a reset doesn't overtake it. Under pressure a connection is closed after its answer, so that a client's next request stands in line. Control nodes answer Expect: 100-continue now.

This commit holds several faults: they share the reader that was exchanged.

--- a/edge/client_connection.cpp
+++ b/edge/client_connection.cpp
@@ -1,25 +1,28 @@
 #include "edge/client_connection.hpp"
 
-#include "edge/request_head.hpp"
+#include "wire/request_head.hpp"
 
 #include <sys/socket.h>
 
 namespace tealshelf {
 
-namespace {
-string_view const continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
-}
-
 void ClientConnection::beginRequest() {
   headSent = false;
   isHead = false;
 }
 
+bool ClientConnection::endRequest() {
+  return hold->hold(HeldPart::request, unparsed.size()) && hold->hold(HeldPart::answer, 0) &&
+         hold->enter(PeerPhase::idle);
+}
+
 void ClientConnection::decideKeepAlive(bool stopping) {
   if (stopping && !hasInput()) keepAlive = false;
+  if (hold->isUnderPressure()) keepAlive = false;
 }
 
 Task<void> ClientConnection::reply(asio::io_context& io, HttpReply answer, Ms limit) {
+  if (!hold->hold(HeldPart::answer, answer.body.size()) || !hold->enter(PeerPhase::writing)) co_return close();
   http::response<http::string_body> response = makeResponse(std::move(answer), 11, keepAlive);
   http::response_serializer<http::string_body> serializer(response);
   headSent = true;
@@ -33,32 +36,20 @@
   if (error) keepAlive = false;
 }
 
-Task<error_code> ClientConnection::sendContinue() {
-  error_code error;
-  co_await asio::async_write(socket, asio::buffer(continueResponse.data(), continueResponse.size()),
-                             asio::redirect_error(asio::use_awaitable, error));
-  co_return error;
-}
-
 bool ClientConnection::hasInput() {
-  if (buffer.size()) return true;
+  if (!unparsed.empty()) return true;
   if (!socket.is_open()) return false;
   char byte = 0;
   return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
-string_view ClientConnection::received() const {
-  return {static_cast<char const*>(buffer.data().data()), buffer.size()};
-}
-
 void ClientConnection::skipEmptyLines() {
-  buffer.consume(emptyLinesLength(received()));
+  unparsed.erase(0, emptyLinesLength(unparsed));
 }
 
 void ClientConnection::close() {
   keepAlive = false;
-  error_code ignored;
-  socket.close(ignored);
+  PeerConnection::close();
 }
 
 }  // namespace tealshelf
--- a/edge/edge_node.cpp
+++ b/edge/edge_node.cpp
@@ -1,15 +1,18 @@
 #include "edge/edge_node.hpp"
 
 #include "edge/request_form.hpp"
-#include "edge/request_head.hpp"
 
 namespace tealshelf {
 
 namespace {
 constexpr int clientBacklog = 1024;
 constexpr std::uint64_t maxReadinessBytes = 1u << 16;
-/// Size of one read of a head.
-constexpr std::size_t headReadBytes = 1u << 12;
+/// Copies of a body while its request is under way: as received, and as sent to a worker.
+constexpr std::size_t forwardedBodyCopies = 2;
+/// Copies of a lot while it is submitted: as received, its JSON tree, its items, and the message to a store.
+constexpr std::size_t lotCopies = 8;
+/// Of the connections to the client and to the worker, while neither is read.
+constexpr std::size_t unreadBytes = std::size_t{2} * receiveBufferBytes;
 /// Checks for idle connections per idle limit; and the minimum of checks per inTouch, since the limit may change.
 constexpr int checksPerIdleLimit = 16, checksPerInTouch = 4;
 
@@ -21,10 +24,6 @@
   ActiveRequest& operator=(ActiveRequest const&) = delete;
   std::shared_ptr<std::size_t> count;
 };
-
-bool awaitsContinue(http::request<http::string_body> const& request) {
-  return request.version() >= 11 && beast::iequals(request[http::field::expect], "100-continue");
-}
 }  // namespace
 
 EdgeNode::EdgeNode(asio::io_context& io, Settings const& settings)
@@ -46,7 +45,7 @@
             answer.status = call.path != "/readiness" ? 404 : ready ? 200 : 503;
             co_return answer;
           },
-          maxReadinessBytes, 5 * settings.bounds.inTouch),
+          maxReadinessBytes, 5 * settings.bounds.inTouch, PeerKind::probe),
       sampler_(metrics().sample([this] { sampleMetrics(); })) {}
 
 void EdgeNode::start() {
@@ -58,8 +57,11 @@
   zoneProber_.start();
   readiness_.start();
   clients_.emplace(io_, settings_.outside, clientBacklog);
+  clients_->limitSocketBuffers();
   clients_->start("client listener", [this](tcp::socket socket) {
-    spawnTask(io_, "client", serve(std::make_shared<ClientConnection>(std::move(socket))));
+    std::unique_ptr<PeerHold> hold = overloadManager().admit(PeerKind::client);
+    if (!hold) return;
+    spawnTask(io_, "client", serve(std::make_shared<ClientConnection>(std::move(socket), std::move(hold))));
   });
   spawnTask(io_, "edge sweep", sweepLoop());
   spawnTask(io_, "idle clients", closeIdleLoop());
@@ -123,71 +125,34 @@
 Task<bool> EdgeNode::awaitRequest(ClientConnection& client) {
   client.skipEmptyLines();
   // A pipelined request may have been read along with the last one.
-  if (client.buffer.size()) co_return true;
+  if (!client.unparsed.empty()) co_return true;
   bool const hasServed = client.headSent;
   if (stopping_ && hasServed && !client.hasInput()) co_return false;
   co_return co_await idle_.awaitRequest(client);
 }
 
-Task<bool> EdgeNode::readRequest(ClientConnection& client, RequestParser& parser) {
-  ClientLimits const limits = limitsInForce();
-  error_code const error = co_await readMessage(client, parser, limits);
-  if (!client.socket.is_open()) co_return false;
-  if (error) co_await rejectUnreadable(client, error);
-  co_return !error;
-}
-
-Task<error_code> EdgeNode::receiveHead(ClientConnection& client, std::size_t maxBytes) {
-  for (;;) {
-    client.skipEmptyLines();
-    HeadState const state = headStateOf(client.received());
-    if (state == HeadState::folded) co_return http::error::bad_field;
-    if (state == HeadState::complete || client.buffer.size() >= maxBytes) co_return error_code();
-    error_code error;
-    asio::mutable_buffer const room = client.buffer.prepare(headReadBytes);
-    std::size_t const count =
-        co_await client.socket.async_read_some(room, asio::redirect_error(asio::use_awaitable, error));
-    client.buffer.commit(count);
-    // A read after the end of the stream would never return.
-    if (error == asio::error::eof && client.buffer.size()) co_return http::error::partial_message;
-    if (error == asio::error::eof) co_return http::error::end_of_stream;
-    if (error) co_return error;
-  }
+Task<std::optional<HttpRequest>> EdgeNode::receiveRequest(ClientConnection& client) {
+  ClientLimits const inForce = limitsInForce();
+  RequestLimits limits{inForce.maxHeaderBytes, inForce.maxBodyBytes, inForce.headerWait, inForce.idleLimit};
+  limits.bodyCopies = forwardedBodyCopies;
+  limits.workBytes = unreadBytes;
+  RequestOutcome outcome = co_await readRequest(
+      io_, client, limits, [](http::request_header<> const& head) { return isUnambiguous(head, head.version()); });
+  if (outcome.refusal) co_await refuse(client, *outcome.refusal);
+  co_return std::move(outcome.request);
 }
 
-Task<error_code> EdgeNode::readMessage(ClientConnection& client, RequestParser& parser, ClientLimits const& limits) {
-  parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
-  parser.body_limit(limits.maxBodyBytes);
-  error_code error;
-  SocketDeadline deadline(io_, client.socket);
-  deadline.expireAt(Clock::now() + limits.headerWait);
-  error = co_await receiveHead(client, limits.maxHeaderBytes);
-  if (error) co_return error;
-  co_await http::async_read_header(client.socket, client.buffer, parser,
-                                   asio::redirect_error(asio::use_awaitable, error));
-  if (error) co_return error;
-  if (!isUnambiguous(parser.get(), parser.get().version())) co_return http::error::bad_field;
-  deadline.expireAt(Clock::now() + limits.idleLimit);
-  if (awaitsContinue(parser.get()) && !parser.is_done()) error = co_await client.sendContinue();
-  if (error) co_return error;
-  co_await http::async_read(client.socket, client.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-  co_return error;
-}
-
-Task<void> EdgeNode::rejectUnreadable(ClientConnection& client, error_code error) {
+Task<void> EdgeNode::refuse(ClientConnection& client, ErrorCode code) {
+  ClientLimits const limits = limitsInForce();
   client.keepAlive = false;
-  std::optional<ErrorCode> code;
-  if (error == http::error::header_limit)
-    code = ErrorCode::headersTooLong;
-  else if (error == http::error::body_limit)
-    code = ErrorCode::bodyTooLong;
-  else if (error != http::error::end_of_stream && isHttpError(error))
-    code = ErrorCode::badHeaders;
-  if (code) co_await reply(client, errorReply(Error(*code)));
+  client.headSent = true;
+  HttpReply answer = code == ErrorCode::overloaded ? overloadReply() : errorReply(Error(code));
+  co_await client.refuse(io_, std::move(answer), limits.headerWait, limits.maxBodyBytes);
 }
 
 Task<void> EdgeNode::serve(std::shared_ptr<ClientConnection> client) {
   setSocketOptions(client->socket, 2 * settings_.bounds.inTouch);
+  if (client->hold->mustLeave()) co_return co_await refuse(*client, ErrorCode::overloaded);
   bool mayContinue = true;
   while (mayContinue) {
     mayContinue = co_await awaitRequest(*client);
@@ -199,15 +164,13 @@
 Task<bool> EdgeNode::serveRequest(ClientConnection& client) {
   ActiveRequest const active(activeRequests_);
   client.beginRequest();
-  RequestParser parser;
-  bool const whole = co_await readRequest(client, parser);
-  if (!whole) co_return false;
-  client.keepAlive = parser.get().keep_alive();
-  client.isHead = parser.get().method() == http::verb::head;
-  HttpRequest request = parser.release();
-  useOriginForm(request);
-  co_await answer(client, std::move(request));
-  co_return client.keepAlive&& client.socket.is_open();
+  std::optional<HttpRequest> request = co_await receiveRequest(client);
+  if (!request) co_return false;
+  client.keepAlive = request->keep_alive();
+  client.isHead = request->method() == http::verb::head;
+  useOriginForm(*request);
+  co_await answer(client, std::move(*request));
+  co_return client.keepAlive&& client.socket.is_open() && client.endRequest();
 }
 
 Task<void> EdgeNode::answer(ClientConnection& client, HttpRequest request) {
@@ -272,6 +235,8 @@
   if (plan.caller.status == CallerStatus::refused)
     co_return co_await reply(client, errorReply(Error(ErrorCode::unknownKey)));
   if (plan.route->kind == RouteKind::bulk) {
+    bool const fits = client.hold->hold(HeldPart::request, lotCopies * request.body().size() + unreadBytes);
+    if (!fits) co_return co_await reply(client, overloadReply());
     HttpReply answer = co_await submitLot(plan, request);
     co_return co_await reply(client, std::move(answer));
   }
--- a/edge/edge_node.hpp
+++ b/edge/edge_node.hpp
@@ -3,10 +3,10 @@
 #include "edge/edge_metrics.hpp"
 #include "edge/idle_connections.hpp"
 #include "edge/request_forwarder.hpp"
-#include "edge/request_head.hpp"
 #include "edge/zone_prober.hpp"
 #include "lots/api/lot_api.hpp"
 #include "wire/listener.hpp"
+#include "wire/request_reader.hpp"
 
 namespace tealshelf {
 
@@ -27,19 +27,15 @@
 
  private:
   Task<void> serve(std::shared_ptr<ClientConnection> client);
-  using RequestParser = http::request_parser<http::string_body>;
   /// Waits until a client's next request begins to arrive; false if the connection ends instead.
   Task<bool> awaitRequest(ClientConnection& client);
   /// Reads one request and answers it; true if another may follow.
   Task<bool> serveRequest(ClientConnection& client);
-  /// Reads a request that has begun to arrive and answers it if it is malformed; true if it was read completely.
-  Task<bool> readRequest(ClientConnection& client, RequestParser& parser);
-  /// Receives a request's head, of up to `maxBytes`, into the client's buffer.
-  static Task<error_code> receiveHead(ClientConnection& client, std::size_t maxBytes);
-  /// Reads a request that has begun to arrive, within the limits of size and time.
-  Task<error_code> readMessage(ClientConnection& client, RequestParser& parser, ClientLimits const& limits);
-  /// Answers a malformed or oversized request.
-  Task<void> rejectUnreadable(ClientConnection& client, error_code error);
+  /// Reads a request that has begun to arrive, within the limits of size and time; refuses it if it is malformed or
+  /// there is no room for it. Nothing if it can't be served.
+  Task<std::optional<HttpRequest>> receiveRequest(ClientConnection& client);
+  /// Refuses a client and closes its connection.
+  Task<void> refuse(ClientConnection& client, ErrorCode code);
   /// Handles a request; if that throws or leaves it without an answer, sends an error.
   Task<void> answer(ClientConnection& client, HttpRequest request);
   Task<void> handle(ClientConnection& client, HttpRequest request);
--- a/edge/request_forwarder.cpp
+++ b/edge/request_forwarder.cpp
@@ -265,7 +265,15 @@
 Task<bool> RequestForwarder::relayWholeAnswer(ClientConnection& client, RequestPlan const& plan, Exchange& exchange) {
   string body;
   BodyState state = BodyState::partial;
-  while (state == BodyState::partial) state = co_await exchange.readBody(body, plan.deadline);
+  while (state == BodyState::partial) {
+    state = co_await exchange.readBody(body, plan.deadline);
+    bool const fits = client.hold->hold(HeldPart::answer, body.size());
+    if (!fits) {
+      exchange.abort();
+      co_await client.reply(io_, errorReply(Error(ErrorCode::answerNotHeld)), 5 * settings_.bounds.inTouch);
+      co_return true;
+    }
+  }
   if (state == BodyState::broken) co_return false;
   http::response<http::string_body> response(static_cast<http::status>(exchange.status()), 11);
   response.result(static_cast<unsigned>(exchange.status()));
@@ -279,6 +287,7 @@
   // The answer to a HEAD states the length of the body that a GET would return.
   if (client.isHead && !length.empty()) response.set(http::field::content_length, length);
   client.headSent = true;
+  client.hold->enter(PeerPhase::writing);
   error_code error;
   SocketDeadline deadline(io_, client.socket);
   deadline.expireAt(Clock::now() + 5 * settings_.bounds.inTouch);
@@ -321,6 +330,9 @@
     // A stream that ends inside an event is incomplete.
     if (state == BodyState::complete && !events.atEventBoundary()) state = BodyState::broken;
     bool const ends = state == BodyState::complete;
+    bool const fits = client.hold->hold(HeldPart::answer, complete.size() + events.partialBytes());
+    if (!fits) error = http::error::body_limit;
+    if (error) break;
     if (!body.empty() && retries.probe) retries.probe->noteProgress();
     if (!complete.empty()) pace.note(events.lastId(), Clock::now());
     if (!complete.empty()) countUsageOnce(plan, retries, Clock::now());
--- a/traffic/event_stream.hpp
+++ b/traffic/event_stream.hpp
@@ -25,6 +25,8 @@
   /// True if an event with an id was returned.
   bool hasEvents() const { return hasEvents_; }
   std::uint64_t lastId() const { return lastId_; }
+  /// Bytes of the partial event that is buffered.
+  std::size_t partialBytes() const { return partial_.size(); }
   /// True if no partial event is buffered.
   bool atEventBoundary() const { return partial_.empty(); }
   /// Drops the partial event: the stream resumes at another worker, after the last whole event.
--- a/wire/http.cpp
+++ b/wire/http.cpp
@@ -4,53 +4,27 @@
 
 namespace {
 constexpr int backlog = 512;
-
-/// The reply to a request that can't be parsed; nullopt if the connection is to be closed without one.
-std::optional<HttpReply> replyToUnreadable(error_code error, bool connectionIsOpen) {
-  if (error == http::error::body_limit) return errorReply(Error(ErrorCode::bodyTooLong));
-  if (error == http::error::end_of_stream || !connectionIsOpen || !isHttpError(error)) return std::nullopt;
-  return errorReply(Error(ErrorCode::badHeaders));
-}
+constexpr std::size_t maxCallHeaderBytes = 16u << 10;
+/// Copies of a body while its request is under way: as received, as parsed, and as sent on to another node.
+constexpr std::size_t callBodyCopies = 3;
 }  // namespace
 
-bool isHttpError(error_code error) {
-  return error.category() == http::make_error_code(http::error::end_of_stream).category();
-}
-
-string HttpCall::header(string_view name) const {
-  beast::string_view const value = headers[beast::string_view(name.data(), name.size())];
-  return string(value.data(), value.size());
-}
-
-HttpReply errorReply(Error const& error) {
-  HttpReply reply;
-  reply.status = error.status();
-  reply.body = "{\"error\":\"E" + std::to_string(static_cast<int>(error.code())) + "\",\"message\":\"" +
-               string(errorInfo(error.code()).text) + "\"}";
-  return reply;
-}
-
-http::response<http::string_body> makeResponse(HttpReply reply, unsigned httpVersion, bool keepAlive) {
-  http::response<http::string_body> response(static_cast<http::status>(reply.status), httpVersion);
-  if (!reply.body.empty()) response.set(http::field::content_type, reply.contentType);
-  for (auto const& [name, value] : reply.headers) response.set(name, value);
-  response.body() = std::move(reply.body);
-  response.keep_alive(keepAlive);
-  response.prepare_payload();
-  return response;
-}
-
 HttpServer::HttpServer(asio::io_context& io, Address const& address, HttpHandler handler, std::uint64_t maxBodyBytes,
-                       Ms idleLimit)
+                       Ms idleLimit, PeerKind peerKind)
     : io_(io),
       handler_(std::move(handler)),
       maxBodyBytes_(maxBodyBytes),
       idleLimit_(idleLimit),
-      listener_(io, address, backlog) {}
+      peerKind_(peerKind),
+      listener_(io, address, backlog) {
+  listener_.limitSocketBuffers();
+}
 
 void HttpServer::start() {
   listener_.start("http listener", [this](tcp::socket socket) {
-    spawnTask(io_, "http connection", serve(std::make_shared<tcp::socket>(std::move(socket))));
+    std::unique_ptr<PeerHold> hold = overloadManager().admit(peerKind_);
+    if (!hold) return;
+    spawnTask(io_, "http connection", serve(std::make_shared<PeerConnection>(std::move(socket), std::move(hold))));
   });
 }
 
@@ -68,36 +42,65 @@
   }
 }
 
-Task<void> HttpServer::serve(std::shared_ptr<tcp::socket> socket) {
-  setSocketOptions(*socket, idleLimit_);
-  beast::flat_buffer buffer;
-  SocketDeadline deadline(io_, *socket);
-  error_code error;
-  bool keepAlive = true;
-  while (keepAlive && !error) {
-    Parser parser;
-    parser.body_limit(maxBodyBytes_);
-    deadline.expireAt(Clock::now() + idleLimit_);
-    co_await http::async_read(*socket, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-    deadline.cancel();
-    bool const open = socket->is_open() && !deadline.expired();
-    if (!error && !open) break;
-    unsigned const version = error ? 11 : parser.get().version();
-    keepAlive = !error && parser.get().keep_alive();
-    std::optional<HttpReply> reply;
-    if (error)
-      reply = replyToUnreadable(error, open);
-    else
-      reply = co_await handle(parser.get());
-    if (!reply) break;
-    http::response<http::string_body> response = makeResponse(std::move(*reply), version, keepAlive);
-    deadline.expireAt(Clock::now() + idleLimit_);
-    co_await http::async_write(*socket, response, asio::redirect_error(asio::use_awaitable, error));
-    deadline.cancel();
+Task<void> HttpServer::refuse(PeerConnection& peer, ErrorCode code) {
+  HttpReply answer = code == ErrorCode::overloaded ? overloadReply() : errorReply(Error(code));
+  co_await peer.refuse(io_, std::move(answer), idleLimit_, maxBodyBytes_);
+}
+
+Task<void> HttpServer::serve(std::shared_ptr<PeerConnection> peer) {
+  setSocketOptions(peer->socket, idleLimit_);
+  if (peer->hold->mustLeave()) co_return co_await refuse(*peer, ErrorCode::overloaded);
+  bool mayContinue = true;
+  while (mayContinue) {
+    mayContinue = co_await awaitRequest(*peer);
+    if (mayContinue) mayContinue = co_await serveRequest(*peer);
   }
   error_code ignored;
-  socket->shutdown(tcp::socket::shutdown_both, ignored);
-  socket->close(ignored);
+  peer->socket.shutdown(tcp::socket::shutdown_both, ignored);
+  peer->close();
+}
+
+Task<bool> HttpServer::awaitRequest(PeerConnection& peer) {
+  if (!peer.unparsed.empty()) co_return true;
+  SocketDeadline deadline(io_, peer.socket);
+  deadline.expireAt(Clock::now() + idleLimit_);
+  error_code error;
+  co_await peer.socket.async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
+  co_return !error && peer.socket.is_open();
+}
+
+Task<bool> HttpServer::serveRequest(PeerConnection& peer) {
+  RequestLimits limits{maxCallHeaderBytes, maxBodyBytes_, idleLimit_, idleLimit_};
+  limits.bodyCopies = callBodyCopies;
+  RequestOutcome outcome = co_await readRequest(io_, peer, limits, nullptr);
+  if (outcome.refusal) co_await refuse(peer, *outcome.refusal);
+  if (!outcome.request) co_return false;
+  HttpRequest& request = *outcome.request;
+  unsigned const version = request.version();
+  bool const wantsMore = request.keep_alive();
+  HttpReply answer = co_await handle(request);
+  bool const keepAlive = wantsMore && !peer.hold->isUnderPressure();
+  request = HttpRequest();
+  bool const sent = co_await reply(peer, std::move(answer), version, keepAlive);
+  co_return sent&& keepAlive;
+}
+
+Task<bool> HttpServer::reply(PeerConnection& peer, HttpReply answer, unsigned httpVersion, bool keepAlive) {
+  bool const fits = peer.hold->hold(HeldPart::request, 0) && peer.hold->hold(HeldPart::answer, answer.body.size()) &&
+                    peer.hold->enter(PeerPhase::writing);
+  if (!fits) {
+    // The request ran, so that a 503 would promise too much.
+    co_await refuse(peer, ErrorCode::answerNotHeld);
+    co_return false;
+  }
+  http::response<http::string_body> response = makeResponse(std::move(answer), httpVersion, keepAlive);
+  SocketDeadline deadline(io_, peer.socket);
+  deadline.expireAt(Clock::now() + idleLimit_);
+  error_code error;
+  co_await http::async_write(peer.socket, response, asio::redirect_error(asio::use_awaitable, error));
+  deadline.cancel();
+  bool const isFree = peer.hold->hold(HeldPart::answer, 0) && peer.hold->enter(PeerPhase::idle);
+  co_return isFree && !error;
 }
 
 }  // namespace tealshelf
--- a/wire/listener.cpp
+++ b/wire/listener.cpp
@@ -1,8 +1,12 @@
 #include "wire/listener.hpp"
 
+#include <netinet/tcp.h>
+
 namespace tealshelf {
 
 namespace {
+/// Bytes of a connection that the kernel keeps unsent.
+constexpr int unsentBytes = 16 << 10;
 /// Delay before the next accept after a failed one, for example for lack of file descriptors.
 constexpr Ms acceptRetryDelay{10};
 }  // namespace
@@ -19,6 +23,12 @@
   spawnTask(io_, std::move(taskName), acceptLoop(std::move(handler)));
 }
 
+void Listener::limitSocketBuffers() {
+  error_code ignored;
+  acceptor_.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes), ignored);
+  ::setsockopt(acceptor_.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT, &unsentBytes, sizeof unsentBytes);
+}
+
 void Listener::stop() {
   error_code ignored;
   acceptor_.close(ignored);
--- a/wire/listener.hpp
+++ b/wire/listener.hpp
@@ -13,6 +13,9 @@
   /// Hands each new connection to the handler, until stop(). The listener must outlive its task.
   void start(string taskName, ConnectionHandler handler);
   void stop();
+  /// Limits what the kernel keeps of each connection's bytes, in both directions, until they are read. For connections
+  /// that aren't read while a request is under way.
+  void limitSocketBuffers();
 
  private:
   Task<void> acceptLoop(ConnectionHandler handler);
--- a/wire/metrics_server.cpp
+++ b/wire/metrics_server.cpp
@@ -13,7 +13,7 @@
     co_return answer(call, metrics, pages);
   };
   try {
-    server_.emplace(io, address, handler, maxCallBytes, idleLimit);
+    server_.emplace(io, address, handler, maxCallBytes, idleLimit, PeerKind::probe);
   } catch (boost::system::system_error const& error) {
     logWarning("metrics", "metrics are not served: " + address.text() + " can't be bound: " + error.what());
     return;
--- a/edge/request_head.cpp
+++ b/wire/request_head.cpp
@@ -1,4 +1,4 @@
-#include "edge/request_head.hpp"
+#include "wire/request_head.hpp"
 
 namespace tealshelf {
 
@@ -18,16 +18,16 @@
   return length;
 }
 
-HeadState headStateOf(string_view bytes) {
-  std::size_t lineStart = 0;
+HeadState HeadScan::stateOf(string_view bytes) {
   for (;;) {
-    std::size_t const newline = bytes.find('\n', lineStart);
+    // The line before may be continued by the first byte of this one.
+    if (lineStart_ > 0 && lineStart_ < bytes.size() && isBlank(bytes[lineStart_])) return HeadState::folded;
+    std::size_t const newline = bytes.find('\n', lineStart_);
     if (newline == string_view::npos) return HeadState::incomplete;
     bool const isBare = newline == 0 || bytes[newline - 1] != '\r';
-    bool const isEmpty = newline == lineStart + 1;
+    bool const isEmpty = newline == lineStart_ + 1;
     if (isBare || isEmpty) return HeadState::complete;
-    lineStart = newline + 1;
-    if (lineStart < bytes.size() && isBlank(bytes[lineStart])) return HeadState::folded;
+    lineStart_ = newline + 1;
   }
 }
 
--- a/edge/request_head.hpp
+++ b/wire/request_head.hpp
@@ -12,7 +12,15 @@
 
 /// Number of bytes in the empty lines before a request, which an HTTP/1.1 server should ignore.
 std::size_t emptyLinesLength(string_view bytes);
-/// State of a head that begins at the start of `bytes`.
-HeadState headStateOf(string_view bytes);
+
+/// Judges a head as its bytes arrive; looks at each line once.
+class HeadScan {
+ public:
+  /// The state of a head that begins at the start of `bytes`, which continue those of the call before.
+  HeadState stateOf(string_view bytes);
+
+ private:
+  std::size_t lineStart_ = 0;
+};
 
 }  // namespace tealshelf
