edge: a read of a lot is held for idleLimitMs at most

Seen: a client that asks with Hold-Read-Ms: for a lot that doesn't go on keeps its connection, and a call to a store, for as long as it wishes; a request under way gives way to none, so a crowd of such reads shuts others out.

Cause: the header was passed on as it came.

Change: the wait is at most limits.idleLimitMs, which also ends a connection at rest.

--- a/edge/edge_node.cpp
+++ b/edge/edge_node.cpp
@@ -225,9 +225,10 @@
     Caller const caller = identifyCaller(*configuration, request, KeyRequirement::required);
     if (caller.status == CallerStatus::refused)
       co_return co_await reply(client, errorReply(Error(ErrorCode::unknownKey)));
-    std::uint64_t const hold = parseNumber(headerOf(request, "Hold-Read-Ms")).value_or(0);
+    std::uint64_t const wanted = parseNumber(headerOf(request, "Hold-Read-Ms")).value_or(0);
+    Ms const hold = std::min(Ms(static_cast<std::int64_t>(wanted)), configuration->limits.idleLimit);
     LotCaller const lotCaller{host, caller.tenantName()};
-    HttpReply answer = co_await lots_.call(lotCaller, verb, target, Ms(static_cast<std::int64_t>(hold)));
+    HttpReply answer = co_await lots_.call(lotCaller, verb, target, hold);
     co_return co_await reply(client, std::move(answer));
   }
   RequestPlan const plan = planRequest(request, view_.configuration(), now);
--- a/tests/processes/edge_crowd_test.cpp
+++ b/tests/processes/edge_crowd_test.cpp
@@ -134,6 +134,17 @@
   string const request = requestText("POST", "/web/silent", "Host: shop.example\r\nAttempt-Id: crowd\r\n", "");
   edge.play(700, {request, request, endlessBytes, true, true});
 }
+TEST(edgeCrowds, readsOfLotsThatAreHeld) {
+  RigLimits limits = fewDescriptors();
+  limits.idleLimitMs = 4000;
+  EdgeCrowdRig edge(limits);
+  string const lot = R"({"requests":[{"serverId":"item1","urlPath":"/web/silent","payload":"","tokens":10}]})";
+  string const headers = "Host: shop.example\r\nAttempt-Id: lot1\r\n";
+  CHECK(ProcessRig::answersWith(202, edge.rig.outside(), requestText("POST", "/jobs/x", headers, lot)));
+  string const held = headers + "Hold-Read-Ms: 100000000\r\n";
+  string const read = requestText("GET", "/lots/lot1?startAfter=0", held, "");
+  edge.play(700, {read, read, endlessBytes}, Ms(6000));
+}
 TEST(edgeCrowds, bodiesOverTheLimitAreRefusedBeforeTheClose) {
   EdgeCrowdRig edge;
   std::size_t const length = edge.rig.limits().maxBodyBytes;
