wire: a call between nodes that has ended holds nothing any more

Cause: the bytes of a call were given back at the connection, but the OverloadManager was told only with the connection's next frame. Idle connections of stores kept the size of their last lot, took up the part of other nodes, and were closed for new calls.

Change: told at the end of the call.

Measured: rpcServer, aCallThatHasEndedHoldsNothing: 1,052,672 bytes stay without the line, 0 with it.

--- a/tests/wire/rpc_server_test.cpp
+++ b/tests/wire/rpc_server_test.cpp
@@ -1,4 +1,5 @@
 #include "updates/update_publisher.hpp"
+#include "wire/overload_manager.hpp"
 
 #include <CppUTest/TestHarness.h>
 
@@ -110,6 +111,23 @@
   fixture.run(Ms(20));
   CHECK(fixture.serves());
 }
+// Guards against a charge that stays after its call: idle connections used up the memory for other nodes, and lots
+// failed.
+TEST(rpcServer, aCallThatHasEndedHoldsNothing) {
+  UpdateServerFixture fixture;
+  std::size_t held = 0;
+  fixture.server.onRaw(RpcMethod::createReplica, [&held](string body) -> Task<string> {
+    held = overloadManager().bytes(PeerKind::node);
+    co_return std::to_string(body.size());
+  });
+  bool ended = false;
+  asio::co_spawn(fixture.io, fixture.rpc.callRaw(fixture.at, RpcMethod::createReplica, string(1u << 20, 'i'), Ms(2000)),
+                 [&](std::exception_ptr, string) { ended = true; });
+  CHECK(fixture.until([&] { return ended; }));
+  CHECK_TEXT(held > 1u << 20, "the call holds its body");
+  fixture.run(Ms(20));
+  LONGS_EQUAL(0, overloadManager().bytes(PeerKind::node));
+}
 TEST(rpcServer, anUnsupportedUpdateFormatIsRefused) {
   UpdateServerFixture fixture;
   UpdateRequest request;
--- a/wire/rpc_server.cpp
+++ b/wire/rpc_server.cpp
@@ -167,6 +167,7 @@
   }
   --connection->activeCalls;
   connection->callBytes -= bytes;
+  connection->holdRequests();
   connection->enterPhase();
   if (!wantsReply || !connection->socket.is_open()) co_return;
   // A single reply always fits; a caller that keeps calling without reading is disconnected.
