wire, edge: one request inside the limits always finds room, and a small answer

Seen by a test on: at a memory of 64 MB a single lot of 4 MB, in calm, is refused with 503, as it counts eight times. By reading: an answer of a few bytes found no room once requests under way had taken all, and the connection was closed without it.

Change: a request under way counts for at most half of its kind's bytes; answers up to 16 KB count with their request. The sizes from which memory goes back to the system are 1 MB for a block and 4 MB for the heap's end, so that ordinary buffers stay.

--- a/apps/daemon.cpp
+++ b/apps/daemon.cpp
@@ -15,9 +15,9 @@
 
 namespace {
 constexpr int maxPort = 65535;
-/// Blocks from this size on go back to the system when they are freed; by default the size grows with use, and the
-/// freed blocks of large bodies stay in the process.
-constexpr int mappedBlockBytes = 256 << 10;
+/// Blocks from the first size on, and free memory at the end of the heap from the second on, go back to the system. By
+/// default these sizes grow with use, and the freed blocks of large bodies stay in the process.
+constexpr int mappedBlockBytes = 1 << 20, trimmedHeapBytes = 4 << 20;
 
 /// Stops the daemon and waits for work in progress, for at most nine tenths of the grace period.
 Task<void> shutDown(asio::io_context& io, Settings const& settings, Daemon& daemon) {
@@ -96,6 +96,7 @@
     Daemon daemon;
     rpcTraffic().setOwnZone(settings.zone);
     ::mallopt(M_MMAP_THRESHOLD, mappedBlockBytes);
+    ::mallopt(M_TRIM_THRESHOLD, trimmedHeapBytes);
     overloadManager().setLimits(PeerLimits::from(settings));
     start(io, settings, daemon);
     InvariantMetrics const invariantMetrics;
--- a/edge/edge_node.cpp
+++ b/edge/edge_node.cpp
@@ -236,7 +236,7 @@
   if (plan.caller.status == CallerStatus::refused)
     co_return co_await reply(client, errorReply(Error(ErrorCode::unknownKey)));
   if (plan.route->kind == RouteKind::bulk) {
-    bool const fits = client.hold->hold(HeldPart::request, lotCopies * request.body().size() + unreadBytes);
+    bool const fits = client.hold->holdForWork(lotCopies * request.body().size() + unreadBytes);
     if (!fits) co_return co_await reply(client, overloadReply());
     HttpReply answer = co_await submitLot(plan, request);
     co_return co_await reply(client, std::move(answer));
--- a/tests/processes/edge_crowd_test.cpp
+++ b/tests/processes/edge_crowd_test.cpp
@@ -163,3 +163,15 @@
   string const chunks = repeated(chunkOf(7), limits.maxBodyBytes) + "0\r\nX-Trailer: a\r\n\r\n";
   LONGS_EQUAL(200, callBlocking(edge.rig.outside(), chunkedHead + chunks, Ms(8000)).status);
 }
+TEST(edgeCrowds, aSingleLotInsideTheLimitsIsAccepted) {
+  RigLimits limits;
+  limits.maxBodyBytes = 4 * megabyte;
+  EdgeCrowdRig edge(limits);
+  string const start = R"({"requests":[{"serverId":"item1","urlPath":"/web/x","tokens":10,"payload":")";
+  string const payload((limits.maxBodyBytes - start.size() - 4) / 4 * 4, 'A');
+  string const lot = start + payload + "\"}]}";
+  string const request = requestText("POST", "/jobs/x", "Host: shop.example\r\nAttempt-Id: lot1\r\n", lot);
+  LONGS_EQUAL(202, callBlocking(edge.rig.outside(), request, Ms(8000)).status);
+  checkUse(edge.rig, ProcessRig::Role::edge, PeakUse{edge.rig.useOf(ProcessRig::Role::edge).peakBytes, 0});
+  checkUse(edge.rig, ProcessRig::Role::store, PeakUse{edge.rig.useOf(ProcessRig::Role::store).peakBytes, 0});
+}
--- a/tests/wire/overload_manager_test.cpp
+++ b/tests/wire/overload_manager_test.cpp
@@ -131,6 +131,30 @@
   CHECK(small.enter(PeerPhase::working));
   CHECK(small.hold(HeldPart::request, 100 * kilobyte));
 }
+TEST(overloadManager, aSmallAnswerAlwaysFindsRoom) {
+  ManagedPeers peers;
+  for (int count = 0; count < 6; ++count) CHECK(peers.client().enter(PeerPhase::working));
+  PeerHold& small = *peers.holds.front();
+  PeerLimits limits = peers.manager.limits();
+  limits.byKind[0].bytes = 600 * kilobyte;
+  peers.manager.setLimits(limits);
+  for (std::unique_ptr<PeerHold> const& hold : peers.holds) CHECK(hold->hold(HeldPart::request, 100 * kilobyte));
+  for (std::unique_ptr<PeerHold> const& hold : peers.holds) CHECK(hold->hold(HeldPart::answer, 4 * kilobyte));
+  CHECK_TEXT(!small.hold(HeldPart::answer, 100 * kilobyte), "a large one finds none");
+}
+TEST(overloadManager, aRequestAloneFindsRoomWhateverItTakes) {
+  ManagedPeers peers;
+  PeerHold& small = peers.client();
+  CHECK(small.enter(PeerPhase::working));
+  CHECK(small.hold(HeldPart::request, 64 * kilobyte));
+  PeerHold& large = peers.client();
+  CHECK(large.enter(PeerPhase::working));
+  CHECK(large.holdForWork(3 * managedBytes));
+  PeerHold& another = peers.client();
+  CHECK(another.enter(PeerPhase::working));
+  CHECK_TEXT(!another.holdForWork(3 * managedBytes), "a second one finds none");
+  CHECK_TEXT(another.hold(HeldPart::request, 64 * kilobyte), "a small one does");
+}
 TEST(overloadManager, nothingIsHeldOnceAConnectionIsGone) {
   ManagedPeers peers;
   peers.reading(400 * kilobyte);
--- a/wire/http.cpp
+++ b/wire/http.cpp
@@ -7,6 +7,8 @@
 constexpr std::size_t maxCallHeaderBytes = 16u << 10;
 /// Copies of a body while its request is under way: as received, as parsed, and as sent on to another node.
 constexpr std::size_t callBodyCopies = 3;
+/// Of a small answer.
+constexpr std::size_t answerBytes = 16u << 10;
 }  // namespace
 
 HttpServer::HttpServer(asio::io_context& io, Address const& address, HttpHandler handler, std::uint64_t maxBodyBytes,
@@ -72,6 +74,7 @@
 Task<bool> HttpServer::serveRequest(PeerConnection& peer) {
   RequestLimits limits{maxCallHeaderBytes, maxBodyBytes_, idleLimit_, idleLimit_};
   limits.bodyCopies = callBodyCopies;
+  limits.workBytes = answerBytes;
   RequestOutcome outcome = co_await readRequest(io_, peer, limits, nullptr);
   if (outcome.refusal) co_await refuse(peer, *outcome.refusal);
   if (!outcome.request) co_return false;
--- a/wire/overload_manager.cpp
+++ b/wire/overload_manager.cpp
@@ -6,6 +6,9 @@
 /// Requests with more bytes than this leave a quarter of the memory to smaller ones.
 constexpr std::size_t largeRequestBytes = 128u << 10;
 
+/// Answers up to this size count with their request.
+constexpr std::size_t smallAnswerBytes = 16u << 10;
+
 std::size_t threeQuartersOf(std::size_t limit) {
   return limit - limit / 4;
 }
@@ -169,8 +172,13 @@
   return true;
 }
 
+bool PeerHold::holdForWork(std::size_t estimate) {
+  return hold(HeldPart::request, std::min(estimate, manager_.limits_.of(kind_).bytes / 2));
+}
+
 bool PeerHold::hold(HeldPart part, std::size_t bytes) {
   if (mustLeave_) return false;
+  if (part == HeldPart::answer && bytes <= smallAnswerBytes) bytes = 0;
   std::size_t& held = parts_[static_cast<std::size_t>(part)];
   bool const fits = bytes <= held || manager_.makeRoomForBytes(*this, this->bytes() - held + bytes);
   if (!fits) {
--- a/wire/overload_manager.hpp
+++ b/wire/overload_manager.hpp
@@ -91,8 +91,12 @@
 
   /// Enters a phase. False if there is no room for another request under way; the request is to be refused then.
   bool enter(PeerPhase phase);
-  /// Sets the bytes held. False if there is no room: the connection is to free them and to refuse its request.
+  /// Sets the bytes held. False if there is no room: the connection is to free them and to refuse its request. A small
+  /// answer always finds room.
   [[nodiscard]] bool hold(HeldPart part, std::size_t bytes);
+  /// Sets the bytes of a request under way by an estimate. It counts for at most half of the limit, so that a request
+  /// alone always finds room.
+  [[nodiscard]] bool holdForWork(std::size_t estimate);
   /// OverloadManager::isUnderPressure for peers of this kind.
   bool isUnderPressure() const { return manager_.isUnderPressure(kind_); }
   /// True once the connection has to give way, or was refused from the start: it is to be refused and closed.
--- a/wire/request_reader.cpp
+++ b/wire/request_reader.cpp
@@ -183,7 +183,7 @@
   HttpRequest const& request = *outcome.request;
   std::size_t const bytes =
       memoryOf(request.base()) + limits.bodyCopies * request.body().size() + limits.workBytes + peer.unparsed.size();
-  bool const mayWork = peer.hold->enter(PeerPhase::working) && peer.hold->hold(HeldPart::request, bytes);
+  bool const mayWork = peer.hold->enter(PeerPhase::working) && peer.hold->holdForWork(bytes);
   if (!mayWork) outcome = RequestOutcome{std::nullopt, ErrorCode::overloaded};
   co_return outcome;
 }
