tallies: a process's reads include what it acknowledged, whichever node answers

Cause: a node that is no member forwards each call to the first member that answers and keeps nothing of what it acknowledged, and an addition is acknowledged before all members have it. A removed node has the additions, but forwards reads and pushes nothing, so no member has them.

Change: TallySession knows, one sequence number an origin, what the process acknowledged in its life; each answer is held against it, from the own table and from a member. A forwarded read says what it requires, its answer what it includes; an addition's answer says where it is. Members of the release before are asked by an empty push. A removed node pushes what it alone has. Additions that all members lack for mergeMs + inTouchMs, though all answer, count as lost, so that no read is refused for good.

The search adds a bound to one check: what was acknowledged while more than `survive` members were down, frozen or not caught up may be lost with the disk of the member that counted it, as it was already for partitions.

--- a/control/messages.hpp
+++ b/control/messages.hpp
@@ -1,5 +1,6 @@
 #pragma once
 #include "fleet/nodes.hpp"
+#include "tallies/tally_add.hpp"
 
 /// Messages between control nodes that forward calls of workers and operators and compare registries of workers.
 namespace tealshelf {
@@ -8,7 +9,10 @@
 struct CallReply {
   int status = 200;
   string body;
-  MSGPACK_DEFINE(status, body)
+  /// Of an addition to a tally: a table with these sequence numbers includes it. Of a read: what the answer includes,
+  /// for each origin that was required. Releases before this field leave it out.
+  VersionVector additions = {};
+  MSGPACK_DEFINE(status, body, additions)
 };
 
 /// A call of a worker or an operator, forwarded to the owner of its keyspace.
@@ -17,8 +21,9 @@
   static constexpr RpcMethod method = RpcMethod::forwardCall;
   string verb, path, ifMatch, body;
   int hops = 0;
-  std::int64_t budgetMs = 0;  ///< time that remains for the reply
-  MSGPACK_DEFINE(verb, path, ifMatch, body, hops, budgetMs)
+  std::int64_t budgetMs = 0;             ///< time that remains for the reply
+  VersionVector requiredAdditions = {};  ///< of a read of a tally: what the forwarding node has acknowledged
+  MSGPACK_DEFINE(verb, path, ifMatch, body, hops, budgetMs, requiredAdditions)
 };
 
 /// The buckets of a registry of workers that differ from the requester's.
--- a/control/tally_handler.cpp
+++ b/control/tally_handler.cpp
@@ -34,43 +34,34 @@
 }
 
 TallyHandler::TallyHandler(Settings const& settings, RpcClient& rpc, Consensus const& consensus, TallyStore& store)
-    : settings_(settings), rpc_(rpc), consensus_(consensus), store_(store) {}
+    : settings_(settings), store_(store), forwarder_(settings, rpc, consensus, store) {}
 
 Task<CallReply> TallyHandler::handle(ForwardedCall call) {
   if (call.verb != "POST" && call.verb != "GET") throw Error(ErrorCode::methodNotAllowed);
   string const tally = idInPath(call.path, string(tallyPath));
+  if (call.verb == "POST") co_return co_await add(tally, std::move(call));
+  co_return co_await read(tally, std::move(call));
+}
+
+Task<CallReply> TallyHandler::add(string tally, ForwardedCall call) {
   TimePoint const end = Clock::now() + std::min(Ms(call.budgetMs), Ms(settings_.bounds.inTouch / 5));
-  bool const isAddition = call.verb == "POST";
-  TallyAddition addition;
-  if (isAddition) addition = readAddition(call.body);
-  if (!store_.isServing()) co_return co_await forwardToMember(std::move(call));
-  if (isAddition) {
-    co_await store_.add(tally, addition.serverId, addition.changedBy, end);
-    co_return CallReply{200, "{}"};
-  }
-  co_return CallReply{200, "{\"total\":" + textOf(store_.total(tally)) + "}"};
+  TallyAddition const addition = readAddition(call.body);
+  if (!store_.isServing()) co_return co_await forwarder_.add(std::move(call));
+  VersionVector additions = co_await store_.add(tally, addition.serverId, addition.changedBy, end);
+  co_return CallReply{200, "{}", std::move(additions)};
+}
+
+Task<CallReply> TallyHandler::read(string tally, ForwardedCall call) {
+  if (!canAnswer(call)) co_return co_await forwarder_.read(std::move(call));
+  VersionVector included = store_.knownOf(call.requiredAdditions);
+  co_return CallReply{200, "{\"total\":" + textOf(store_.total(tally)) + "}", std::move(included)};
 }
 
-Task<CallReply> TallyHandler::forwardToMember(ForwardedCall call) {
-  if (call.hops++ > 0) throw Error(ErrorCode::notReady, "the call was forwarded to a node that doesn't serve tallies");
-  TimePoint const end = Clock::now() + Ms(call.budgetMs);
-  vector<Member> members = consensus_.membership().members;
-  std::stable_partition(members.begin(), members.end(),
-                        [this](Member const& member) { return member.zone == settings_.zone; });
-  for (Member const& member : members) {
-    if (member.ip == settings_.ip) continue;
-    call.budgetMs = std::min<std::int64_t>(remainingMs(end), (settings_.bounds.inTouch / 8).count());
-    if (call.budgetMs <= 0) break;
-    try {
-      co_return co_await rpc_.call(settings_.controlAddress(member.ip), call, Ms(call.budgetMs));
-    } catch (Error const& error) {
-      bool const isFinal = error.kind() != ErrorKind::rejected && error.kind() != ErrorKind::undetermined;
-      if (isFinal) throw;
-      // An addition that may have been counted is left to its caller, who may retry it at any node: it counts once.
-      if (error.kind() == ErrorKind::undetermined && call.verb == "POST") throw;
-    }
-  }
-  throw Error(ErrorCode::notReady, "no member that serves tallies was reached");
+bool TallyHandler::canAnswer(ForwardedCall const& call) {
+  if (!store_.isServing()) return false;
+  // A forwarded answer is checked by the node that forwarded the call.
+  VersionVector const& required = store_.session().required();
+  return call.hops > 0 || includes(store_.knownOf(required), required);
 }
 
 }  // namespace tealshelf
--- a/control/tally_handler.hpp
+++ b/control/tally_handler.hpp
@@ -1,7 +1,5 @@
 #pragma once
-#include "consensus/consensus.hpp"
-#include "control/messages.hpp"
-#include "tallies/tally_store.hpp"
+#include "control/tally_forwarder.hpp"
 
 namespace tealshelf {
 
@@ -18,20 +16,21 @@
 constexpr string_view tallyPath = "/tallies/";
 
 /// Handles `/tallies/ID`: applications add to tallies and read them, on both sides of a network partition. A node that
-/// isn't a member, or is still catching up, forwards the call to a member.
+/// isn't a member, is still catching up, or lacks what it acknowledged as either forwards the call to a member.
 class TallyHandler {
  public:
   TallyHandler(Settings const& settings, RpcClient& rpc, Consensus const& consensus, TallyStore& store);
   Task<CallReply> handle(ForwardedCall call);
 
  private:
-  /// Tries one member after the other, those of this node's zone first.
-  Task<CallReply> forwardToMember(ForwardedCall call);
+  Task<CallReply> add(string tally, ForwardedCall call);
+  Task<CallReply> read(string tally, ForwardedCall call);
+  /// True if the own table may answer a read.
+  bool canAnswer(ForwardedCall const& call);
 
   Settings const& settings_;
-  RpcClient& rpc_;
-  Consensus const& consensus_;
   TallyStore& store_;
+  TallyForwarder forwarder_;
 };
 
 }  // namespace tealshelf
--- a/tallies/tally_add.cpp
+++ b/tallies/tally_add.cpp
@@ -21,6 +21,17 @@
   return found == vector.end() ? 0 : found->second;
 }
 
+bool raiseTo(VersionVector& vector, OriginId origin, std::uint64_t sequence) {
+  if (sequenceIn(vector, origin) >= sequence) return false;
+  vector[origin] = sequence;
+  return true;
+}
+
+bool includes(VersionVector const& known, VersionVector const& required) {
+  return std::all_of(required.begin(), required.end(),
+                     [&known](auto const& entry) { return sequenceIn(known, entry.first) >= entry.second; });
+}
+
 std::uint64_t digestOf(VersionVector const& vector) {
   std::uint64_t const digest = hash64(serialize(vector));
   return digest ? digest : 1;
--- a/tallies/tally_add.hpp
+++ b/tallies/tally_add.hpp
@@ -45,6 +45,10 @@
 using VersionVector = std::map<OriginId, std::uint64_t>;
 /// The sequence number for an origin; 0 if there is none.
 std::uint64_t sequenceIn(VersionVector const& vector, OriginId origin);
+/// Raises the sequence number for an origin; false if it is as large already.
+bool raiseTo(VersionVector& vector, OriginId origin, std::uint64_t sequence);
+/// True if `known` has every sequence number of `required`.
+bool includes(VersionVector const& known, VersionVector const& required);
 /// A digest of a vector; never 0.
 std::uint64_t digestOf(VersionVector const& vector);
 
--- a/tallies/tally_metrics.hpp
+++ b/tallies/tally_metrics.hpp
@@ -18,6 +18,12 @@
   Counter pushes = metrics().counter("tealshelf_tallies_pushes_total", "Messages to other members by their end",
                                      {{"end", "answered"}});
   Counter failedPushes = metrics().counter("tealshelf_tallies_pushes_total", "", {{"end", "failed"}});
+  Counter unmetReads = metrics().counter(
+      "tealshelf_tallies_unmet_read_rounds_total",
+      "Rounds of reads in which no reachable member had all additions that this process acknowledged");
+  Counter lostOrigins = metrics().counter(
+      "tealshelf_tallies_lost_origins_total",
+      "Logs of additions that reads no longer wait for, as all members lack what this process acknowledged of them");
   Gauge recent = metrics().gauge("tealshelf_tallies_recent_additions", "Additions that some member may lack");
   Gauge remembered =
       metrics().gauge("tealshelf_tallies_remembered_keys", "Settled additions that a repeat is known of");
--- a/tallies/tally_replica.cpp
+++ b/tallies/tally_replica.cpp
@@ -81,6 +81,17 @@
   return copies.count >= std::min<std::size_t>(2, durability_.copies) || isWithoutContact();
 }
 
+VersionVector TallyReplica::knownOf(VersionVector const& origins) const {
+  VersionVector known;
+  for (auto const& [origin, sequence] : origins) known[origin] = table_.lastOf(origin);
+  return known;
+}
+
+VersionVector TallyReplica::including(std::optional<AddPosition> const& position) const {
+  if (position) return {{position->origin, position->sequence}};
+  return table_.settled();
+}
+
 void TallyReplica::setMembers(vector<Member> const& members) {
   std::map<NodeId, TallyPeer> previous = std::exchange(peers_, {});
   bool const wasMember = std::exchange(isMember_, false);
@@ -181,7 +192,9 @@
 
 vector<OutgoingPush> TallyReplica::takePushes(TimePoint now) {
   vector<OutgoingPush> pushes;
-  if (!isMember_) return pushes;
+  // A node that was removed may have the only copies of additions that it acknowledged while it was cut off.
+  bool const hasSomethingToSend = isMember_ || table_.recentCount() > 0;
+  if (!hasSomethingToSend) return pushes;
   for (auto& [id, peer] : peers_) {
     if (peer.awaitsReply || now < peer.nextPushAt) continue;
     std::optional<TallyPush> push = nextPush(peer, now);
--- a/tallies/tally_replica.hpp
+++ b/tallies/tally_replica.hpp
@@ -29,7 +29,8 @@
 ///
 /// Inputs are additions of callers, pushes, answers and ticks; takeRecords() and takePushes() return what is to be
 /// written and sent. Nothing is sent, and nothing counts as a copy, before it is synced. Every member accepts
-/// additions, whichever others it can reach; members send each other what they lack (docs/design-tallies.md).
+/// additions, whichever others it can reach; members send each other what they lack, and a node that was removed sends
+/// them what it alone has (docs/design-tallies.md).
 class TallyReplica {
  public:
   TallyReplica(NodeId self, TallyTiming timing, TallyDurability durability);
@@ -62,6 +63,10 @@
   void setAwaited(std::set<OriginId> origins) { awaited_ = std::move(origins); }
   /// True if this node may answer callers.
   bool isServing() const { return isMember_ && caughtUp_; }
+  /// What this node has of some origins: a sequence number for each of them, 0 if it has none.
+  VersionVector knownOf(VersionVector const& origins) const;
+  /// Sequence numbers such that a table with them includes an addition. A position that is no longer known was settled.
+  VersionVector including(std::optional<AddPosition> const& position) const;
   TallyTable const& table() const { return table_; }
 
   // Peers.
--- a/tallies/tally_store.cpp
+++ b/tallies/tally_store.cpp
@@ -23,10 +23,19 @@
 TallyDurability durabilityFor(Settings const& settings) {
   return {static_cast<std::size_t>(settings.surviveMachines) + 1, static_cast<std::size_t>(settings.surviveZones) + 1};
 }
+
+/// All members converge within `merge`; a node that was removed may need `inTouch` more to reach one.
+Ms lossTimeoutFor(Bounds const& bounds) {
+  return bounds.merge + bounds.inTouch;
+}
 }  // namespace
 
 TallyStore::TallyStore(asio::io_context& io, Settings const& settings, RpcClient& rpc, NodeId self)
-    : io_(io), settings_(settings), rpc_(rpc), replica_(self, timingFor(settings.bounds), durabilityFor(settings)) {
+    : io_(io),
+      settings_(settings),
+      rpc_(rpc),
+      replica_(self, timingFor(settings.bounds), durabilityFor(settings)),
+      session_(lossTimeoutFor(settings.bounds)) {
   if (!settings.dataFolder.empty()) replayLog();
   if (!replica_.hasOrigin()) replica_.beginOrigin(OriginId(randomId()));
   sampler_ = metrics().sample([this] { metrics_.sample(replica_); });
@@ -51,7 +60,7 @@
   spawnTask(io_, "tallies", tickLoop());
 }
 
-Task<void> TallyStore::add(string tally, string callerId, std::int64_t change, TimePoint end) {
+Task<VersionVector> TallyStore::add(string tally, string callerId, std::int64_t change, TimePoint end) {
   if (!isServing()) throw Error(ErrorCode::notReady, "tallies");
   if (log_ && !log_->healthy()) throw Error(ErrorCode::diskUnavailable);
   if (log_ && replica_.table().storedSize() > log_->limits().maxStateSize()) {
@@ -65,9 +74,11 @@
     throw Error(ErrorCode::conflictingAddition, callerId);
   }
   (outcome.result == TallyTable::AddResult::added ? metrics_.added : metrics_.repeated).increment();
-  if (!outcome.position) co_return;
   flush();
-  co_await waitUntilDurable(*outcome.position, end);
+  if (outcome.position) co_await waitUntilDurable(*outcome.position, end);
+  VersionVector const including = replica_.including(outcome.position);
+  session_.noteAcknowledged(including);
+  co_return including;
 }
 
 Task<void> TallyStore::waitUntilDurable(AddPosition position, TimePoint end) {
@@ -93,6 +104,15 @@
   return replica_.table().total(tally);
 }
 
+void TallyStore::noteSessionUnmet(TallySurvey const& survey) {
+  metrics_.unmetReads.increment();
+  std::size_t const lost = session_.noteUnmet(survey, Clock::now());
+  if (!lost) return;
+  metrics_.lostOrigins.increment(lost);
+  logWarning("tallies", "all members lack additions of " + std::to_string(lost) +
+                            " lost logs that this node acknowledged; reads no longer wait for them");
+}
+
 void TallyStore::setMembership(Membership const& membership) {
   if (installed_ == membership.number) return;
   installed_ = membership.number;
--- a/tallies/tally_store.hpp
+++ b/tallies/tally_store.hpp
@@ -2,6 +2,7 @@
 #include "base/durable_log.hpp"
 #include "tallies/tally_metrics.hpp"
 #include "tallies/tally_replica.hpp"
+#include "tallies/tally_session.hpp"
 
 namespace tealshelf {
 
@@ -17,11 +18,18 @@
   /// or is on all reachable members: at least one other, unless none has answered for `inTouchMs`. Throws notReady,
   /// talliesFull or diskUnavailable if nothing was or will be counted, conflictingAddition if the id was used with
   /// another change, and additionUndecided if the addition isn't durable by `end`: it may be counted or not.
-  Task<void> add(string tally, string callerId, std::int64_t change, TimePoint end);
+  /// Returns sequence numbers such that a table with them includes the addition.
+  Task<VersionVector> add(string tally, string callerId, std::int64_t change, TimePoint end);
   /// The sum of a tally. Throws notReady while this node isn't caught up with the others.
   TallyTotal total(string const& tally) const;
   /// True if this node may answer callers; otherwise their calls are forwarded to another node.
   bool isServing() const { return replica_.isServing(); }
+  /// What the callers of this process must find in every answer, whichever node it comes from.
+  TallySession& session() { return session_; }
+  /// What this node has of some origins.
+  VersionVector knownOf(VersionVector const& origins) const { return replica_.knownOf(origins); }
+  /// Records that neither this node nor a member had all that this process acknowledged.
+  void noteSessionUnmet(TallySurvey const& survey);
 
   void setMembership(Membership const& membership);
   std::uint64_t digest() const { return replica_.digest(); }
@@ -53,6 +61,7 @@
   Settings const& settings_;
   RpcClient& rpc_;
   TallyReplica replica_;
+  TallySession session_;
   std::unique_ptr<DurableLog> log_;  ///< null without a data folder
   vector<std::shared_ptr<Waiter>> waiters_;
   MembershipNumber installed_;
--- a/tests/formats_test.cpp
+++ b/tests/formats_test.cpp
@@ -229,7 +229,10 @@
   expectBytes("93a17ac302", Evacuation{"z", true, 2});
   expectBytes("92a36c6d2d01", TakeCredit{"lm-", CreditKind::warmUp});
   expectBytes("9294000003a16494010306a165", (vector<AcceptedChange>{{0, 0, 3, Digest("d")}, {1, 3, 6, Digest("e")}}));
-  expectBytes("96a3505554a92f73657474696e6773a135a27b7d01cd02bc", ForwardedCall{"PUT", "/settings", "5", "{}", 1, 700});
+  expectBytes("97a3505554a92f73657474696e6773a135a27b7d01cd02bc80",
+              ForwardedCall{"PUT", "/settings", "5", "{}", 1, 700, {}});
+  expectBytes("97a3474554a22f74a0a001cd02bc810b03", ForwardedCall{"GET", "/t", "", "", 1, 700, {{OriginId(11), 3}}});
+  expectBytes("93ccc8a27b7d810b03", CallReply{200, "{}", {{OriginId(11), 3}}});
   expectBytes(
       "9d0297a16ea17aa46564676592a831302e302e302e31cd1deecd012c000005c301020304c39197a16ea17aa465646765"
       "92a831302e302e302e31cd1deecd012c00009193a1690102c390",
--- a/tests/older_formats_test.cpp
+++ b/tests/older_formats_test.cpp
@@ -118,6 +118,13 @@
       HeartbeatMessage{heartbeat(), membership(), {worker()}, true, 4, 5, true, {dataNode()}, {{"i", 1, 2}}, {}, 0});
 }
 
+/// Bytes of releases before calls told which additions to tallies they require and include.
+TEST(olderFormats, callsWithoutAdditions) {
+  expectReads("96a3505554a92f73657474696e6773a135a27b7d01cd02bc",
+              ForwardedCall{"PUT", "/settings", "5", "{}", 1, 700, {}});
+  expectReads("92ccc8a27b7d", CallReply{200, "{}", {}});
+}
+
 /// Bytes of releases before control nodes reported their wall clock and whether they reach the platform.
 TEST(olderFormats, heartbeatsWithoutDuties) {
   expectReads(
--- a/tests/tallies/tally_fleet_events.cpp
+++ b/tests/tallies/tally_fleet_events.cpp
@@ -1,4 +1,4 @@
-// Callers, fault injection and checks of the simulation.
+// Fault injection and the checks at the end of the simulation.
 #include "tests/tallies/tally_fleet_sim.hpp"
 
 namespace tealshelf::sim {
@@ -6,65 +6,35 @@
 void TallyFleet::admit(Node& node) {
   node.isNewcomer = false;
   note(node.self.name + " is admitted as a member");
-  for (Member& member : members_)
-    if (member.name == node.self.name) member = node.self;
-  for (std::unique_ptr<Node> const& other : nodes_)
-    if (other->up) other->replica->setMembers(members_);
+  std::erase_if(members_, [&node](Member const& member) { return member.name == node.self.name; });
+  members_.push_back(node.self);
+  for (std::unique_ptr<Node> const& other : nodes_) installMembers(*other);
 }
 
-void TallyFleet::call(Node& node) {
-  bool const repeats = !calls_.empty() && pick(3) == 0;
-  Call call;
-  if (repeats) {
-    std::size_t const recent = std::min<std::size_t>(calls_.size(), pick(4) ? 20 : calls_.size());
-    call = calls_[calls_.size() - 1 - pick(recent)];
-  } else {
-    call.tally = "t" + std::to_string(pick(tallies));
-    call.id = "id" + std::to_string(calls_.size());
-    call.change = 1 + static_cast<std::int64_t>(pick(9));
-  }
-  if (!node.up || !node.replica->isServing()) return;
-  if (!repeats) {
-    calls_.push_back(call);
-    sent_[call.tally] += call.change;
-  }
-  TallyAdd add{call.tally, addKeyOf(call.tally, call.id), call.change, wallMs()};
-  TallyTable::AddOutcome const outcome = node.replica->add(std::move(add));
-  if (outcome.result == TallyTable::AddResult::conflicting)
-    return fail("a repeated addition is treated as conflicting");
-  flush(node);
-  if (!outcome.position)
-    acknowledge(node, call);
-  else
-    node.callers.push_back({call, *outcome.position, now_ + callLimit});
-  answerCallers(node);
-  sendPushes(node);
-}
-
-void TallyFleet::answerCallers(Node& node) {
-  for (WaitingCaller const& caller : node.callers)
-    if (isAnswered(node, caller)) acknowledge(node, caller.call);
-  std::erase_if(node.callers,
-                [this, &node](WaitingCaller const& caller) { return isAnswered(node, caller) || now_ >= caller.end; });
-}
-
-bool TallyFleet::isAnswered(Node const& node, WaitingCaller const& caller) const {
-  if (mutation_ == Mutation::acknowledgesUnsynced) return true;
-  if (mutation_ == Mutation::acknowledgesAlone) return isOnOwnDisk(node, caller.position);
-  return node.replica->isDurable(caller.position);
-}
-
-bool TallyFleet::isOnOwnDisk(Node const& node, AddPosition position) {
-  for (PendingSync const& sync : node.pending)
-    if (sequenceIn(sync.known, position.origin) >= position.sequence) return false;
-  return true;
+void TallyFleet::installMembers(Node& node) {
+  if (cutEndsAt_ && node.isPartitioned) return;
+  node.installedMembers = members_;
+  if (node.up) node.replica->setMembers(members_);
 }
 
-void TallyFleet::acknowledge(Node& node, Call const& call) {
-  acknowledged_.push_back({call, now_, node.self.id, cutEndsAt_.has_value() || now_ < recoveringUntil_});
-  node.acknowledgedInThisLife[call.id + "/" + call.tally] = call.change;
-  acknowledgedNow_ = node.index;
-  note(node.self.name + " acknowledged " + call.id + " of " + call.tally + " +" + std::to_string(call.change));
+void TallyFleet::removeIsolated() {
+  bool const mayRemove = cutEndsAt_ && cutIsolatesZone_ && now_ - cutBeganAt_ > removalDelay;
+  if (!mayRemove || pick(50) != 0) return;
+  std::size_t const remaining =
+      static_cast<std::size_t>(std::count_if(nodes_.begin(), nodes_.end(), [](std::unique_ptr<Node> const& node) {
+        return node->hasDisk && node->up && !node->isPartitioned && !node->isNewcomer;
+      }));
+  for (std::unique_ptr<Node> const& node : nodes_) {
+    bool const isRemovable = node->hasDisk && node->isPartitioned && !node->isNewcomer;
+    bool const hasMajority = remaining > members_.size() / 2;
+    if (!isRemovable || !hasMajority || members_.size() <= minMembers) continue;
+    node->isNewcomer = true;
+    ++removals_;
+    note(node->self.name + " is removed");
+    std::erase_if(members_, [&node](Member const& member) { return member.name == node->self.name; });
+    for (std::unique_ptr<Node> const& other : nodes_) installMembers(*other);
+    return;
+  }
 }
 
 void TallyFleet::wipeAfterAcknowledgement() {
@@ -77,42 +47,8 @@
   }
 }
 
-void TallyFleet::read(Node& node) {
-  bool const answers = mutation_ == Mutation::readsBeforeCatchUp || (node.up && node.replica->isServing());
-  if (!node.up || !answers) return;
-  std::map<string, std::map<string, std::int64_t>> expectedAdds;
-  for (auto const& [id, change] : node.acknowledgedInThisLife)
-    expectedAdds[id.substr(id.find('/') + 1)][id.substr(0, id.find('/'))] = change;
-  // Additions acknowledged by other nodes are expected too, even if this node lost its disk meanwhile.
-  bool const hasNoRecentCut = !cutEndsAt_ && now_ - lastCutAt_ > mergeTime;
-  if (hasNoRecentCut)
-    for (Acknowledged const& added : acknowledged_)
-      if (now_ - added.at > mergeTime && mustBeVisible(added) && hasBeenUp(added.by))
-        expectedAdds[added.call.tally][added.call.id] = added.call.change;
-  for (auto const& [tally, adds] : expectedAdds) {
-    TallyTotal expectedTotal = 0;
-    for (auto const& [id, change] : adds) expectedTotal += change;
-    if (node.replica->table().total(tally) >= expectedTotal) continue;
-    noteMissing(node, tally);
-    note(node.self.name + " reads " + std::to_string(static_cast<std::int64_t>(node.replica->table().total(tally))) +
-         " of " + tally + ", expected " + std::to_string(static_cast<std::int64_t>(expectedTotal)));
-    return fail("a read misses an acknowledged addition");
-  }
-  for (auto const& [tally, sent] : sent_)
-    if (node.replica->table().total(tally) > sent) return fail("a read is larger than the sum of all additions");
-}
-
-/// An acknowledged addition must be visible everywhere once `mergeMs` has passed without faults. Besides partitions,
-/// only a recent outage of the acknowledging machine excuses a missing one: after a partition it may have the only
-/// copy.
-bool TallyFleet::hasBeenUp(NodeId id) const {
-  return std::none_of(nodes_.begin(), nodes_.end(), [this, id](std::unique_ptr<Node> const& node) {
-    return node->self.id == id && (!node->up || now_ - node->upSince <= mergeTime);
-  });
-}
-
 void TallyFleet::injectFault() {
-  switch (pick(6)) {
+  switch (pick(12)) {
     case 0:
     case 1:
       if (!cutEndsAt_) cut();
@@ -123,6 +59,15 @@
       return stop(*nodes_[pick(nodes_.size())], true);
     case 4:
       return wipe(*nodes_[pick(nodes_.size())]);
+    case 5:
+    case 6:
+      return freeze(*nodes_[pick(nodes_.size())]);
+    case 7:
+    case 8:
+      killsNextCounting_ = true;
+      return;
+    case 9:
+      return wipeIsolatedZone();
     default:
       pendingWipes_ = 1 + pick(survive);
   }
@@ -141,13 +86,22 @@
   note(node.self.name + (losesPower ? " loses power" : " is killed"));
 }
 
+void TallyFleet::freeze(Node& node) {
+  if (!node.up || isFrozen(node)) return;
+  node.frozenUntil = now_ + Ms(300 + pick(4000));
+  note(node.self.name + " freezes");
+}
+
+void TallyFleet::wipeIsolatedZone() {
+  if (!cutEndsAt_ || !cutIsolatesZone_) return;
+  for (std::unique_ptr<Node> const& node : nodes_)
+    if (node->isPartitioned) wipe(*node);
+}
+
 void TallyFleet::wipe(Node& node) {
-  std::size_t lost = 1;
-  for (std::unique_ptr<Node> const& other : nodes_) {
-    bool const isLost = !other->up || other->isNewcomer || !other->replica->isServing() || mayLackAdditions(*other);
-    if (isLost && other->index != node.index) ++lost;
-  }
-  if (lost > survive || !node.up) return;
+  if (!node.hasDisk) return;
+  std::size_t const others = lostMembers() - (isLost(node) ? 1 : 0);
+  if (others + 1 > survive || !node.up) return;
   ++wipes_;
   stop(node, true);
   wiped_.insert(node.self.id);
@@ -157,15 +111,27 @@
   note(node.self.name + " loses its disk");
 }
 
+bool TallyFleet::isLost(Node const& node) const {
+  if (!node.hasDisk) return false;
+  return !node.up || node.isNewcomer || !node.replica->isServing() || mayLackAdditions(node);
+}
+
+std::size_t TallyFleet::lostMembers() const {
+  return static_cast<std::size_t>(
+      std::count_if(nodes_.begin(), nodes_.end(), [this](std::unique_ptr<Node> const& node) { return isLost(*node); }));
+}
+
 bool TallyFleet::mayLackAdditions(Node const& node) const {
+  bool const wasFrozen = now_ - node.frozenUntil < mergeTime && node.frozenUntil > node.upSince;
   bool const isRecent = cutEndsAt_.has_value() || now_ - lastCutAt_ < mergeTime;
-  return isRecent && node.isPartitioned;
+  return wasFrozen || (isRecent && node.isPartitioned);
 }
 
 void TallyFleet::cut() {
   std::size_t const count = nodes_.size();
   string const zone = nodes_[pick(count)]->zone, second = nodes_[pick(count)]->zone;
-  std::uint64_t const form = pick(4);
+  // Of these the isolated zone is the likeliest, since only its members are removed.
+  std::uint64_t const form = pick(2) * pick(4);
   for (std::size_t from = 0; from < count; ++from)
     for (std::size_t to = 0; to < count; ++to) {
       bool const fromOff = nodes_[from]->zone == zone, toOff = nodes_[to]->zone == zone;
@@ -179,7 +145,8 @@
     }
   for (std::unique_ptr<Node> const& node : nodes_) node->isPartitioned = form == 1 || node->zone == zone;
   cutEndsAt_ = now_ + Ms(1000 + pick(pick(2) ? 25000 : 3000));
-  lastCutAt_ = now_;
+  cutBeganAt_ = lastCutAt_ = now_;
+  cutIsolatesZone_ = form == 0;
   note("cut " + std::to_string(form) + " of " + zone + " and " + second + ", for " +
        std::to_string(std::chrono::duration_cast<Ms>(*cutEndsAt_ - now_).count()) + " ms");
 }
@@ -191,11 +158,14 @@
   for (vector<bool>& row : blocked_) row.assign(row.size(), false);
   recoveringUntil_ = now_ + mergeTime;
   lastCutAt_ = now_;
+  for (std::unique_ptr<Node> const& node : nodes_) installMembers(*node);
 }
 
 void TallyFleet::checkEnd() {
   for (std::unique_ptr<Node> const& node : nodes_) {
     if (!node->up) return fail("a node isn't up at the end");
+    if (!answeringNode(*node)) return fail(node->self.name + " refuses reads at the end");
+    if (!node->hasDisk) continue;
     if (node->isNewcomer) return fail("a node wasn't admitted at the end");
     if (!node->replica->isServing()) return fail("a node doesn't serve at the end");
     if (node->replica->table().totals() != nodes_[firstMember()]->replica->table().totals())
@@ -204,8 +174,9 @@
     for (Acknowledged const& added : acknowledged_) {
       if (!mustBeVisible(added)) continue;
       TallyAdd const repeated{added.call.tally, addKeyOf(added.call.tally, added.call.id), added.call.change, wallMs()};
-      if (table.add(OriginId(1), repeated).result == TallyTable::AddResult::added)
-        return fail("an acknowledged addition is missing at the end");
+      if (table.add(OriginId(1), repeated).result != TallyTable::AddResult::added) continue;
+      note(node->self.name + " lacks " + added.call.id + " of " + added.call.tally);
+      return fail("an acknowledged addition is missing at the end");
     }
     for (auto const& [tally, sent] : sent_)
       if (node->replica->table().total(tally) > sent) return fail("a total is too large at the end");
--- a/tests/tallies/tally_fleet_sim.cpp
+++ b/tests/tallies/tally_fleet_sim.cpp
@@ -13,33 +13,64 @@
     nodes_[i]->zone = "z" + std::to_string(i % zones);
     assignNewIdentity(*nodes_[i]);
   }
-  blocked_.assign(count, vector<bool>(count, false));
   for (std::unique_ptr<Node> const& node : nodes_) members_.push_back(node->self);
-  for (std::unique_ptr<Node> const& node : nodes_) start(*node);
+  std::size_t const withoutDisk = 1 + pick(2);
+  for (std::size_t i = count; i < count + withoutDisk; ++i) {
+    nodes_.push_back(std::make_unique<Node>());
+    nodes_[i]->index = i;
+    nodes_[i]->zone = "z" + std::to_string(pick(zones));
+    nodes_[i]->hasDisk = false;
+    assignNewIdentity(*nodes_[i]);
+  }
+  blocked_.assign(nodes_.size(), vector<bool>(nodes_.size(), false));
+  for (std::unique_ptr<Node> const& node : nodes_) {
+    installMembers(*node);
+    start(*node);
+  }
 }
 
 Violation TallyFleet::run() {
   while (elapsed_ < length_ && violation_.empty()) {
-    if (pick(150) == 0) injectFault();
-    if (pick(6) == 0) call(*nodes_[pick(nodes_.size())]);
+    if (pick(100) == 0) injectFault();
+    if (pick(4) == 0) call(calledNode());
+    removeIsolated();
     advance();
     wipeAfterAcknowledgement();
-    if (pick(10) == 0) read(*nodes_[pick(nodes_.size())]);
+    if (pick(3) == 0) read(calledNode());
   }
-  heal();
-  finishing_ = true;
-  for (std::unique_ptr<Node> const& node : nodes_) node->restartAt = std::min(node->restartAt, now_);
-  Ms const rest = 2 * mergeTime;
-  for (Ms waited(0); waited < rest && violation_.empty(); waited += step) advance();
+  finish();
   if (violation_.empty()) checkEnd();
   return violation_;
 }
 
+void TallyFleet::finish() {
+  heal();
+  finishing_ = true;
+  for (std::unique_ptr<Node> const& node : nodes_) {
+    node->restartAt = std::min(node->restartAt, now_);
+    node->frozenUntil = std::min(node->frozenUntil, now_);
+  }
+  // Reads of a lost addition are refused for lossTimeout, counted from the first one that finds it missing.
+  Ms const rest = 2 * mergeTime + lossTimeout;
+  constexpr Ms readPeriod{200};
+  for (Ms waited(0); waited < rest && violation_.empty(); waited += step) {
+    advance();
+    if (waited % readPeriod == Ms(0))
+      for (std::unique_ptr<Node> const& node : nodes_) read(*node);
+  }
+}
+
 TallyTiming TallyFleet::timing(Mutation mutation) {
   Ms const retention = mutation == Mutation::forgetsIds ? Ms(8) : Ms(3600000);
   return {10, 80, Ms(250), Ms(500), Ms(2000), retention};
 }
 
+Ms TallyFleet::lossTimeoutOf(Mutation mutation) {
+  if (mutation == Mutation::requiresLostAdditions) return std::chrono::hours(1);
+  if (mutation == Mutation::takesMissingForLost) return Ms(0);
+  return lossTimeout;
+}
+
 void TallyFleet::assignNewIdentity(Node& node) {
   node.self.id = NodeId(++lastId_);
   node.self.name = "n" + std::to_string(node.index);
@@ -54,6 +85,8 @@
   node.replies.clear();
   node.callers.clear();
   node.acknowledgedInThisLife.clear();
+  node.session = TallySession(lossTimeoutOf(mutation_));
+  node.frozenUntil = now_;
   node.syncsStarted = node.syncsDone = 0;
   node.replica = std::make_unique<TallyReplica>(node.self.id, timing(mutation_), TallyDurability{survive + 1, 2});
   for (string const& record : node.disk) node.replica->replay(record);
@@ -63,7 +96,7 @@
     if (!reuses) node.firstOrigin = fresh;
     node.replica->beginOrigin(node.firstOrigin);
   }
-  node.replica->setMembers(members_);
+  node.replica->setMembers(node.installedMembers);
   flush(node);
 }
 
@@ -107,6 +140,7 @@
 }
 
 void TallyFleet::sendPushes(Node& node) {
+  if (!node.up) return;
   std::set<OriginId> awaited;
   for (WaitingCaller const& caller : node.callers) awaited.insert(caller.position.origin);
   node.replica->setAwaited(std::move(awaited));
@@ -131,6 +165,14 @@
 void TallyFleet::deliver(Packet const& packet) {
   Node& node = *nodes_[packet.to];
   if (!node.up || node.life != packet.toLife) return;
+  if (isFrozen(node)) {
+    Packet delayed = packet;
+    bool const wasAwaited = delayed.isTimeout && awaiting_[{packet.to, packet.from}] == packet.at;
+    delayed.at = node.frozenUntil;
+    if (wasAwaited) awaiting_[{packet.to, packet.from}] = delayed.at;
+    packets_.push_back(std::move(delayed));
+    return;
+  }
   NodeId const peer = nodes_[packet.from]->self.id;
   if (packet.isTimeout) {
     auto const open = awaiting_.find({packet.to, packet.from});
@@ -193,6 +235,10 @@
     if (now_ < node.restartAt) return;
     start(node);
   }
+  if (isFrozen(node)) {
+    lastThawAt_ = now_;
+    return;
+  }
   bool const isAdmitted = finishing_ || (pick(100) == 0 && !(cutEndsAt_ && node.isPartitioned));
   if (node.isNewcomer && isAdmitted) admit(node);
   finishSyncs(node);
--- a/tests/tallies/tally_fleet_test.cpp
+++ b/tests/tallies/tally_fleet_test.cpp
@@ -30,7 +30,7 @@
 
 TEST(tallyFleet, allReplicasConvergeWithoutLostOrDoubleCounts) {
   std::uint64_t const seeds = seedCount(40);
-  std::size_t acknowledged = 0, settled = 0, wipes = 0;
+  std::size_t acknowledged = 0, settled = 0, wipes = 0, removals = 0, forwarded = 0, refused = 0;
   std::optional<std::uint64_t> const only = onlySeed();
   for (std::uint64_t seed = only.value_or(1); seed <= only.value_or(seeds); ++seed) {
     TallyFleet fleet(seed, TallyFleet::Mutation::none);
@@ -42,13 +42,19 @@
     acknowledged += fleet.acknowledged();
     settled += fleet.settledKeys();
     wipes += fleet.wipes();
+    removals += fleet.removals();
+    forwarded += fleet.forwardedReads();
+    refused += fleet.refusedReads();
   }
   if (only) return;
   // The runs acknowledged and settled additions in numbers that matter.
   CHECK(acknowledged > 100 * seeds);
   CHECK(settled > 10 * seeds);
+  CHECK(forwarded > 100 * seeds);
+  CHECK(refused > seeds);
 
-  std::printf("%zu acknowledged, %zu settled, %zu wipes\n", acknowledged, settled, wipes);
+  std::printf("%zu acknowledged, %zu settled, %zu wipes, %zu removals, %zu reads forwarded, %zu refused\n",
+              acknowledged, settled, wipes, removals, forwarded, refused);
 }
 TEST(tallyFleet, anIdForgottenTooEarlyIsDetected) {
   expectDetected(TallyFleet::Mutation::forgetsIds);
@@ -68,6 +74,16 @@
 TEST(tallyFleet, aReadBeforeCatchingUpIsDetected) {
   expectDetected(TallyFleet::Mutation::readsBeforeCatchUp);
 }
+/// Guards against reads at a node without a disk that lacked what the same node had acknowledged (review/7).
+TEST(tallyFleet, aReadAtAMemberThatLacksAcknowledgedAdditionsIsDetected) {
+  expectDetected(TallyFleet::Mutation::readsAtAnyMember);
+}
+TEST(tallyFleet, readsRefusedForGoodAfterALossAreDetected) {
+  expectDetected(TallyFleet::Mutation::requiresLostAdditions, 200);
+}
+TEST(tallyFleet, aReadWithoutAnAdditionThatMembersYetLackIsDetected) {
+  expectDetected(TallyFleet::Mutation::takesMissingForLost, 200);
+}
 TEST(tallyFleet, anAdditionAppliedTwiceIsDetected) {
   expectDetected(TallyFleet::Mutation::appliesTwice);
 }
