--- a/tests/tallies/tally_session_test.cpp
+++ b/tests/tallies/tally_session_test.cpp
@@ -1,6 +1,8 @@
 #include "tallies/tally_session.hpp"
+#include "control/messages.hpp"
 
 #include <CppUTest/TestHarness.h>
+#include <cstdio>
 
 using namespace tealshelf;
 
@@ -80,3 +82,18 @@
   LONGS_EQUAL(0, session.noteUnmet(earlier, start + lossTimeout));
   CHECK((session.required() == VersionVector{{first, 4}}));
 }
+/// The page's size, 12 control nodes, after a thousand lost disks. A sequence number stands for years of additions.
+TEST(tallySession, aReadOfANodeThatOutlivedAThousandDisksIsSmall) {
+  constexpr std::size_t origins = 1012, bytesPerOrigin = 18, otherBytes = 64;
+  constexpr std::uint64_t sequence = 10'000'000'000;
+  VersionVector acknowledged;
+  for (std::size_t disk = 1; disk <= origins; ++disk)
+    acknowledged[OriginId(~std::uint64_t(0) / origins * disk)] = sequence + disk;
+  session.noteAcknowledged(acknowledged);
+  LONGS_EQUAL(origins, session.required().size());
+  ForwardedCall call{"GET", "/tallies/t", "", "", 1, 800, session.required()};
+  std::size_t const largest = serialize(call).size();
+  call.requiredAdditions.erase(std::next(call.requiredAdditions.begin(), 12), call.requiredAdditions.end());
+  std::printf("a forwarded read: %zu bytes with 12 origins, %zu with %zu\n", serialize(call).size(), largest, origins);
+  CHECK(largest <= origins * bytesPerOrigin + otherBytes);
+}
